--- /dev/null
+++ b/internal/burn/burn.go
@@ -0,0 +1,64 @@
+// Package burn computes how fast a service spends its error budget: the share
+// of bad answers over a window, divided by the share that the objective
+// allows. A rate of 1 spends the budget exactly. It is pure.
+package burn
+
+import "time"
+
+// Sample is the cumulative counters of a service at one moment.
+type Sample struct {
+	At   time.Duration
+	Good uint64
+	Bad  uint64
+}
+
+// Series is a service's samples at a fixed spacing in bounded memory. It is
+// not safe for concurrent use.
+type Series struct {
+	spacing time.Duration
+	keep    int
+	samples []Sample
+}
+
+// NewSeries returns an empty series that keeps one sample for each spacing and
+// as many as cover window.
+func NewSeries(spacing, window time.Duration) *Series {
+	return &Series{spacing: spacing, keep: int(window/spacing) + 1}
+}
+
+// Add adds a sample; one sooner than the spacing replaces the last.
+func (s *Series) Add(x Sample) {
+	if n := len(s.samples); n > 1 && x.At-s.samples[n-2].At < s.spacing {
+		s.samples[n-1] = x
+		return
+	}
+	s.samples = append(s.samples, x)
+	if len(s.samples) > s.keep+1 {
+		s.samples = append(s.samples[:0], s.samples[1:]...)
+	}
+}
+
+// Counts returns the good and bad answers in the window that ends with the
+// last sample.
+func (s *Series) Counts(window time.Duration) (good, bad uint64) {
+	if len(s.samples) == 0 {
+		return 0, 0
+	}
+	last, first := s.samples[len(s.samples)-1], s.samples[0]
+	for _, x := range s.samples {
+		if last.At-x.At <= window {
+			break
+		}
+		first = x
+	}
+	return last.Good - first.Good, last.Bad - first.Bad
+}
+
+// Rate returns the burn rate of counts against an objective such as 0.99.
+// Without any answer it is zero.
+func Rate(good, bad uint64, objective float64) float64 {
+	if good+bad == 0 {
+		return 0
+	}
+	return float64(bad) / float64(good+bad) / (1 - objective)
+}
--- /dev/null
+++ b/internal/entry/feed.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"garnethoist.org/garnethoist/api"
+	"garnethoist.org/garnethoist/internal/gossip"
+	"garnethoist.org/garnethoist/internal/settings"
+	"garnethoist.org/garnethoist/internal/telemetry"
+)
+
+const (
+	// reportInterval is the time between reports to the steward.
+	reportInterval = time.Second
+	// viewInterval is the least time between two views, so that a burst of
+	// load reports costs one rebuild.
+	viewInterval = 50 * time.Millisecond
+	// feedSilence is how long a steward may send nothing before the next one
+	// is asked; stewards send an empty batch well within it.
+	feedSilence = 3 * time.Second
+	// firstRetry and maxRetry bound the wait between stewards.
+	firstRetry = 100 * time.Millisecond
+	maxRetry   = 2 * time.Second
+)
+
+// feed keeps the entry's store current from one steward of its data centre,
+// and asks the next when that one is lost. The entry goes on with its last
+// view meanwhile.
+type feed struct {
+	vm          string
+	incarnation uint64
+	stewards    []settings.Addr
+	store       *gossip.Store
+	fleet       *fleet
+	usage       *usage
+	decisions   *decisionLog
+	log         *telemetry.Logger
+
+	// current is the index of the steward last joined.
+	current atomic.Int64
+	ready   atomic.Bool
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+}
+
+// Start begins to follow a steward.
+func (f *feed) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	f.done.Go(func() { f.follow(ctx) })
+	f.done.Go(func() { f.rebuild(ctx) })
+	return nil
+}
+
+// Stop ends the feed and waits for it.
+func (f *feed) Stop(context.Context) error {
+	f.cancel()
+	f.done.Wait()
+	return nil
+}
+
+// hasTable reports whether a table was ever received.
+func (f *feed) hasTable() bool { return f.ready.Load() }
+
+func (f *feed) follow(ctx context.Context) {
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval, wait.MaxInterval = firstRetry, maxRetry
+	for i := 0; ctx.Err() == nil; i++ {
+		f.current.Store(int64(i % len(f.stewards)))
+		addr := f.stewards[i%len(f.stewards)]
+		joined := time.Now()
+		err := f.watch(ctx, string(addr))
+		if ctx.Err() != nil {
+			return
+		}
+		f.log.Warn(telemetry.EventStewardLost, telemetry.F("steward", addr), telemetry.F("cause", err))
+		if time.Since(joined) > maxRetry {
+			wait.Reset()
+		}
+		sleep(ctx, wait.NextBackOff())
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// watch follows one steward until it fails or falls silent.
+func (f *feed) watch(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	conn, err := grpc.NewClient(addr, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		return errors.Wrap(err, "dial steward")
+	}
+	defer conn.Close()
+	stream, err := api.NewStewardClient(conn).Watch(ctx)
+	if err != nil {
+		return errors.Wrap(err, "watch")
+	}
+	var reports sync.WaitGroup
+	defer reports.Wait()
+	defer cancel()
+	reports.Go(func() { f.report(ctx, stream) })
+	silence := time.AfterFunc(feedSilence, cancel)
+	defer silence.Stop()
+	for {
+		batch, err := stream.Recv()
+		if err != nil {
+			return errors.Wrap(err, "receive")
+		}
+		silence.Reset(feedSilence)
+		f.store.Merge(batch.GetItems(), addr)
+	}
+}
+
+// report sends the entry's counters until ctx ends. A failed send shows in
+// Recv as well, which ends ctx.
+func (f *feed) report(ctx context.Context, stream api.Steward_WatchClient) {
+	last := time.Now().Add(-reportInterval)
+	for ctx.Err() == nil {
+		now := time.Now()
+		err := stream.Send(&api.EntryReport{
+			Vm: f.vm, Incarnation: f.incarnation,
+			Usage: f.usage.report(now.Sub(last).Seconds()), Decisions: f.decisions.take(),
+		})
+		if err != nil {
+			return
+		}
+		last = now
+		sleep(ctx, reportInterval)
+	}
+}
+
+// rebuild puts a new view in force after changes.
+func (f *feed) rebuild(ctx context.Context) {
+	version := uint64(0)
+	for {
+		changed := f.store.Changed()
+		v := f.store.View()
+		f.fleet.apply(v)
+		if v.Table.Version > version {
+			version = v.Table.Version
+			f.ready.Store(true)
+			f.log.Info(telemetry.EventTableVersion, telemetry.F("version", version))
+		}
+		sleep(ctx, viewInterval)
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/fleet.go
@@ -0,0 +1,352 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"garnethoist.org/garnethoist/internal/errkind"
+	"garnethoist.org/garnethoist/internal/gossip"
+	"garnethoist.org/garnethoist/internal/limit"
+	"garnethoist.org/garnethoist/internal/relay"
+	"garnethoist.org/garnethoist/internal/route"
+	"garnethoist.org/garnethoist/internal/table"
+	"garnethoist.org/garnethoist/internal/target"
+	"garnethoist.org/garnethoist/internal/telemetry"
+)
+
+// defaultSecondsPerToken is the prefill time assumed until one was measured.
+const defaultSecondsPerToken = 50e-6
+
+// speedShare is the weight of a new measurement of the prefill speed.
+const speedShare = 0.05
+
+// maxOwnSends bounds what is remembered of one's own work on a target since
+// its last report.
+const maxOwnSends = 256
+
+// fleet is the entry's picture of the targets: the last view corrected by its
+// own work since. It implements relay.Router and is safe for concurrent use.
+type fleet struct {
+	dataCentre string
+	log        *telemetry.Logger
+	start      time.Time
+	decisions  *decisionLog
+
+	mu       sync.Mutex
+	view     *gossip.View
+	services map[string]*pool
+	members  map[string]*member
+}
+
+// pool is the targets of one service. targets[i] belongs to members[i].
+type pool struct {
+	row             table.Row
+	members         []*member
+	targets         []route.Target
+	split           bool
+	secondsPerToken float64
+}
+
+// member is one target across views.
+type member struct {
+	name    string
+	address string
+	boot    uint64
+	health  route.Health
+	// own is the work sent lately, oldest first.
+	own []ownSend
+	// running is the own requests in hand.
+	running int
+}
+
+type ownSend struct {
+	at      float64
+	seconds float64
+}
+
+func newFleet(dataCentre string, log *telemetry.Logger, decisions *decisionLog) *fleet {
+	return &fleet{
+		dataCentre: dataCentre, log: log, start: time.Now(), decisions: decisions,
+		services: map[string]*pool{}, members: map[string]*member{},
+	}
+}
+
+// now is the fleet's clock, in seconds since its start.
+func (f *fleet) now() float64 { return time.Since(f.start).Seconds() }
+
+// apply puts a new view in force.
+func (f *fleet) apply(v *gossip.View) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	services := make(map[string]*pool, len(v.Table.Rows))
+	for _, row := range v.Table.Rows {
+		p := &pool{row: row, secondsPerToken: defaultSecondsPerToken}
+		if old, ok := f.services[row.Service]; ok {
+			p.secondsPerToken = old.secondsPerToken
+		}
+		services[row.Service] = p
+	}
+	members := make(map[string]*member, len(v.Targets))
+	for name, t := range v.Targets {
+		m := f.memberFor(t)
+		members[name] = m
+		if p, ok := services[t.Service]; ok {
+			p.add(m, t, f.dataCentre, now)
+		}
+	}
+	for _, p := range services {
+		p.split = p.hasRole(route.Prefill) && p.hasRole(route.Decode)
+	}
+	f.view, f.services, f.members = v, services, members
+}
+
+// memberFor keeps what is known of a target as long as it is the same
+// incarnation at the same address.
+func (f *fleet) memberFor(t gossip.TargetView) *member {
+	m, ok := f.members[t.Name]
+	if ok && m.boot == t.Boot && m.address == t.Address {
+		return m
+	}
+	next := &member{name: t.Name, address: t.Address, boot: t.Boot}
+	if ok && m.boot == 0 && m.address == t.Address {
+		m.boot = t.Boot
+		return m
+	}
+	return next
+}
+
+func (p *pool) add(m *member, t gossip.TargetView, dataCentre string, now float64) {
+	s := t.Status
+	observed := now - float64(t.AgeMS)/1000
+	m.forgetBefore(observed)
+	until := observed + float64(s.GetQueuedTokens())*p.secondsPerToken
+	for _, o := range m.own {
+		until = max(until, o.at) + o.seconds
+	}
+	p.members = append(p.members, m)
+	p.targets = append(p.targets, route.Target{
+		Hash: xxhash.Sum64String(t.Name), Until: until,
+		Running: max(float64(s.GetRunning()), float64(m.running)), Slots: float64(s.GetSlots()),
+		Roles: rolesOf(t), Remote: t.DataCentre != dataCentre, Blocked: !t.Usable() || s.GetModel() != p.row.Model,
+	})
+}
+
+func (m *member) forgetBefore(at float64) {
+	i := 0
+	for i < len(m.own) && m.own[i].at < at {
+		i++
+	}
+	m.own = append(m.own[:0], m.own[i:]...)
+}
+
+// rolesOf returns what a target can be used for. An engine split off for one
+// phase still serves whole requests when no other is left; see pick.
+func rolesOf(t gossip.TargetView) route.Roles {
+	switch target.Role(t.Status.GetRole()) {
+	case target.RolePrefill:
+		return route.Prefill
+	case target.RoleDecode:
+		return route.Decode
+	}
+	return route.Whole
+}
+
+func (p *pool) hasRole(r route.Roles) bool {
+	for i := range p.targets {
+		t := &p.targets[i]
+		if t.Roles == r && !t.Blocked && !t.Remote {
+			return true
+		}
+	}
+	return false
+}
+
+// Split implements relay.Router.
+func (f *fleet) Split(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p, ok := f.services[service]
+	return ok && p.split
+}
+
+// Find implements relay.Router.
+func (f *fleet) Find(name string) (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, ok := f.members[name]
+	if !ok {
+		return "", false
+	}
+	return m.address, true
+}
+
+// row returns the service's row.
+func (f *fleet) row(service string) (table.Row, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p, ok := f.services[service]
+	if !ok {
+		return table.Row{}, false
+	}
+	return p.row, true
+}
+
+// wantedRoles lists what to look for, in order of preference. A whole request
+// that finds no engine for both phases goes to a decode engine, which can
+// prefill, before a prefill engine.
+func wantedRoles(r target.Role) []route.Roles {
+	switch r {
+	case target.RolePrefill:
+		return []route.Roles{route.Prefill}
+	case target.RoleDecode:
+		return []route.Roles{route.Decode | route.Whole, route.Prefill}
+	}
+	return []route.Roles{route.Whole, route.Decode, route.Prefill}
+}
+
+// Route implements relay.Router.
+func (f *fleet) Route(n relay.Need) (relay.Route, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p, ok := f.services[n.Service]
+	if !ok {
+		return relay.Route{}, errkind.New(errkind.UnknownService, "there is no service called %s", n.Service)
+	}
+	choice := f.pick(p, n)
+	if choice.Index < 0 {
+		return relay.Route{}, errkind.New(errkind.NoTarget, "no target of %s can take the request now", n.Service)
+	}
+	if err := f.admit(p, n, choice); err != nil {
+		return relay.Route{}, err
+	}
+	return f.send(p, n, choice.Index), nil
+}
+
+func (f *fleet) pick(p *pool, n relay.Need) route.Choice {
+	now := f.now()
+	elapsed := time.Since(f.start)
+	blocked := p.block(n.Avoid, elapsed)
+	defer p.unblock(blocked)
+	for _, role := range wantedRoles(n.Role) {
+		c := route.Pick(p.targets, route.Request{
+			Now: now, Role: role, Prefix: n.Prefix,
+			CachedSeconds: float64(n.PromptTokens) * p.secondsPerToken,
+			Random:        rand.Uint64(),
+		})
+		if c.Index >= 0 {
+			return c
+		}
+	}
+	return route.Choice{Index: -1, Reason: route.ReasonNone}
+}
+
+// block marks targets that this request must not use and returns their
+// indices, to be unblocked after the decision.
+func (p *pool) block(avoid []string, now time.Duration) []int {
+	var blocked []int
+	for i, m := range p.members {
+		if p.targets[i].Blocked {
+			continue
+		}
+		if !m.health.Available(now) || contains(avoid, m.name) {
+			p.targets[i].Blocked = true
+			blocked = append(blocked, i)
+		}
+	}
+	return blocked
+}
+
+func (p *pool) unblock(blocked []int) {
+	for _, i := range blocked {
+		p.targets[i].Blocked = false
+	}
+}
+
+func contains(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+// admit refuses a first try that cannot finish in time.
+func (f *fleet) admit(p *pool, n relay.Need, c route.Choice) error {
+	if n.Retry || p.row.Kind != table.Language {
+		return nil
+	}
+	v := limit.Admit(limit.Estimate{
+		Wait:     seconds(c.Wait),
+		Work:     seconds(float64(n.PromptTokens) * p.secondsPerToken),
+		Deadline: p.row.Deadline,
+	})
+	if v.Admit {
+		return nil
+	}
+	e := errkind.New(errkind.CannotFinish, "the request could not be answered within %s", p.row.Deadline)
+	e.RetryAfter = v.RetryAfter
+	return e
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// send books the request's work on the target.
+func (f *fleet) send(p *pool, n relay.Need, i int) relay.Route {
+	m, t := p.members[i], &p.targets[i]
+	now := f.now()
+	work := float64(n.PromptTokens) * p.secondsPerToken
+	t.Until = max(t.Until, now) + work
+	t.Running++
+	m.running++
+	if len(m.own) < maxOwnSends {
+		m.own = append(m.own, ownSend{at: now, seconds: work})
+	}
+	m.health.Sent()
+	var once sync.Once
+	return relay.Route{Name: m.name, Address: m.address, Done: func(o relay.Outcome) {
+		once.Do(func() { f.done(n.Service, m, o) })
+	}}
+}
+
+// done books the end of a request.
+func (f *fleet) done(service string, m *member, o relay.Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m.running--
+	switch o {
+	case relay.OutcomeOK, relay.OutcomeRefused:
+		m.health.OK()
+	case relay.OutcomeAbandoned:
+		m.health.Unknown()
+	case relay.OutcomeFailed:
+		if wait := m.health.Failed(time.Since(f.start)); wait > 0 {
+			id := f.decisions.setAside(service, m.name, wait)
+			f.log.Warn(telemetry.EventTargetSetAside, telemetry.F("target", m.name),
+				telemetry.F("service", service), telemetry.F("wait", wait), telemetry.F("decision", id))
+		}
+	}
+}
+
+// observeFirst takes in how long a prompt took to its first token, given the
+// work that was ahead of it.
+func (f *fleet) observeFirst(service string, tokens int, took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p, ok := f.services[service]
+	if !ok || tokens <= 0 {
+		return
+	}
+	perToken := took.Seconds() / float64(tokens)
+	// Waiting counts into the time, so only shorter times are believed at
+	// once; longer ones raise the estimate slowly.
+	if perToken < p.secondsPerToken {
+		p.secondsPerToken = perToken
+		return
+	}
+	p.secondsPerToken += speedShare * speedShare * (perToken - p.secondsPerToken)
+}
--- /dev/null
+++ b/internal/gossip/view.go
@@ -0,0 +1,145 @@
+package gossip
+
+import (
+	"encoding/json"
+	"sort"
+
+	"garnethoist.org/garnethoist/api"
+	"garnethoist.org/garnethoist/internal/platform"
+	"garnethoist.org/garnethoist/internal/table"
+)
+
+// View is the typed content of a store at one moment. It is immutable.
+type View struct {
+	Table   table.Table
+	VMs     map[string]platform.VM
+	Peers   map[string]*api.Item
+	Targets map[string]TargetView
+	// ListRevision is the revision of the VM list.
+	ListRevision uint64
+	// Index is the store's log index that the view was taken at.
+	Index uint64
+}
+
+// TargetView is all that is known of one target.
+type TargetView struct {
+	Name       string
+	DataCentre string
+	Address    string
+	Kind       platform.VMKind
+	// Service is the service it is assigned to, empty for none.
+	Service string
+	// Boot is the target's incarnation; zero while no status was seen.
+	Boot uint64
+	// Status is the last known status, or nil.
+	Status *api.Target
+	// Draining is set while the holder of the lease keeps new work away.
+	Draining bool
+	// AgeMS is the age of the status at the time of the view.
+	AgeMS uint32
+	// Listed is the platform's word: live or leaving.
+	Listed platform.VMState
+}
+
+// Leaving reports whether any sign says that the target is on its way out.
+func (t TargetView) Leaving() bool {
+	return t.Listed == platform.VMLeaving || t.Status.GetLeaving()
+}
+
+// Usable reports whether the target may get new work.
+func (t TargetView) Usable() bool {
+	s := t.Status
+	return s.GetReachable() && !t.Leaving() && !s.GetChanging() && !t.Draining
+}
+
+// View decodes the store's content.
+func (s *Store) View() *View {
+	items, index := s.Since(0, Scope{})
+	v := &View{
+		VMs: map[string]platform.VM{}, Peers: map[string]*api.Item{},
+		Targets: map[string]TargetView{}, Index: index,
+	}
+	statuses := map[string]*api.Item{}
+	drains := map[string]bool{}
+	for _, it := range items {
+		v.add(it, statuses, drains)
+	}
+	v.Table.Sort()
+	v.joinTargets(statuses, drains)
+	return v
+}
+
+func (v *View) add(it *api.Item, statuses map[string]*api.Item, drains map[string]bool) {
+	name := NameOf(it.GetKey())
+	switch body := it.GetBody().(type) {
+	case *api.Item_Head:
+		v.Table.Version = body.Head.GetVersion()
+	case *api.Item_ListHead:
+		v.ListRevision = body.ListHead.GetRevision()
+	case *api.Item_Row:
+		v.addRow(body.Row)
+	case *api.Item_Vm:
+		v.addVM(name, body.Vm)
+	case *api.Item_Peer:
+		v.Peers[name] = it
+	case *api.Item_Target:
+		statuses[name] = it
+	case *api.Item_Drain:
+		drains[name] = body.Drain.GetOn()
+	}
+}
+
+func (v *View) addRow(r *api.Row) {
+	if len(r.GetJson()) == 0 {
+		return
+	}
+	var row table.Row
+	// A row that does not decode came from a newer release: the service is
+	// left out rather than served under half-read limits.
+	if err := json.Unmarshal(r.GetJson(), &row); err == nil {
+		v.Table.Rows = append(v.Table.Rows, row)
+	}
+}
+
+func (v *View) addVM(name string, vm *api.Vm) {
+	if vm.GetRemoved() {
+		return
+	}
+	v.VMs[name] = platform.VM{
+		Name: name, DataCentre: vm.GetDataCentre(), Address: vm.GetAddress(),
+		Kind: platform.VMKind(vm.GetKind()), State: platform.VMState(vm.GetState()),
+	}
+}
+
+// joinTargets puts together what the VM list, the table and the targets say.
+func (v *View) joinTargets(statuses map[string]*api.Item, drains map[string]bool) {
+	var known []table.Target
+	for _, vm := range v.VMs {
+		if kind, ok := serviceKind(vm.Kind); ok {
+			known = append(known, table.Target{Name: vm.Name, DataCentre: vm.DataCentre, Kind: kind})
+		}
+	}
+	sort.Slice(known, func(i, j int) bool { return known[i].Name < known[j].Name })
+	services := table.Assign(v.Table, known)
+	for _, k := range known {
+		vm := v.VMs[k.Name]
+		t := TargetView{
+			Name: k.Name, DataCentre: k.DataCentre, Address: vm.Address, Kind: vm.Kind,
+			Service: services[k.Name], Listed: vm.State, Draining: drains[k.Name],
+		}
+		if it := statuses[k.Name]; it != nil {
+			t.Boot, t.Status, t.AgeMS = it.GetEpoch(), it.GetTarget(), it.GetAgeMs()
+		}
+		v.Targets[k.Name] = t
+	}
+}
+
+func serviceKind(k platform.VMKind) (table.Kind, bool) {
+	switch k {
+	case platform.VMEngine:
+		return table.Language, true
+	case platform.VMPlain:
+		return table.Plain, true
+	}
+	return "", false
+}
--- /dev/null
+++ b/internal/proc/cluster.go
@@ -0,0 +1,130 @@
+package proc
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"garnethoist.org/garnethoist/internal/settings"
+)
+
+// Cluster is a set of processes on loopback.
+type Cluster struct {
+	// Dir holds settings and logs.
+	Dir string
+	// Bin holds the programs.
+	Bin string
+
+	processes []*Process
+}
+
+// NewCluster returns an empty cluster that runs the programs in bin.
+func NewCluster(dir, bin string) *Cluster { return &Cluster{Dir: dir, Bin: bin} }
+
+// FreeAddrs returns n loopback addresses whose ports are free now.
+func FreeAddrs(n int) ([]settings.Addr, error) {
+	listeners := make([]net.Listener, 0, n)
+	defer func() {
+		for _, l := range listeners {
+			l.Close()
+		}
+	}()
+	out := make([]settings.Addr, n)
+	for i := range out {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "find a free port")
+		}
+		listeners = append(listeners, l)
+		out[i] = settings.Addr(l.Addr().String())
+	}
+	return out, nil
+}
+
+// Run starts a program with a settings file made of cfg.
+func (c *Cluster) Run(program, name string, cfg any) (*Process, error) {
+	data, err := json.MarshalIndent(cfg, "", "  ")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode settings")
+	}
+	path := filepath.Join(c.Dir, name+".json")
+	if err := os.WriteFile(path, data, 0o644); err != nil {
+		return nil, errors.Wrap(err, "write settings")
+	}
+	return c.Rerun(program, name)
+}
+
+// Rerun starts a program with the settings file of an earlier Run.
+func (c *Cluster) Rerun(program, name string) (*Process, error) {
+	path := filepath.Join(c.Dir, name+".json")
+	p, err := start(c.Dir, name, filepath.Join(c.Bin, program), "--settings", path)
+	if err != nil {
+		return nil, err
+	}
+	c.processes = append(c.processes, p)
+	return p, nil
+}
+
+// StopAll stops every process, newest first: those that do not end within
+// grace are killed.
+func (c *Cluster) StopAll(grace time.Duration) {
+	for i := len(c.processes) - 1; i >= 0; i-- {
+		stop(c.processes[i], grace)
+	}
+}
+
+func stop(p *Process, grace time.Duration) {
+	if p.Exited() || p.Terminate() != nil {
+		return
+	}
+	timer := time.NewTimer(grace)
+	defer timer.Stop()
+	select {
+	case <-p.done:
+	case <-timer.C:
+		// It is about to be gone either way.
+		_ = p.Kill()
+	}
+}
+
+// Until calls ok again and again until it returns nil or ctx ends.
+func Until(ctx context.Context, what string, ok func(context.Context) error) error {
+	const pause = 20 * time.Millisecond
+	for {
+		err := ok(ctx)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(err, "waited for %s", what)
+		case <-time.After(pause):
+		}
+	}
+}
+
+// Ready returns a check that url answers 200.
+func Ready(url string) func(context.Context) error {
+	return func(ctx context.Context) error {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return errors.Wrap(err, "build request")
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return errors.Wrap(err, "ask")
+		}
+		defer resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return fmt.Errorf("%s answered %d", url, resp.StatusCode)
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/proc/layout.go
@@ -0,0 +1,161 @@
+package proc
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"garnethoist.org/garnethoist/internal/settings"
+)
+
+// Layout is the usual set-up: stand-ins of the outside systems and a number of
+// VMs with an entry and a steward each.
+type Layout struct {
+	*Cluster
+	DataCentre string
+	Platform   settings.Addr
+	Engines    []Target
+	Plains     []Target
+	VMs        []VM
+}
+
+// Target is a stand-in target.
+type Target struct {
+	Name    string
+	Address settings.Addr
+	Process *Process
+}
+
+// VM is one entry VM.
+type VM struct {
+	Name    string
+	Entry   *Process
+	Steward *Process
+	// Callers, EntryAdmin, StewardGRPC and StewardAdmin are its addresses.
+	Callers      settings.Addr
+	EntryAdmin   settings.Addr
+	StewardGRPC  settings.Addr
+	StewardAdmin settings.Addr
+}
+
+// Shape says how large a layout is and how its parts are set up.
+type Shape struct {
+	Engines int
+	Plains  int
+	VMs     int
+	// Engine, Steward and Entry may change the settings of each part.
+	Engine  func(i int, s *settings.Standin)
+	Steward func(i int, s *settings.Steward)
+	Entry   func(i int, s *settings.Entry)
+}
+
+// addrsPerVM is the addresses that one VM needs.
+const addrsPerVM = 4
+
+// NewLayout starts every process of a layout, in one data centre.
+func NewLayout(c *Cluster, shape Shape) (*Layout, error) {
+	addrs, err := FreeAddrs(1 + shape.Engines + shape.Plains + addrsPerVM*shape.VMs)
+	if err != nil {
+		return nil, err
+	}
+	l := &Layout{Cluster: c, DataCentre: "kakkanad", Platform: addrs[0]}
+	addrs = addrs[1:]
+	for i := range shape.Engines {
+		l.Engines = append(l.Engines, Target{Name: fmt.Sprintf("engine-%d", i+1), Address: addrs[i]})
+	}
+	addrs = addrs[shape.Engines:]
+	for i := range shape.Plains {
+		l.Plains = append(l.Plains, Target{Name: fmt.Sprintf("desk-%d", i+1), Address: addrs[i]})
+	}
+	addrs = addrs[shape.Plains:]
+	for i := range shape.VMs {
+		a := addrs[addrsPerVM*i:]
+		l.VMs = append(l.VMs, VM{Name: fmt.Sprintf("vm-%d", i+1), Callers: a[0], EntryAdmin: a[1], StewardGRPC: a[2], StewardAdmin: a[3]})
+	}
+	return l, l.start(shape)
+}
+
+func (l *Layout) start(shape Shape) error {
+	if err := l.startStandins(shape); err != nil {
+		return err
+	}
+	for i := range l.VMs {
+		if err := l.startVM(i, shape); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Layout) startStandins(shape Shape) error {
+	p := settings.DefaultStandin()
+	p.Kind, p.Name, p.Listen = "platform", "platform", l.Platform
+	for _, t := range l.Engines {
+		p.VMs = append(p.VMs, settings.StandinVM{Name: t.Name, DataCentre: l.DataCentre, Address: t.Address, Kind: "engine"})
+	}
+	for _, t := range l.Plains {
+		p.VMs = append(p.VMs, settings.StandinVM{Name: t.Name, DataCentre: l.DataCentre, Address: t.Address, Kind: "plain"})
+	}
+	if _, err := l.Run("garnet-standin", "platform", p); err != nil {
+		return err
+	}
+	for i := range l.Engines {
+		s := settings.DefaultStandin()
+		s.Kind, s.Name, s.Listen = "engine", l.Engines[i].Name, l.Engines[i].Address
+		if shape.Engine != nil {
+			shape.Engine(i, s)
+		}
+		if err := l.runTarget(&l.Engines[i], s); err != nil {
+			return err
+		}
+	}
+	for i := range l.Plains {
+		s := settings.DefaultStandin()
+		s.Kind, s.Name, s.Listen = "plain", l.Plains[i].Name, l.Plains[i].Address
+		if err := l.runTarget(&l.Plains[i], s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Layout) runTarget(t *Target, s *settings.Standin) error {
+	p, err := l.Run("garnet-standin", t.Name, s)
+	t.Process = p
+	return err
+}
+
+func (l *Layout) startVM(i int, shape Shape) error {
+	vm := &l.VMs[i]
+	st := settings.DefaultSteward()
+	st.VM, st.DataCentre, st.Listen, st.AdminListen = vm.Name, l.DataCentre, vm.StewardGRPC, vm.StewardAdmin
+	st.Platform.Address = l.Platform
+	st.GossipInterval = settings.Duration(200 * time.Millisecond)
+	st.PollInterval = settings.Duration(200 * time.Millisecond)
+	st.PlatformInterval = settings.Duration(500 * time.Millisecond)
+	st.LeaseTTL = settings.Duration(2 * time.Second)
+	st.EngineReadTimeout = settings.Duration(time.Second)
+	en := settings.DefaultEntry()
+	en.VM, en.DataCentre, en.Listen, en.AdminListen = vm.Name, l.DataCentre, vm.Callers, vm.EntryAdmin
+	en.Platform.Address = l.Platform
+	en.MaxEntries = len(l.VMs)
+	en.ReadyGrace = settings.Duration(200 * time.Millisecond)
+	for j := range l.VMs {
+		peer := l.VMs[(i+j)%len(l.VMs)]
+		en.Stewards = append(en.Stewards, peer.StewardGRPC)
+		st.Peers = append(st.Peers, settings.Peer{VM: peer.Name, DataCentre: l.DataCentre, Address: peer.StewardGRPC})
+	}
+	if shape.Steward != nil {
+		shape.Steward(i, st)
+	}
+	if shape.Entry != nil {
+		shape.Entry(i, en)
+	}
+	var err error
+	if vm.Steward, err = l.Run("garnet-steward", vm.Name+"-steward", st); err != nil {
+		return err
+	}
+	vm.Entry, err = l.Run("garnet-entry", vm.Name+"-entry", en)
+	return errors.Wrap(err, "start VM")
+}
--- /dev/null
+++ b/internal/proc/process.go
@@ -0,0 +1,94 @@
+// Package proc runs garnethoist's programs as separate processes on loopback,
+// for the demo and for tests with real processes. The daemons themselves never
+// use it: they start no other process.
+package proc
+
+import (
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// Process is one running program.
+type Process struct {
+	Name string
+	cmd  *exec.Cmd
+	log  *os.File
+
+	done chan struct{}
+	err  error
+}
+
+// start runs binary with args; its output goes to a file in dir.
+func start(dir, name, binary string, args ...string) (*Process, error) {
+	log, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, errors.Wrap(err, "open log")
+	}
+	p := &Process{Name: name, cmd: exec.Command(binary, args...), log: log, done: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	if err := p.cmd.Start(); err != nil {
+		log.Close()
+		return nil, errors.Wrapf(err, "start %s", name)
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		log.Close()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// Signal sends sig to the process.
+func (p *Process) Signal(sig syscall.Signal) error {
+	return errors.Wrapf(p.cmd.Process.Signal(sig), "signal %s", p.Name)
+}
+
+// Kill ends the process at once and waits for it.
+func (p *Process) Kill() error {
+	if p.Exited() {
+		return nil
+	}
+	if err := p.Signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	<-p.done
+	return nil
+}
+
+// Terminate asks the process to stop.
+func (p *Process) Terminate() error { return p.Signal(syscall.SIGTERM) }
+
+// Wait waits for the process to end and returns its error, if any.
+func (p *Process) Wait() error {
+	<-p.done
+	return p.err
+}
+
+// Exited reports whether the process has ended.
+func (p *Process) Exited() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// Log returns what the process has written so far.
+func (p *Process) Log() string {
+	f, err := os.Open(p.log.Name())
+	if err != nil {
+		return ""
+	}
+	defer f.Close()
+	data, err := io.ReadAll(f)
+	if err != nil {
+		return ""
+	}
+	return string(data)
+}
--- /dev/null
+++ b/internal/relay/eventid.go
@@ -0,0 +1,95 @@
+// Package relay carries language requests to engines and their answers back:
+// streams token by token, resumed after an engine or entry is lost, and whole
+// answers tried again where that is safe.
+package relay
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"garnethoist.org/garnethoist/internal/table"
+)
+
+// EventID is the place in a stream that a caller holds. Its text form is
+// ENGINE/STREAM:EVENT:BASE.
+type EventID struct {
+	// Engine is the name of the engine that holds the stream.
+	Engine string
+	// Stream is the engine's name for the stream.
+	Stream string
+	// Event is the engine's number of the event, from 1.
+	Event int
+	// Base is the number of events before the engine's first, relayed from
+	// engines that held the stream earlier.
+	Base int
+}
+
+// maxEventIDBytes bounds an event id's text.
+const maxEventIDBytes = 256
+
+// maxEventNumber bounds the numbers in an event id.
+const maxEventNumber = 1 << 30
+
+// ParseEventID parses the text form.
+func ParseEventID(s string) (EventID, error) {
+	if len(s) > maxEventIDBytes {
+		return EventID{}, errors.New("event id is too long")
+	}
+	engine, rest, ok := strings.Cut(s, "/")
+	if !ok || !table.ValidName(engine) {
+		return EventID{}, errors.New("event id names no engine")
+	}
+	parts := strings.Split(rest, ":")
+	if len(parts) != 3 || parts[0] == "" {
+		return EventID{}, errors.New("event id is not ENGINE/STREAM:EVENT:BASE")
+	}
+	event, err := parseNumber(parts[1])
+	if err != nil {
+		return EventID{}, errors.Wrap(err, "event number")
+	}
+	base, err := parseNumber(parts[2])
+	if err != nil {
+		return EventID{}, errors.Wrap(err, "event base")
+	}
+	return EventID{Engine: engine, Stream: parts[0], Event: event, Base: base}, nil
+}
+
+func parseNumber(s string) (int, error) {
+	n, err := strconv.Atoi(s)
+	if err != nil {
+		return 0, errors.Wrap(err, "not a number")
+	}
+	if n < 0 || n > maxEventNumber || strconv.Itoa(n) != s {
+		return 0, errors.New("not a plain number in range")
+	}
+	return n, nil
+}
+
+// String returns the text form.
+func (id EventID) String() string {
+	return id.Engine + "/" + id.Stream + ":" + strconv.Itoa(id.Event) + ":" + strconv.Itoa(id.Base)
+}
+
+// parseEngineID splits an engine's own id, STREAM:EVENT.
+func parseEngineID(s []byte) (stream []byte, event int, ok bool) {
+	for i := len(s) - 1; i > 0; i-- {
+		if s[i] == ':' {
+			return s[:i], event, event > 0
+		}
+		if s[i] < '0' || s[i] > '9' || len(s)-i > 9 {
+			return nil, 0, false
+		}
+		event += int(s[i]-'0') * pow10(len(s)-1-i)
+	}
+	return nil, 0, false
+}
+
+func pow10(n int) int {
+	p := 1
+	for range n {
+		p *= 10
+	}
+	return p
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,115 @@
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"garnethoist.org/garnethoist/internal/platform"
+	"garnethoist.org/garnethoist/internal/platform/httpplatform"
+)
+
+// Platform serves a platform.Memory over the HTTP protocol.
+type Platform struct {
+	Memory *platform.Memory
+}
+
+// Handler serves the platform's protocol, and POST /fault?mode=M and
+// POST /vm to set it up.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+httpplatform.PathRecord, p.get)
+	mux.HandleFunc("GET "+httpplatform.PathRecords, p.list)
+	mux.HandleFunc("POST "+httpplatform.PathCommit, p.commit)
+	mux.HandleFunc("PUT "+httpplatform.PathObjects+"{name}", p.putObject)
+	mux.HandleFunc("GET "+httpplatform.PathObjects+"{name}", p.getObject)
+	mux.HandleFunc("GET "+httpplatform.PathVMs, p.vms)
+	mux.HandleFunc("POST "+httpplatform.PathWeights, p.reserve)
+	mux.HandleFunc("POST /fault", p.setFault)
+	mux.HandleFunc("POST /vm", p.setVM)
+	return mux
+}
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	rec, err := p.Memory.Get(r.Context(), r.URL.Query().Get("key"))
+	answer(w, rec, err)
+}
+
+func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
+	recs, err := p.Memory.List(r.Context(), r.URL.Query().Get("prefix"))
+	answer(w, recs, err)
+}
+
+func (p *Platform) commit(w http.ResponseWriter, r *http.Request) {
+	var txn platform.Txn
+	if err := json.NewDecoder(r.Body).Decode(&txn); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	v, err := p.Memory.Commit(r.Context(), txn)
+	answer(w, httpplatform.CommitAnswer{Version: v}, err)
+}
+
+func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	answer(w, struct{}{}, p.Memory.PutObject(r.Context(), r.PathValue("name"), data))
+}
+
+func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
+	data, err := p.Memory.GetObject(r.Context(), r.PathValue("name"))
+	if err != nil {
+		answer(w, nil, err)
+		return
+	}
+	// A failed write means that the client has gone.
+	_, _ = w.Write(data)
+}
+
+func (p *Platform) vms(w http.ResponseWriter, r *http.Request) {
+	l, err := p.Memory.VMs(r.Context())
+	answer(w, l, err)
+}
+
+func (p *Platform) reserve(w http.ResponseWriter, r *http.Request) {
+	var req httpplatform.ReserveRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	wait, err := p.Memory.Reserve(r.Context(), req.Model, req.Bytes)
+	answer(w, httpplatform.ReserveAnswer{WaitMS: int64(wait / time.Millisecond)}, err)
+}
+
+func (p *Platform) setFault(_ http.ResponseWriter, r *http.Request) {
+	p.Memory.SetFault(platform.Fault(r.URL.Query().Get("mode")))
+}
+
+func (p *Platform) setVM(w http.ResponseWriter, r *http.Request) {
+	var vm platform.VM
+	if err := json.NewDecoder(r.Body).Decode(&vm); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	p.Memory.SetVM(vm)
+}
+
+func answer(w http.ResponseWriter, v any, err error) {
+	switch {
+	case err == nil:
+		writeJSON(w, http.StatusOK, v)
+	case errors.Is(err, platform.ErrNotFound):
+		w.WriteHeader(http.StatusNotFound)
+	case errors.Is(err, platform.ErrConflict):
+		w.WriteHeader(http.StatusPreconditionFailed)
+	case errors.Is(err, platform.ErrUnavailable):
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+}
--- /dev/null
+++ b/internal/standin/serve.go
@@ -0,0 +1,64 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"garnethoist.org/garnethoist/internal/platform"
+	"garnethoist.org/garnethoist/internal/settings"
+)
+
+// Server serves one stand-in; it is a kernel module.
+type Server struct {
+	cfg    *settings.Standin
+	http   *http.Server
+	served sync.WaitGroup
+}
+
+// NewServer returns the stand-in that cfg describes.
+func NewServer(cfg *settings.Standin) *Server {
+	s := &Server{cfg: cfg}
+	switch cfg.Kind {
+	case "platform":
+		m := platform.NewMemory()
+		for _, vm := range cfg.VMs {
+			m.SetVM(platform.VM{
+				Name: vm.Name, DataCentre: vm.DataCentre, Address: string(vm.Address),
+				Kind: platform.VMKind(vm.Kind), State: platform.VMLive,
+			})
+		}
+		s.http = &http.Server{Handler: (&Platform{Memory: m}).Handler()}
+	case "plain":
+		s.http = &http.Server{Handler: NewPlain().Handler()}
+	default:
+		s.http = NewEngine(EngineConfig{
+			Name: cfg.Name, TokenInterval: cfg.TokenInterval.D(), PrefillPerToken: cfg.PrefillPerToken.D(),
+			RoleChange: cfg.RoleChange.D(), IgnoreFencing: cfg.IgnoreFencing, ReadTimeout: cfg.ReadTimeout.D(),
+		}).Server()
+	}
+	return s
+}
+
+// Start listens.
+func (s *Server) Start(context.Context) error {
+	l, err := net.Listen("tcp", string(s.cfg.Listen))
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	s.served.Go(func() {
+		// The only other error is that of a listener closed by Stop.
+		_ = s.http.Serve(l)
+	})
+	return nil
+}
+
+// Stop closes the stand-in at once, with whatever it is serving.
+func (s *Server) Stop(context.Context) error {
+	err := s.http.Close()
+	s.served.Wait()
+	return errors.Wrap(err, "close")
+}
--- /dev/null
+++ b/internal/steward/authority.go
@@ -0,0 +1,318 @@
+package steward
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"garnethoist.org/garnethoist/api"
+	"garnethoist.org/garnethoist/internal/gossip"
+	"garnethoist.org/garnethoist/internal/lease"
+	"garnethoist.org/garnethoist/internal/member"
+	"garnethoist.org/garnethoist/internal/order"
+	"garnethoist.org/garnethoist/internal/platform"
+	"garnethoist.org/garnethoist/internal/settings"
+	"garnethoist.org/garnethoist/internal/table"
+	"garnethoist.org/garnethoist/internal/target"
+	"garnethoist.org/garnethoist/internal/telemetry"
+)
+
+const (
+	// leaseCandidates is how many stewards of a data centre contend for a
+	// lease.
+	leaseCandidates = 3
+	// stepsPerTTL is how often in its life a lease is renewed or observed.
+	stepsPerTTL = 3
+	// actInterval is the time between a holder's steps.
+	actInterval = 500 * time.Millisecond
+)
+
+// authority contends for the lease of every service with targets in the data
+// centre, and runs the controller of each lease that it holds.
+type authority struct {
+	cfg     *settings.Steward
+	store   *gossip.Store
+	gossip  *member.Gossip
+	table   platform.Table
+	weights platform.WeightStore
+	engines order.Engines
+	clock   lease.Clock
+	log     *telemetry.Logger
+	records *decisionBook
+
+	mu          sync.Mutex
+	controllers map[string]*controller
+
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// Start begins to contend.
+func (a *authority) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	a.cancel = cancel
+	a.done.Go(func() { every(ctx, a.cfg.LeaseTTL.D()/stepsPerTTL, func(context.Context) { a.spawn(ctx) }) })
+	return nil
+}
+
+// Stop ends every controller and releases the leases held.
+func (a *authority) Stop(context.Context) error {
+	a.cancel()
+	a.done.Wait()
+	return nil
+}
+
+// spawn starts a controller for each service that has none yet. A controller
+// outlives its service's row: without targets it stops contending.
+func (a *authority) spawn(ctx context.Context) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, row := range a.store.View().Table.Rows {
+		if row.Kind != table.Language || a.controllers[row.Service] != nil {
+			continue
+		}
+		c := a.newController(row.Service)
+		a.controllers[row.Service] = c
+		a.done.Go(func() { c.run(ctx) })
+	}
+}
+
+func (a *authority) newController(service string) *controller {
+	self := a.gossip.Self()
+	l := lease.New(lease.Config{
+		DataCentre: self.DataCentre, Service: service, Holder: self.VM,
+		Incarnation: self.Incarnation, TTL: a.cfg.LeaseTTL.D(),
+	}, a.table, a.clock)
+	journal := order.NewJournal(a.table, self.DataCentre, service)
+	return &controller{
+		authority: a, service: service, lease: l,
+		sender: order.NewSender(journal, l, a.engines, a.clock, a.cfg.EngineReadTimeout.D()),
+		drains: map[string]time.Duration{},
+	}
+}
+
+// holders returns the holder of each lease as this steward last saw it.
+func (a *authority) holders() []*api.LeaseLine {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []*api.LeaseLine
+	for service, c := range a.controllers {
+		holder, fence := c.lease.Holder()
+		out = append(out, &api.LeaseLine{Service: service, Holder: holder, Fence: fence})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].GetService() < out[j].GetService() })
+	return out
+}
+
+// controller has one service's engines in its care while it holds the lease.
+type controller struct {
+	*authority
+	service string
+	lease   *lease.Lease
+	sender  *order.Sender
+	holds   bool
+	fence   uint64
+	// drains maps an engine to when its drain began.
+	drains     map[string]time.Duration
+	drainCount uint64
+	// nextLease is when the lease is due to be renewed or observed.
+	nextLease time.Duration
+}
+
+func (c *controller) run(ctx context.Context) {
+	every(ctx, actInterval, c.step)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.cfg.Platform.Timeout.D())
+	defer cancel()
+	if err := c.lease.Release(ctx); err != nil {
+		c.log.Warn(telemetry.EventLeaseLost, telemetry.F("service", c.service), telemetry.F("cause", err))
+	}
+}
+
+// step renews or contends, and acts if the lease is held.
+func (c *controller) step(ctx context.Context) {
+	var err error
+	if now := c.clock(); now >= c.nextLease {
+		c.nextLease = now + c.cfg.LeaseTTL.D()/stepsPerTTL
+		contend := c.gossip.Rank("lease/"+c.service) < leaseCandidates && len(c.targets()) > 0
+		err = c.lease.Step(ctx, contend)
+	}
+	tenure, held := c.lease.Held()
+	c.noteTenure(tenure, held, err)
+	if !held {
+		return
+	}
+	if err := c.act(ctx, tenure); err != nil && ctx.Err() == nil {
+		c.log.Warn(telemetry.EventOrderRefused, telemetry.F("service", c.service), telemetry.F("cause", err))
+	}
+}
+
+func (c *controller) noteTenure(t lease.Tenure, held bool, cause error) {
+	switch {
+	case held && (!c.holds || c.fence != t.Fence):
+		c.drains = map[string]time.Duration{}
+		c.drainCount = 0
+		c.log.Info(telemetry.EventLeaseAcquired, telemetry.F("service", c.service), telemetry.F("fence", t.Fence))
+	case !held && c.holds:
+		c.log.Warn(telemetry.EventLeaseLost, telemetry.F("service", c.service), telemetry.F("fence", c.fence), telemetry.F("cause", cause))
+	}
+	c.holds, c.fence = held, t.Fence
+}
+
+// targets returns the service's engines in this data centre, by name.
+func (c *controller) targets() []gossip.TargetView {
+	var out []gossip.TargetView
+	for _, t := range c.store.View().Targets {
+		if t.Service == c.service && t.DataCentre == c.gossip.Self().DataCentre {
+			out = append(out, t)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// act completes what the journal shows, then brings engines to what the row
+// asks for, at most one change at a time.
+func (c *controller) act(ctx context.Context, t lease.Tenure) error {
+	if _, err := c.sender.Begin(ctx); err != nil {
+		return err
+	}
+	row, ok := c.store.View().Table.Row(c.service)
+	if !ok {
+		return nil
+	}
+	targets := c.targets()
+	busy, err := c.complete(ctx, targets)
+	if err != nil || busy {
+		return err
+	}
+	return c.next(ctx, t, row, targets)
+}
+
+// complete carries every unfinished order of this service on by a step, and
+// reports whether any remains.
+func (c *controller) complete(ctx context.Context, targets []gossip.TargetView) (bool, error) {
+	address := make(map[string]string, len(targets))
+	for _, t := range targets {
+		address[t.Name] = t.Address
+	}
+	busy := false
+	var first error
+	for _, name := range c.sender.Unfinished() {
+		addr, ours := address[name]
+		if !ours {
+			continue
+		}
+		done, err := c.sender.Complete(ctx, name, addr)
+		if err != nil && first == nil {
+			first = errors.Wrapf(err, "complete the order of %s", name)
+		}
+		if !done {
+			busy = true
+			continue
+		}
+		c.undrain(name)
+		c.log.Info(telemetry.EventOrderDone, telemetry.F("service", c.service), telemetry.F("target", name))
+	}
+	return busy, first
+}
+
+// next finds the first engine that is not as wanted, drains it and orders it.
+func (c *controller) next(ctx context.Context, t lease.Tenure, row table.Row, targets []gossip.TargetView) error {
+	for _, tv := range targets {
+		if tv.Status == nil || !tv.Status.GetReachable() || tv.Leaving() || tv.Status.GetChanging() {
+			continue
+		}
+		want := target.Want{Role: target.Role(tv.Status.GetRole()), Model: row.Model, Version: row.Version, Adapters: row.Adapters}
+		if wantOf(tv.Status).Equal(want) {
+			c.undrain(tv.Name)
+			continue
+		}
+		return c.change(ctx, t, row, tv, targets, want)
+	}
+	return nil
+}
+
+func wantOf(s *api.Target) target.Want {
+	return target.Want{Role: target.Role(s.GetRole()), Model: s.GetModel(), Version: s.GetVersion(), Adapters: s.GetAdapters()}
+}
+
+// change drains an engine and orders it once it is idle.
+func (c *controller) change(ctx context.Context, t lease.Tenure, row table.Row, tv gossip.TargetView, targets []gossip.TargetView, want target.Want) error {
+	if serves(tv, row.Model) {
+		if !othersServe(tv.Name, row.Model, targets) {
+			// The last engine of a service that serves is not taken away.
+			return nil
+		}
+		if !c.drained(t, tv.Name) {
+			return nil
+		}
+	}
+	status, err := c.engines.Status(ctx, tv.Address)
+	if err != nil {
+		return errors.Wrapf(err, "status of %s", tv.Name)
+	}
+	if status.Running > 0 || status.Waiting > 0 {
+		return nil
+	}
+	wait, err := c.weights.Reserve(ctx, row.Model, weightBytes)
+	if err != nil || wait > 0 {
+		return errors.Wrap(err, "reserve weight store")
+	}
+	err = c.sender.Give(ctx, tv.Name, tv.Address, row.Fencing, want)
+	c.log.Info(telemetry.EventOrderSent, telemetry.F("service", c.service), telemetry.F("target", tv.Name),
+		telemetry.F("role", want.Role), telemetry.F("version", want.Version), telemetry.F("fence", t.Fence), telemetry.F("err", err))
+	c.records.order(c.service, tv.Name, want, err)
+	if errors.Is(err, order.ErrFenceBehind) {
+		return errors.Wrap(c.lease.Release(ctx), "give up a tenure behind the engine's")
+	}
+	return err
+}
+
+const (
+	// drainSettle is how long after a drain began every entry has heard of it.
+	drainSettle = 2 * time.Second
+	// weightBytes is the size assumed of one load of weights.
+	weightBytes = 1 << 30
+)
+
+// serves reports whether entries may be sending work of the model to t.
+func serves(t gossip.TargetView, model string) bool { return t.Status.GetModel() == model }
+
+func othersServe(name, model string, targets []gossip.TargetView) bool {
+	for _, t := range targets {
+		if t.Name != name && t.Usable() && serves(t, model) {
+			return true
+		}
+	}
+	return false
+}
+
+// drained begins the drain of an engine and reports whether every entry has
+// heard of it by now.
+func (c *controller) drained(t lease.Tenure, name string) bool {
+	began, draining := c.drains[name]
+	if !draining {
+		c.drains[name] = c.clock()
+		c.setDrain(t.Fence, name, true)
+		return false
+	}
+	return c.clock()-began >= drainSettle
+}
+
+func (c *controller) undrain(name string) {
+	v, ok := c.store.View().Targets[name]
+	if !ok || !v.Draining {
+		return
+	}
+	delete(c.drains, name)
+	c.setDrain(c.fence, name, false)
+}
+
+func (c *controller) setDrain(fence uint64, name string, on bool) {
+	c.drainCount++
+	c.store.Merge([]*api.Item{gossip.DrainItem(name, on, fence, c.drainCount)}, "")
+	c.gossip.Spread()
+}
--- /dev/null
+++ b/internal/steward/modules.go
@@ -0,0 +1,139 @@
+// Package steward is the control side of garnethoist: it brings the operators'
+// table to every entry, knows peers and targets, holds leases and gives
+// engines orders.
+package steward
+
+import (
+	"io"
+	"time"
+
+	"garnethoist.org/garnethoist/internal/gossip"
+	"garnethoist.org/garnethoist/internal/kernel"
+	"garnethoist.org/garnethoist/internal/lease"
+	"garnethoist.org/garnethoist/internal/member"
+	"garnethoist.org/garnethoist/internal/platform/httpplatform"
+	"garnethoist.org/garnethoist/internal/settings"
+	"garnethoist.org/garnethoist/internal/table"
+	"garnethoist.org/garnethoist/internal/target"
+	"garnethoist.org/garnethoist/internal/telemetry"
+)
+
+// Names of the steward's modules.
+const (
+	ModuleLog       = "telemetry.log"
+	ModuleMetrics   = "telemetry.metrics"
+	ModuleAdmin     = "telemetry.admin"
+	ModulePlatform  = "platform.client"
+	ModuleTargets   = "target.client"
+	ModuleTables    = "table.store"
+	ModuleStore     = "gossip.store"
+	ModuleDialer    = "steward.dialer"
+	ModuleGossip    = "member.gossip"
+	ModuleSync      = "steward.tablesync"
+	ModulePoller    = "steward.poller"
+	ModuleAuthority = "steward.authority"
+	ModuleRecords   = "steward.records"
+	ModuleBurns     = "steward.burns"
+	ModuleServer    = "steward.server"
+)
+
+// statusTimeout bounds reading a target's status or sending it an order.
+const statusTimeout = time.Second
+
+// Register adds the steward's modules to k. Logs go to logs.
+func Register(k *kernel.Kernel, cfg *settings.Steward, logs io.Writer) {
+	k.Register(ModuleLog, func(*kernel.Kernel) (any, error) {
+		return telemetry.NewLogger(logs, "garnet-steward", cfg.VM), nil
+	})
+	k.Register(ModuleMetrics, func(*kernel.Kernel) (any, error) { return telemetry.NewMetrics("garnet-steward") })
+	k.Register(ModuleAdmin, func(k *kernel.Kernel) (any, error) {
+		m, err := kernel.Get[*telemetry.Metrics](k, ModuleMetrics)
+		if err != nil {
+			return nil, err
+		}
+		return telemetry.NewAdmin(string(cfg.AdminListen), m), nil
+	})
+	k.Register(ModulePlatform, func(*kernel.Kernel) (any, error) {
+		return httpplatform.New(string(cfg.Platform.Address), cfg.Platform.Timeout.D()), nil
+	})
+	k.Register(ModuleTargets, func(*kernel.Kernel) (any, error) { return target.NewClient(statusTimeout), nil })
+	k.Register(ModuleStore, func(*kernel.Kernel) (any, error) { return gossip.NewStore(time.Now), nil })
+	k.Register(ModuleDialer, func(*kernel.Kernel) (any, error) { return newDialer(), nil })
+	k.Register(ModuleRecords, func(*kernel.Kernel) (any, error) { return newDecisionBook(cfg.VM), nil })
+	k.Register(ModuleBurns, func(*kernel.Kernel) (any, error) { return newBurnBook(), nil })
+	k.Register(ModuleTables, func(k *kernel.Kernel) (any, error) {
+		p, err := kernel.Get[*httpplatform.Client](k, ModulePlatform)
+		return table.NewStore(p, time.Now), err
+	})
+	k.Register(ModuleGossip, func(k *kernel.Kernel) (any, error) { return provideGossip(k, cfg) })
+	k.Register(ModuleSync, func(k *kernel.Kernel) (any, error) { return provideSync(k, cfg) })
+	k.Register(ModulePoller, func(k *kernel.Kernel) (any, error) { return providePoller(k, cfg) })
+	k.Register(ModuleAuthority, func(k *kernel.Kernel) (any, error) { return provideAuthority(k, cfg) })
+	k.Register(ModuleServer, func(k *kernel.Kernel) (any, error) { return provideServer(k, cfg) })
+}
+
+func provideGossip(k *kernel.Kernel, cfg *settings.Steward) (any, error) {
+	g := &kernel.Getter{Kernel: k}
+	self := member.Self{
+		VM: cfg.VM, DataCentre: cfg.DataCentre, Address: string(cfg.Listen), Incarnation: uint64(time.Now().UnixNano()),
+	}
+	seeds := make([]member.Seed, len(cfg.Peers))
+	for i, p := range cfg.Peers {
+		seeds[i] = member.Seed{VM: p.VM, DataCentre: p.DataCentre, Address: string(p.Address)}
+	}
+	store, d := kernel.Need[*gossip.Store](g, ModuleStore), kernel.Need[*dialer](g, ModuleDialer)
+	log := kernel.Need[*telemetry.Logger](g, ModuleLog)
+	if g.Err != nil {
+		return nil, g.Err
+	}
+	return member.New(self, cfg.GossipInterval.D(), store, d, seeds, log), nil
+}
+
+func provideSync(k *kernel.Kernel, cfg *settings.Steward) (any, error) {
+	g := &kernel.Getter{Kernel: k}
+	t := &tableSync{
+		store: kernel.Need[*gossip.Store](g, ModuleStore), gossip: kernel.Need[*member.Gossip](g, ModuleGossip),
+		tables: kernel.Need[*table.Store](g, ModuleTables), vms: kernel.Need[*httpplatform.Client](g, ModulePlatform),
+		interval: cfg.PlatformInterval.D(), log: kernel.Need[*telemetry.Logger](g, ModuleLog),
+	}
+	return t, g.Err
+}
+
+func providePoller(k *kernel.Kernel, cfg *settings.Steward) (any, error) {
+	g := &kernel.Getter{Kernel: k}
+	p := &poller{
+		dataCentre: cfg.DataCentre, interval: cfg.PollInterval.D(), failures: map[string]int{},
+		store: kernel.Need[*gossip.Store](g, ModuleStore), gossip: kernel.Need[*member.Gossip](g, ModuleGossip),
+		targets: kernel.Need[*target.Client](g, ModuleTargets), log: kernel.Need[*telemetry.Logger](g, ModuleLog),
+	}
+	return p, g.Err
+}
+
+func provideAuthority(k *kernel.Kernel, cfg *settings.Steward) (any, error) {
+	g := &kernel.Getter{Kernel: k}
+	p := kernel.Need[*httpplatform.Client](g, ModulePlatform)
+	a := &authority{
+		cfg: cfg, store: kernel.Need[*gossip.Store](g, ModuleStore), gossip: kernel.Need[*member.Gossip](g, ModuleGossip),
+		table: p, weights: p, engines: kernel.Need[*target.Client](g, ModuleTargets), clock: lease.BootClock,
+		log: kernel.Need[*telemetry.Logger](g, ModuleLog), records: kernel.Need[*decisionBook](g, ModuleRecords),
+		controllers: map[string]*controller{},
+	}
+	return a, g.Err
+}
+
+func provideServer(k *kernel.Kernel, cfg *settings.Steward) (any, error) {
+	g := &kernel.Getter{Kernel: k}
+	admin := kernel.Need[*telemetry.Admin](g, ModuleAdmin)
+	s := &server{
+		listen: string(cfg.Listen), store: kernel.Need[*gossip.Store](g, ModuleStore),
+		gossip: kernel.Need[*member.Gossip](g, ModuleGossip), sync: kernel.Need[*tableSync](g, ModuleSync),
+		tables: kernel.Need[*table.Store](g, ModuleTables), authority: kernel.Need[*authority](g, ModuleAuthority),
+		records: kernel.Need[*decisionBook](g, ModuleRecords), burns: kernel.Need[*burnBook](g, ModuleBurns),
+		log: kernel.Need[*telemetry.Logger](g, ModuleLog),
+	}
+	if g.Err != nil {
+		return nil, g.Err
+	}
+	admin.SetReady(s.ready)
+	return s, nil
+}
--- /dev/null
+++ b/internal/target/client.go
@@ -0,0 +1,117 @@
+package target
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// maxStatusBytes bounds a status body.
+const maxStatusBytes = 1 << 20
+
+// Client reads targets' status and gives engines orders. It is safe for
+// concurrent use.
+type Client struct {
+	timeout time.Duration
+	http    *http.Client
+}
+
+// NewClient returns a client whose requests end after timeout.
+func NewClient(timeout time.Duration) *Client {
+	return &Client{
+		timeout: timeout,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+			MaxIdleConnsPerHost: 1,
+			IdleConnTimeout:     time.Minute,
+		}},
+	}
+}
+
+// Stop closes idle connections.
+func (c *Client) Stop(context.Context) error {
+	c.http.CloseIdleConnections()
+	return nil
+}
+
+// Status reads the status of the target at address.
+func (c *Client) Status(ctx context.Context, address string) (Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+PathStatus, nil)
+	if err != nil {
+		return Status{}, errors.Wrap(err, "build request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Status{}, errors.Wrapf(ErrUnreachable, "%v", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return Status{}, errors.Wrapf(ErrUnreachable, "status %d", resp.StatusCode)
+	}
+	var s Status
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&s); err != nil {
+		return Status{}, errors.Wrapf(ErrUnreachable, "decode status: %v", err)
+	}
+	return s, nil
+}
+
+// Order sends o to the engine at address. The connection is opened first, then
+// still is asked, then the order is written: after a pause between the two
+// last steps that outlives the engine's read time-out, the engine has closed
+// the connection and the late bytes have no effect. The order is written at
+// most once.
+func (c *Client) Order(ctx context.Context, address string, o Order, still func() bool) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return errors.Wrap(err, "encode order")
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Wrapf(ErrUnreachable, "%v", err)
+	}
+	defer conn.Close()
+	if deadline, ok := ctx.Deadline(); ok {
+		if err := conn.SetDeadline(deadline); err != nil {
+			return errors.Wrapf(ErrUnreachable, "%v", err)
+		}
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+PathOrders, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "build request")
+	}
+	req.Close = true
+	if !still() {
+		return errors.Wrap(ErrFenced, "lease lapsed before the order was sent")
+	}
+	return sendOrder(conn, req)
+}
+
+func sendOrder(conn net.Conn, req *http.Request) error {
+	if err := req.Write(conn); err != nil {
+		return errors.Wrapf(ErrUnreachable, "%v", err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
+	if err != nil {
+		return errors.Wrapf(ErrUnreachable, "%v", err)
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusAccepted:
+		return nil
+	case http.StatusPreconditionFailed:
+		return ErrFenced
+	}
+	return errors.Wrapf(ErrRefused, "status %d", resp.StatusCode)
+}
--- /dev/null
+++ b/internal/telemetry/log.go
@@ -0,0 +1,84 @@
+// Package telemetry sets up logs and metrics: one logrus line of key=value
+// pairs for each event, and OpenTelemetry metrics behind a scrape endpoint.
+package telemetry
+
+import (
+	"io"
+
+	"github.com/sirupsen/logrus"
+)
+
+// FieldEvent is the key under which every log line names its event.
+const FieldEvent = "event"
+
+// Event is the name of a logged event.
+type Event string
+
+// The events that the programs log.
+const (
+	EventStarted          Event = "started"
+	EventStopping         Event = "stopping"
+	EventStopped          Event = "stopped"
+	EventRequestRefused   Event = "request_refused"
+	EventRequestFailed    Event = "request_failed"
+	EventStreamResumed    Event = "stream_resumed"
+	EventTransferFallback Event = "kv_transfer_fallback"
+	EventTargetSetAside   Event = "target_set_aside"
+	EventTargetState      Event = "target_state"
+	EventPeerState        Event = "peer_state"
+	EventTableVersion     Event = "table_version"
+	EventLeaseAcquired    Event = "lease_acquired"
+	EventLeaseLost        Event = "lease_lost"
+	EventOrderSent        Event = "order_sent"
+	EventOrderRefused     Event = "order_refused"
+	EventOrderAdopted     Event = "order_adopted"
+	EventOrderDone        Event = "order_done"
+	EventRoleDecision     Event = "role_decision"
+	EventPlatformDown     Event = "platform_down"
+	EventPlatformUp       Event = "platform_up"
+	EventStewardLost      Event = "steward_lost"
+	EventStewardJoined    Event = "steward_joined"
+	EventGossipFailed     Event = "gossip_failed"
+	EventClaimUnknown     Event = "claim_unknown"
+)
+
+// Logger writes one key=value line for each event.
+type Logger struct {
+	entry *logrus.Entry
+}
+
+// NewLogger returns a logger that writes to w and names its program and VM on
+// every line.
+func NewLogger(w io.Writer, program, vm string) *Logger {
+	l := logrus.New()
+	l.SetOutput(w)
+	l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	return &Logger{entry: l.WithFields(logrus.Fields{"program": program, "vm": vm})}
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() *Logger { return NewLogger(io.Discard, "", "") }
+
+// Field is one key=value pair of a log line.
+type Field struct {
+	Key   string
+	Value any
+}
+
+// F returns the pair key=value.
+func F(key string, value any) Field { return Field{Key: key, Value: value} }
+
+// Info logs an event of normal operation.
+func (l *Logger) Info(e Event, fields ...Field) { l.with(e, fields).Info(string(e)) }
+
+// Warn logs an event that an operator may want to look at.
+func (l *Logger) Warn(e Event, fields ...Field) { l.with(e, fields).Warn(string(e)) }
+
+func (l *Logger) with(e Event, fields []Field) *logrus.Entry {
+	m := make(logrus.Fields, len(fields)+1)
+	m[FieldEvent] = string(e)
+	for _, f := range fields {
+		m[f.Key] = f.Value
+	}
+	return l.entry.WithFields(m)
+}
