Grants of limits, and proofs of settings, table, platform, lease, orders and claims

Cause: the thin path had no tests; shares of limits had no holder.

Ruled out: one central counter for limits (it would stop with the platform); an observer comparing clocks with the holder (clocks are not compared).

--- a/internal/entry/feed.go
+++ b/internal/entry/feed.go
@@ -41,6 +41,7 @@
 	store       *gossip.Store
 	fleet       *fleet
 	usage       *usage
+	shares      *shares
 	decisions   *decisionLog
 	log         *telemetry.Logger
 
@@ -107,14 +108,16 @@
 		return errors.Wrap(err, "dial steward")
 	}
 	defer conn.Close()
-	stream, err := api.NewStewardClient(conn).Watch(ctx)
+	client := api.NewStewardClient(conn)
+	stream, err := client.Watch(ctx)
 	if err != nil {
 		return errors.Wrap(err, "watch")
 	}
-	var reports sync.WaitGroup
-	defer reports.Wait()
+	var loops sync.WaitGroup
+	defer loops.Wait()
 	defer cancel()
-	reports.Go(func() { f.report(ctx, stream) })
+	loops.Go(func() { f.report(ctx, stream) })
+	loops.Go(func() { f.renewGrants(ctx, client) })
 	silence := time.AfterFunc(feedSilence, cancel)
 	defer silence.Stop()
 	for {
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -195,6 +195,17 @@
 	return p.row, true
 }
 
+// rows returns the table's rows.
+func (f *fleet) rows() []table.Row {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]table.Row, 0, len(f.services))
+	for _, p := range f.services {
+		out = append(out, p.row)
+	}
+	return out
+}
+
 // wantedRoles lists what to look for, in order of preference. A whole request
 // that finds no engine for both phases goes to a decode engine, which can
 // prefill, before a prefill engine.
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -90,7 +90,7 @@
 		vm: cfg.VM, incarnation: incarnation, stewards: cfg.Stewards,
 		store: kernel.Need[*gossip.Store](g, ModuleStore), fleet: kernel.Need[*fleet](g, ModuleFleet),
 		usage: kernel.Need[*usage](g, ModuleUsage), decisions: kernel.Need[*decisionLog](g, ModuleDecision),
-		log: kernel.Need[*telemetry.Logger](g, ModuleLog),
+		shares: kernel.Need[*shares](g, ModuleShares), log: kernel.Need[*telemetry.Logger](g, ModuleLog),
 	}
 	return f, g.Err
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -186,6 +186,7 @@
 	if err := s.checkPath(r, q); err != nil {
 		return err
 	}
+	s.usage.arrive(service)
 	q.account = accountOf(r)
 	if err := s.limits(q); err != nil {
 		return err
--- a/internal/entry/usage.go
+++ b/internal/entry/usage.go
@@ -27,8 +27,9 @@
 
 type serviceUsage struct {
 	good, bad, refused uint64
-	// arrived counts requests since the last report.
+	// arrived counts requests since perS was last taken.
 	arrived  uint64
+	perS     float64
 	inFlight int
 }
 
@@ -57,13 +58,20 @@
 	return s
 }
 
-// begin counts an arrival, unless the service already has limit requests in
-// flight; a limit of zero is none.
+// arrive counts a request before any limit is applied: what is refused is
+// demand too.
+func (u *usage) arrive(service string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.service(service).arrived++
+}
+
+// begin takes a place in flight, unless the service already has limit of them;
+// a limit of zero is none.
 func (u *usage) begin(service string, limit int) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	s := u.service(service)
-	s.arrived++
 	if limit > 0 && s.inFlight >= limit {
 		return false
 	}
@@ -104,6 +112,15 @@
 	}
 }
 
+// demand returns the requests a second that arrived lately and the requests
+// in flight.
+func (u *usage) demand(service string) (perS float64, inFlight int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	s := u.service(service)
+	return s.perS, s.inFlight
+}
+
 // report returns the counters for a steward; elapsed is the seconds since the
 // last report.
 func (u *usage) report(elapsed float64) []*api.ServiceUsage {
@@ -111,8 +128,9 @@
 	defer u.mu.Unlock()
 	var out []*api.ServiceUsage
 	for name, s := range u.services {
+		s.perS = float64(s.arrived) / elapsed
 		out = append(out, &api.ServiceUsage{
-			Service: name, DemandPerS: float64(s.arrived) / elapsed,
+			Service: name, DemandPerS: s.perS,
 			Usage: &api.Usage{Good: s.good, Bad: s.bad, Refused: s.refused},
 		})
 		s.arrived = 0
--- /dev/null
+++ b/internal/once/once_test.go
@@ -0,0 +1,249 @@
+package once
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/matryer/is"
+
+	"garnethoist.org/garnethoist/internal/errkind"
+	"garnethoist.org/garnethoist/internal/platform"
+)
+
+func call(token, body string) Call {
+	return Call{Service: "renewals", Account: "acc", Key: "k1", Token: token, BodyHash: HashBody("POST", "/confirm", []byte(body))}
+}
+
+func newStore(p *platform.Memory, entry string) *Store { return NewStore(p, p, entry, time.Now) }
+
+// short bounds the tries of a claim whose write never shows.
+func short(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestKeptAnswer(t *testing.T) {
+	for _, size := range []int{10, maxInlineAnswer + 1} {
+		is := is.New(t)
+		p := platform.NewMemory()
+		a, b := newStore(p, "vm-1"), newStore(p, "vm-2")
+		claim, kept, err := a.Acquire(t.Context(), call("t1", "x"))
+		is.NoErr(err)
+		is.True(claim != nil && kept == nil)
+
+		_, _, err = b.Acquire(t.Context(), call("t2", "x"))
+		is.True(errkind.Is(err, errkind.CallInProgress))
+		is.Equal(errkind.From(err).Answer().Outcome, errkind.MayHaveRun)
+
+		body := []byte(strings.Repeat("y", size))
+		is.NoErr(claim.Keep(t.Context(), Answer{Status: 201, Header: http.Header{"A": {"b"}}, Body: body}))
+		claim, kept, err = b.Acquire(t.Context(), call("t3", "x"))
+		is.NoErr(err)
+		is.True(claim == nil)
+		is.Equal(kept.Status, 201)
+		is.Equal(string(kept.Body), string(body))
+	}
+}
+
+func TestKeyReused(t *testing.T) {
+	is := is.New(t)
+	s := newStore(platform.NewMemory(), "vm-1")
+	_, _, err := s.Acquire(t.Context(), call("t1", "x"))
+	is.NoErr(err)
+	_, _, err = s.Acquire(t.Context(), call("t2", "another body"))
+	is.True(errkind.Is(err, errkind.KeyReused))
+	other := call("t3", "x")
+	other.Account = "someone else"
+	claim, _, err := s.Acquire(t.Context(), other)
+	is.NoErr(err)
+	is.True(claim != nil) // another caller's key is another key
+}
+
+func TestReleasedKeyIsFree(t *testing.T) {
+	is := is.New(t)
+	s := newStore(platform.NewMemory(), "vm-1")
+	claim, _, err := s.Acquire(t.Context(), call("t1", "x"))
+	is.NoErr(err)
+	is.NoErr(claim.Release(t.Context()))
+	claim, _, err = s.Acquire(t.Context(), call("t2", "x"))
+	is.NoErr(err)
+	is.True(claim != nil)
+}
+
+func TestFaults(t *testing.T) {
+	cases := []struct {
+		name    string
+		fault   platform.Fault
+		claimed bool
+		// afterwards is what a second caller meets once the platform is well.
+		afterwards errkind.Kind
+	}{
+		{"down", platform.FaultDown, false, ""},
+		{"claim written, answer lost", platform.FaultLostAnswers, true, errkind.CallInProgress},
+		{"claim lost", platform.FaultLostWrites, false, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := platform.NewMemory()
+			s := newStore(p, "vm-1")
+			p.SetFault(c.fault)
+			claim, _, err := s.Acquire(short(t), call("t1", "x"))
+			is.Equal(claim != nil, c.claimed)
+			if !c.claimed {
+				is.True(errkind.Is(err, errkind.PlatformDown))
+				a := errkind.From(err).Answer()
+				is.Equal(a.Outcome, errkind.NotRun) // true: nothing was sent
+				is.True(a.RetryAfter > 0)
+			}
+			p.SetFault(platform.FaultNone)
+			_, _, err = newStore(p, "vm-2").Acquire(t.Context(), call("t2", "x"))
+			if c.afterwards == "" {
+				is.NoErr(err)
+				return
+			}
+			is.True(errkind.Is(err, c.afterwards))
+		})
+	}
+}
+
+// An answer that cannot be kept leaves the outcome open for who asks again,
+// never not_run.
+func TestAnswerNotKept(t *testing.T) {
+	is := is.New(t)
+	p := platform.NewMemory()
+	s := newStore(p, "vm-1")
+	claim, _, err := s.Acquire(t.Context(), call("t1", "x"))
+	is.NoErr(err)
+	p.SetFault(platform.FaultDown)
+	is.True(claim.Keep(t.Context(), Answer{Status: 200}) != nil)
+	p.SetFault(platform.FaultNone)
+	_, _, err = s.Acquire(t.Context(), call("t2", "x"))
+	is.True(err != nil)
+	is.Equal(errkind.From(err).Answer().Outcome, errkind.MayHaveRun)
+}
+
+// lateWrites lets commits take effect only after their answer was lost and the
+// record was read back: the late effect of an earlier write.
+type lateWrites struct {
+	*platform.Memory
+	mu      sync.Mutex
+	pending []platform.Txn
+	left    int
+}
+
+func (l *lateWrites) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.left > 0 {
+		l.left--
+		l.pending = append(l.pending, txn)
+		return 0, platform.ErrUnknown
+	}
+	for _, old := range l.pending {
+		// It lands now, on whatever conditions still hold.
+		_, _ = l.Memory.Commit(ctx, old)
+	}
+	l.pending = nil
+	return l.Memory.Commit(ctx, txn)
+}
+
+func TestLateClaim(t *testing.T) {
+	is := is.New(t)
+	p := &lateWrites{Memory: platform.NewMemory(), left: 1}
+	s := NewStore(p, p, "vm-1", time.Now)
+	claim, _, err := s.Acquire(t.Context(), call("t1", "x"))
+	is.NoErr(err)
+	is.True(claim != nil) // the late write was its own
+	is.NoErr(claim.Keep(t.Context(), Answer{Status: 200}))
+}
+
+// claimOp is one request for a key and its result.
+type claimOp struct {
+	keep bool
+}
+
+type claimResult struct {
+	granted, kept, refused bool
+}
+
+// The sequential model: a key is granted once, and an answer is handed out
+// only after it was kept.
+func claimModel() porcupine.Model {
+	const free, claimed, done = 0, 1, 2
+	return porcupine.Model{
+		Init: func() any { return free },
+		Step: func(state, input, output any) (bool, any) {
+			s, out := state.(int), output.(claimResult)
+			switch {
+			case input.(claimOp).keep:
+				return s == claimed, done
+			case out.granted:
+				return s == free, claimed
+			case out.kept:
+				return s == done, done
+			}
+			return s == claimed, claimed
+		},
+	}
+}
+
+// Many entries ask for one key at once, some writes without an answer.
+func TestConcurrentClaimsHistory(t *testing.T) {
+	for round := range 20 {
+		p := &lateWrites{Memory: platform.NewMemory(), left: round % 4}
+		start := time.Now()
+		var mu sync.Mutex
+		var history []porcupine.Operation
+		record := func(client int, in claimOp, from time.Duration, out claimResult) {
+			mu.Lock()
+			defer mu.Unlock()
+			history = append(history, porcupine.Operation{
+				ClientId: client, Input: in, Call: int64(from), Output: out, Return: int64(time.Since(start)),
+			})
+		}
+		var wg sync.WaitGroup
+		for client := range 6 {
+			wg.Go(func() {
+				s := NewStore(p, p, fmt.Sprint("vm-", client), time.Now)
+				for try := range 3 {
+					from := time.Since(start)
+					claim, kept, err := s.Acquire(t.Context(), call(fmt.Sprintf("%d-%d", client, try), "x"))
+					record(client, claimOp{}, from, claimResult{granted: claim != nil, kept: kept != nil, refused: err != nil})
+					if claim == nil {
+						continue
+					}
+					from = time.Since(start)
+					if err := claim.Keep(t.Context(), Answer{Status: 200}); err != nil && !errors.Is(err, platform.ErrUnknown) {
+						t.Error(err)
+						return
+					}
+					record(client, claimOp{keep: true}, from, claimResult{})
+				}
+			})
+		}
+		wg.Wait()
+		if !porcupine.CheckOperations(claimModel(), history) {
+			t.Fatalf("round %d: a key was granted twice or an answer came from nowhere", round)
+		}
+	}
+}
+
+// The checker itself must refuse a key that was granted twice.
+func TestHistoryCheckerRefusesTwoGrants(t *testing.T) {
+	history := []porcupine.Operation{
+		{ClientId: 0, Input: claimOp{}, Call: 0, Output: claimResult{granted: true}, Return: 1},
+		{ClientId: 1, Input: claimOp{}, Call: 2, Output: claimResult{granted: true}, Return: 3},
+	}
+	if porcupine.CheckOperations(claimModel(), history) {
+		t.Fatal("the checker accepts two grants of one key")
+	}
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,93 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const goodEntry = `{
+  // comments are allowed
+  "vm": "vm-1", "data_centre": "kakkanad",
+  "listen": "10.0.0.1:8080", "admin_listen": "10.0.0.1:8081",
+  "stewards": ["10.0.0.1:7100"],
+  "platform": {"address": "10.0.9.9:9000", "timeout": "2s"},
+}`
+
+func TestGoodEntry(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultEntry()
+	is.NoErr(Decode([]byte(goodEntry), cfg))
+	is.Equal(cfg.VM, "vm-1")
+	is.Equal(cfg.MaxInFlight, DefaultEntry().MaxInFlight) // defaults stay
+}
+
+func TestProblems(t *testing.T) {
+	cases := []struct {
+		name string
+		old  string
+		new  string
+		want []string
+	}{
+		{"unknown field", `"vm": "vm-1"`, `"vm": "vm-1", "wm": 1`, []string{"line 3: wm: unknown field"}},
+		{"unparsable address", `"10.0.0.1:8080"`, `"kakkanad:8080"`, []string{`line 4: listen: "kakkanad:8080" is not an IP address`}},
+		{"duration without unit", `"2s"`, `2`, []string{"line 6: platform.timeout: duration without a unit"}},
+		{"duration string without unit", `"2s"`, `"2"`, []string{`line 6: platform.timeout: "2" is not a duration`}},
+		{"missing data centre", `"data_centre": "kakkanad",`, ``, []string{"data_centre: missing"}},
+		{"duplicate steward", `["10.0.0.1:7100"]`, `["10.0.0.1:7100", "10.0.0.1:7100"]`, []string{"line 5: stewards[1]: 10.0.0.1:7100 is given twice"}},
+		{"no steward", `["10.0.0.1:7100"]`, `[]`, []string{"line 5: stewards: at least one"}},
+		{"wrong type", `"vm-1"`, `7`, []string{"line 3: vm: is 7, want a string"}},
+		{"object for string", `"vm-1"`, `{}`, []string{"line 3: vm: is an object, want a string"}},
+		{"list for object", `{"address": "10.0.9.9:9000", "timeout": "2s"}`, `[]`, []string{"platform: is a list, want an object"}},
+		{"field twice", `"vm": "vm-1"`, `"vm": "vm-1", "vm": "vm-2"`, []string{"vm: given twice"}},
+		{"below zero", `"listen"`, `"max_in_flight": -1, "listen"`, []string{"max_in_flight: must be above zero"}},
+		{"all at once", `"vm": "vm-1", "data_centre": "kakkanad",`, `"vn": 1,`, []string{"line 3: vn: unknown field", "vm: missing", "data_centre: missing"}},
+		{"not JSON", `"vm"`, `vm`, []string{"line"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			text := strings.Replace(goodEntry, c.old, c.new, 1)
+			is.True(text != goodEntry) // the case changes the file
+			err := Decode([]byte(text), DefaultEntry())
+			var ps Problems
+			is.True(errors.As(err, &ps))
+			for _, want := range c.want {
+				is.True(strings.Contains(err.Error(), want)) // problem is named
+			}
+		})
+	}
+}
+
+func TestDuplicatePeer(t *testing.T) {
+	is := is.New(t)
+	peer := `{"vm": "vm-1", "data_centre": "kakkanad", "address": "10.0.0.1:7100"}`
+	text := fmt.Sprintf(`{"vm": "vm-1", "data_centre": "kakkanad", "listen": "10.0.0.1:7100",
+"admin_listen": "10.0.0.1:7101", "platform": {"address": "10.0.9.9:9000"},
+"peers": [%s,
+%s]}`, peer, peer)
+	err := Decode([]byte(text), DefaultSteward())
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "line 4: peers[1].vm: duplicate peer vm-1"))
+	is.True(strings.Contains(err.Error(), "line 4: peers[1].address: duplicate peer address"))
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(goodEntry))
+	f.Add([]byte(`{"vm": [{"x": 1}], "stewards": {}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		err := Decode(data, DefaultEntry())
+		var ps Problems
+		if err != nil && !errors.As(err, &ps) {
+			t.Fatalf("error is %T", err)
+		}
+		for _, p := range ps {
+			if p.Line < 1 || p.Message == "" {
+				t.Fatalf("problem without a place or message: %+v", p)
+			}
+		}
+	})
+}
--- a/internal/steward/authority.go
+++ b/internal/steward/authority.go
@@ -71,7 +71,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, row := range a.store.View().Table.Rows {
-		if row.Kind != table.Language || a.controllers[row.Service] != nil {
+		if a.controllers[row.Service] != nil {
 			continue
 		}
 		c := a.newController(row.Service)
@@ -94,6 +94,17 @@
 	}
 }
 
+// leaseOf returns the lease of a service, or nil.
+func (a *authority) leaseOf(service string) *lease.Lease {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c, ok := a.controllers[service]
+	if !ok {
+		return nil
+	}
+	return c.lease
+}
+
 // holders returns the holder of each lease as this steward last saw it.
 func (a *authority) holders() []*api.LeaseLine {
 	a.mu.Lock()
@@ -180,7 +191,7 @@
 		return err
 	}
 	row, ok := c.store.View().Table.Row(c.service)
-	if !ok {
+	if !ok || row.Kind != table.Language {
 		return nil
 	}
 	targets := c.targets()
--- a/internal/steward/modules.go
+++ b/internal/steward/modules.go
@@ -129,6 +129,7 @@
 		gossip: kernel.Need[*member.Gossip](g, ModuleGossip), sync: kernel.Need[*tableSync](g, ModuleSync),
 		tables: kernel.Need[*table.Store](g, ModuleTables), authority: kernel.Need[*authority](g, ModuleAuthority),
 		records: kernel.Need[*decisionBook](g, ModuleRecords), burns: kernel.Need[*burnBook](g, ModuleBurns),
+		grants: newGrantBooks(lease.BootClock), dialer: kernel.Need[*dialer](g, ModuleDialer),
 		log: kernel.Need[*telemetry.Logger](g, ModuleLog),
 	}
 	if g.Err != nil {
--- a/internal/steward/server.go
+++ b/internal/steward/server.go
@@ -43,7 +43,8 @@
 	authority *authority
 	records   *decisionBook
 	burns     *burnBook
-	grants    *grantBook
+	grants    *grantBooks
+	dialer    *dialer
 	log       *telemetry.Logger
 
 	grpc     *grpc.Server
--- /dev/null
+++ b/internal/table/store_test.go
@@ -0,0 +1,238 @@
+package table
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/matryer/is"
+
+	"garnethoist.org/garnethoist/internal/platform"
+)
+
+func seeded(t *testing.T, p platform.Table) (*Store, Table) {
+	t.Helper()
+	s := NewStore(p, time.Now)
+	v, err := s.Apply(t.Context(), Edit{Token: "seed", Who: "test", Table: Table{Rows: []Row{hintsRow(), renewalsRow()}}})
+	if err != nil || v != 1 {
+		t.Fatalf("seed: version %d, %v", v, err)
+	}
+	got, err := s.Read(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, got
+}
+
+// withWeight returns t with another weight for one service.
+func withWeight(t Table, service string, weight float64) Table {
+	out := Table{Version: t.Version, Rows: append([]Row(nil), t.Rows...)}
+	for i := range out.Rows {
+		if out.Rows[i].Service == service {
+			out.Rows[i].Weight = weight
+		}
+	}
+	return out
+}
+
+func TestTwoOperators(t *testing.T) {
+	is := is.New(t)
+	s, base := seeded(t, platform.NewMemory())
+	_, err := s.Apply(t.Context(), Edit{Token: "a", Base: base.Version, Table: withWeight(base, "hints", 5)})
+	is.NoErr(err)
+
+	_, err = s.Apply(t.Context(), Edit{Token: "b", Base: base.Version, Table: withWeight(base, "hints", 9)})
+	var conflict *Conflict
+	is.True(errors.As(err, &conflict))
+	is.True(strings.Contains(err.Error(), `column "weight": theirs "5", yours "9"`)) // both values shown
+
+	_, err = s.Apply(t.Context(), Edit{Token: "c", Base: base.Version, Table: withWeight(base, "renewals", 9)})
+	is.NoErr(err) // another row does not conflict
+	now, err := s.Read(t.Context())
+	is.NoErr(err)
+	hints, _ := now.Row("hints")
+	renewals, _ := now.Row("renewals")
+	is.Equal(hints.Weight, 5.0) // the first operator's edit is not lost
+	is.Equal(renewals.Weight, 9.0)
+	is.Equal(now.Version, uint64(3))
+}
+
+func TestEngineGivenTwiceByTwoOperators(t *testing.T) {
+	is := is.New(t)
+	s, base := seeded(t, platform.NewMemory())
+	add := func(name string) Table {
+		out := withWeight(base, "", 0)
+		r := hintsRow()
+		r.Service, r.Engines = name, []Assignment{{DataCentre: "edappally", Names: []string{"shared"}}}
+		out.Rows = append(out.Rows, r)
+		return out
+	}
+	_, err := s.Apply(t.Context(), Edit{Token: "a", Base: base.Version, Table: add("clues")})
+	is.NoErr(err)
+	_, err = s.Apply(t.Context(), Edit{Token: "b", Base: base.Version, Table: add("judge")})
+	var invalid Invalid
+	is.True(errors.As(err, &invalid)) // each edit is fine alone, both are not
+}
+
+func TestRemovalAgainstEdit(t *testing.T) {
+	is := is.New(t)
+	s, base := seeded(t, platform.NewMemory())
+	removed := Table{Rows: []Row{base.Rows[1]}}
+	_, err := s.Apply(t.Context(), Edit{Token: "a", Base: base.Version, Table: removed})
+	is.NoErr(err)
+	_, err = s.Apply(t.Context(), Edit{Token: "b", Base: base.Version, Table: withWeight(base, "hints", 3)})
+	var conflict *Conflict
+	is.True(errors.As(err, &conflict))
+}
+
+// faulty lets the first n commits go wrong in one way.
+type faulty struct {
+	*platform.Memory
+	mu    sync.Mutex
+	left  int
+	fault platform.Fault
+}
+
+func (f *faulty) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.left > 0 {
+		f.left--
+		f.SetFault(f.fault)
+		defer f.SetFault(platform.FaultNone)
+	}
+	return f.Memory.Commit(ctx, txn)
+}
+
+func TestUnknownWrites(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault platform.Fault
+	}{
+		{"effect without an answer", platform.FaultLostAnswers},
+		{"no effect and no answer", platform.FaultLostWrites},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := &faulty{Memory: platform.NewMemory()}
+			s, base := seeded(t, p)
+			p.left, p.fault = 1, c.fault
+			v, err := s.Apply(t.Context(), Edit{Token: "a", Base: base.Version, Table: withWeight(base, "hints", 5)})
+			is.NoErr(err)
+			is.Equal(v, uint64(2)) // in force once
+			again, err := s.Apply(t.Context(), Edit{Token: "a", Base: base.Version, Table: withWeight(base, "hints", 5)})
+			is.NoErr(err)
+			is.Equal(again, uint64(2)) // the same token is not applied twice
+			h, err := s.History(t.Context(), 10)
+			is.NoErr(err)
+			is.Equal(len(h), 2)
+		})
+	}
+}
+
+func TestPlatformDown(t *testing.T) {
+	is := is.New(t)
+	p := platform.NewMemory()
+	s, base := seeded(t, p)
+	p.SetFault(platform.FaultDown)
+	_, err := s.Apply(t.Context(), Edit{Token: "a", Base: base.Version, Table: withWeight(base, "hints", 5)})
+	is.True(errors.Is(err, platform.ErrUnavailable))
+	p.SetFault(platform.FaultNone)
+	v, err := s.Version(t.Context())
+	is.NoErr(err)
+	is.Equal(v, uint64(1))
+}
+
+// register is the sequential model of one cell of the table: an accepted edit
+// must have been based on the value it replaces.
+type cellOp struct {
+	read bool
+	from float64
+	to   float64
+}
+
+type cellResult struct {
+	value float64
+	ok    bool
+}
+
+func cellModel() porcupine.Model {
+	return porcupine.Model{
+		Init: func() any { return 1.0 },
+		Step: func(state, input, output any) (bool, any) {
+			op, out, v := input.(cellOp), output.(cellResult), state.(float64)
+			switch {
+			case op.read:
+				return out.value == v, v
+			case out.ok:
+				return v == op.from, op.to
+			}
+			return true, v // a refused edit changes nothing
+		},
+	}
+}
+
+// Concurrent operators, some writes without an answer: every accepted edit
+// replaced the value that it was based on, and none was lost.
+func TestConcurrentOperatorsHistory(t *testing.T) {
+	p := &faulty{Memory: platform.NewMemory()}
+	s, _ := seeded(t, p)
+	p.left, p.fault = 8, platform.FaultLostAnswers
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	start := time.Now()
+	record := func(client int, in cellOp, call time.Duration, out cellResult) {
+		mu.Lock()
+		defer mu.Unlock()
+		history = append(history, porcupine.Operation{
+			ClientId: client, Input: in, Call: int64(call), Output: out, Return: int64(time.Since(start)),
+		})
+	}
+	var wg sync.WaitGroup
+	for client := range 5 {
+		wg.Go(func() {
+			for i := range 8 {
+				call := time.Since(start)
+				base, err := s.Read(t.Context())
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				row, _ := base.Row("hints")
+				record(client, cellOp{read: true}, call, cellResult{value: row.Weight})
+				to := float64(100*client + i + 2)
+				call = time.Since(start)
+				_, err = s.Apply(t.Context(), Edit{
+					Token: fmt.Sprintf("%d-%d", client, i), Base: base.Version, Table: withWeight(base, "hints", to),
+				})
+				var conflict *Conflict
+				if err != nil && !errors.As(err, &conflict) {
+					t.Error(err)
+					return
+				}
+				record(client, cellOp{from: row.Weight, to: to}, call, cellResult{ok: err == nil})
+			}
+		})
+	}
+	wg.Wait()
+	if !porcupine.CheckOperations(cellModel(), history) {
+		t.Fatal("an accepted edit was lost or based on a value that was not there")
+	}
+}
+
+// The checker itself must refuse a lost update.
+func TestHistoryCheckerRefusesLostUpdate(t *testing.T) {
+	history := []porcupine.Operation{
+		{ClientId: 0, Input: cellOp{from: 1, to: 2}, Call: 0, Output: cellResult{ok: true}, Return: 1},
+		{ClientId: 1, Input: cellOp{from: 1, to: 3}, Call: 2, Output: cellResult{ok: true}, Return: 3},
+	}
+	if porcupine.CheckOperations(cellModel(), history) {
+		t.Fatal("the checker accepts a lost update")
+	}
+}
