--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -34,6 +34,9 @@
 	// chunkID is the completion id that the caller saw first.
 	chunkID []byte
 	started bool
+	// noTransfer is set once an engine could not import the KV cache; one
+	// engine then does it all.
+	noTransfer bool
 	// moved is set once the stream has gone on with another generation.
 	moved bool
 }
@@ -81,12 +84,15 @@
 		if err != nil {
 			return firstOf(last, err)
 		}
+		transfer := s.noTransfer
 		err = r.streamOn(ctx, out, c, s, route)
 		if err == nil || !errors.Is(err, errBroken) {
 			return err
 		}
 		last = lostError(err)
-		avoid = append(avoid, route.Name)
+		if transfer == s.noTransfer {
+			avoid = append(avoid, route.Name)
+		}
 		if err := r.prepareNext(c, s, err); err != nil {
 			return err
 		}
@@ -201,7 +207,7 @@
 		}
 		return c.Chat.continueBody(s.text, s.base)
 	}
-	if !r.router.Split(c.Service) {
+	if s.noTransfer || !r.router.Split(c.Service) {
 		return c.Chat.body, nil
 	}
 	kv, err := r.prefill(ctx, c)
@@ -228,26 +234,33 @@
 
 // attempt opens one connection to an engine and relays its events.
 func (r *Relay) attempt(ctx context.Context, out *eventWriter, c *Call, s *streamState, route Route, body []byte, lastEvent string) error {
-	ctx, cancel := context.WithCancel(ctx)
+	try, cancel := context.WithCancel(ctx)
 	defer cancel()
 	idle := time.AfterFunc(r.idleLimit(c, s), cancel)
 	defer idle.Stop()
-	resp, err := r.post(ctx, c, route.Address, body, lastEvent)
+	resp, err := r.post(try, c, route.Address, body, lastEvent)
+	if err != nil && ctx.Err() != nil {
+		return callerGone()
+	}
 	if err != nil {
-		return r.attemptError(ctx, out, dialError(err))
+		return broken(dialError(err))
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		return r.refused(out, s, resp, lastEvent != "")
 	}
 	err = r.copyEvents(out, s, resp.Body, idle)
-	if errors.Is(err, errCallerGone) || out.gone() {
-		if s.stream != "" {
-			r.cancelStream(route.Address, s.stream)
-		}
-		return errkind.Wrap(errkind.ClientGone, errCallerGone, "the caller went away")
+	if err == nil || (ctx.Err() == nil && !out.gone()) {
+		return err
 	}
-	return err
+	if s.stream != "" {
+		r.cancelStream(route.Address, s.stream)
+	}
+	return callerGone()
+}
+
+func callerGone() error {
+	return errkind.Wrap(errkind.ClientGone, errCallerGone, "the caller went away")
 }
 
 // idleLimit bounds the wait for the next event. The first may take as long as
@@ -259,14 +272,6 @@
 	return max(time.Until(c.Deadline), r.cfg.IdleTimeout)
 }
 
-// attemptError sorts a failure to reach the engine.
-func (r *Relay) attemptError(_ context.Context, out *eventWriter, err *errkind.Error) error {
-	if out.gone() {
-		return errkind.Wrap(errkind.ClientGone, errCallerGone, "the caller went away")
-	}
-	return broken(err)
-}
-
 // brokenError marks an error as one after which the stream may go on.
 type brokenError struct{ err error }
 
@@ -287,6 +292,7 @@
 	case resuming && resp.StatusCode == http.StatusNotFound:
 		return broken(errUnknownStream)
 	case target.VouchesNotRun(code):
+		s.noTransfer = s.noTransfer || code == target.CodeTransferFailed
 		e := errkind.New(errkind.TargetFailed, "the engine refused: %s", code)
 		e.Outcome = errkind.NotRun
 		return broken(e)
@@ -307,7 +313,8 @@
 func (r *Relay) copyEvents(out *eventWriter, s *streamState, body io.Reader, idle *time.Timer) error {
 	in := newEventReader(body)
 	defer in.release()
-	touched := time.Now()
+	// Zero, so that the first event ends the longer limit of the wait for it.
+	var touched time.Time
 	for {
 		ev, err := in.next()
 		if err != nil {
@@ -319,7 +326,7 @@
 		if err := out.relay(s, ev); err != nil {
 			return err
 		}
-		if in.buffered() {
+		if in.buffered() || !s.started {
 			continue
 		}
 		if err := out.flush(); err != nil {
--- a/internal/standin/chat.go
+++ b/internal/standin/chat.go
@@ -157,7 +157,7 @@
 		return
 	}
 	e.mu.Lock()
-	e.kv[st.prompt] = true
+	e.kv[st.prompt] = !e.dropKV
 	e.mu.Unlock()
 	host, port := hostPort(r)
 	writeJSON(w, http.StatusOK, map[string]any{
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -48,6 +48,7 @@
 	streams     map[string]*stream
 	nextStream  uint64
 	kv          map[uint64]bool
+	dropKV      bool
 	cancelled   int
 	cut         int
 	orders      []target.Order
@@ -270,3 +271,10 @@
 	n, _ := strconv.Atoi(port)
 	return host, n
 }
+
+// DropKV makes the engine lose each exported cache before it is fetched.
+func (e *Engine) DropKV() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dropKV = true
+}
