Failure tests with real processes; a silent engine costs its wait once

Cause: with an engine frozen by SIGSTOP a caller waited 23.8 s, as the relay asked the frozen engine a second time after the idle limit and the limit was 10 s. The tests also shared ports with outgoing connections, which could have made a verdict differ between runs.

Ruled out: the entry's dial (the connection was up); the steward's poll, which had marked the engine unreachable.

--- a/cmd/garnet-demo/main.go
+++ b/cmd/garnet-demo/main.go
@@ -61,7 +61,7 @@
 	defer os.RemoveAll(dir)
 	ctx, cancel := context.WithTimeout(context.Background(), demoTimeout)
 	defer cancel()
-	cluster := proc.NewCluster(dir, opts.Bin)
+	cluster := proc.NewCluster(dir, opts.Bin, proc.NewPorts())
 	defer cluster.StopAll(stopGrace)
 	l, err := proc.NewLayout(cluster, proc.Shape{Engines: 3, Plains: 1, VMs: shape})
 	if err != nil {
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -23,11 +23,10 @@
 // fakeEngine is an engine at the interface. It takes orders and records those
 // that had an effect.
 type fakeEngine struct {
-	checks  bool
-	fence   uint64
-	last    string
-	taken   []target.Order
-	changes int
+	checks bool
+	fence  uint64
+	last   string
+	taken  []target.Order
 	// lost makes the next order take effect without an answer; dropped makes
 	// it vanish.
 	lost, dropped bool
--- a/internal/proc/cluster.go
+++ b/internal/proc/cluster.go
@@ -4,15 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"time"
 
 	"github.com/pkg/errors"
-
-	"garnethoist.org/garnethoist/internal/settings"
 )
 
 // Cluster is a set of processes on loopback.
@@ -22,30 +19,14 @@
 	// Bin holds the programs.
 	Bin string
 
+	ports     *Ports
 	processes []*Process
 }
 
-// NewCluster returns an empty cluster that runs the programs in bin.
-func NewCluster(dir, bin string) *Cluster { return &Cluster{Dir: dir, Bin: bin} }
-
-// FreeAddrs returns n loopback addresses whose ports are free now.
-func FreeAddrs(n int) ([]settings.Addr, error) {
-	listeners := make([]net.Listener, 0, n)
-	defer func() {
-		for _, l := range listeners {
-			l.Close()
-		}
-	}()
-	out := make([]settings.Addr, n)
-	for i := range out {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
-		}
-		listeners = append(listeners, l)
-		out[i] = settings.Addr(l.Addr().String())
-	}
-	return out, nil
+// NewCluster returns an empty cluster that runs the programs in bin at
+// addresses from ports.
+func NewCluster(dir, bin string, ports *Ports) *Cluster {
+	return &Cluster{Dir: dir, Bin: bin, ports: ports}
 }
 
 // Run starts a program with a settings file made of cfg.
--- a/internal/proc/layout.go
+++ b/internal/proc/layout.go
@@ -55,7 +55,7 @@
 
 // NewLayout starts every process of a layout, in one data centre.
 func NewLayout(c *Cluster, shape Shape) (*Layout, error) {
-	addrs, err := FreeAddrs(1 + shape.Engines + shape.Plains + addrsPerVM*shape.VMs)
+	addrs, err := c.ports.Take(1 + shape.Engines + shape.Plains + addrsPerVM*shape.VMs)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -76,7 +76,7 @@
 
 // DefaultConfig returns the limits used in production.
 func DefaultConfig() Config {
-	return Config{IdleTimeout: 10 * time.Second, DialTimeout: 2 * time.Second, MaxAnswerBytes: 16 << 20}
+	return Config{IdleTimeout: 4 * time.Second, DialTimeout: 2 * time.Second, MaxAnswerBytes: 16 << 20}
 }
 
 // Relay carries language requests. It is safe for concurrent use.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -47,6 +47,10 @@
 // errBroken is wrapped by failures after which the stream may go on elsewhere.
 var errBroken = errors.New("relay: stream broke off")
 
+// errSilent: the engine gave no event for too long. It is not asked again, as
+// it would cost the caller the same wait once more.
+var errSilent = errors.New("relay: engine fell silent")
+
 // errUnknownStream: the engine no longer has the stream.
 var errUnknownStream = errors.New("relay: engine does not know the stream")
 
@@ -178,7 +182,7 @@
 	}
 	s.engine = route.Name
 	err = r.attempt(ctx, out, c, s, route, body, "")
-	if errors.Is(err, errBroken) && s.stream != "" {
+	if errors.Is(err, errBroken) && s.stream != "" && !errors.Is(err, errSilent) {
 		err = r.resumeOn(ctx, out, c, s, route)
 	}
 	route.Done(streamOutcome(err))
@@ -225,7 +229,7 @@
 		before := s.event
 		lastEvent := s.stream + ":" + strconv.Itoa(s.event)
 		err := r.attempt(ctx, out, c, s, route, c.Chat.body, lastEvent)
-		if !errors.Is(err, errBroken) || s.event == before {
+		if !errors.Is(err, errBroken) || errors.Is(err, errSilent) || s.event == before {
 			return err
 		}
 		r.log.Info(telemetry.EventStreamResumed, telemetry.F("request", c.ID), telemetry.F("engine", s.engine))
@@ -239,10 +243,12 @@
 	idle := time.AfterFunc(r.idleLimit(c, s), cancel)
 	defer idle.Stop()
 	resp, err := r.post(try, c, route.Address, body, lastEvent)
-	if err != nil && ctx.Err() != nil {
+	switch {
+	case err != nil && ctx.Err() != nil:
 		return callerGone()
-	}
-	if err != nil {
+	case err != nil && try.Err() != nil:
+		return broken(errSilent)
+	case err != nil:
 		return broken(dialError(err))
 	}
 	defer resp.Body.Close()
@@ -250,6 +256,9 @@
 		return r.refused(out, s, resp, lastEvent != "")
 	}
 	err = r.copyEvents(out, s, resp.Body, idle)
+	if err != nil && ctx.Err() == nil && try.Err() != nil {
+		return broken(errSilent)
+	}
 	if err == nil || (ctx.Err() == nil && !out.gone()) {
 		return err
 	}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -89,6 +89,7 @@
 	mux.HandleFunc("POST "+target.PathOrders, e.order)
 	mux.HandleFunc("GET /kv/{block}", e.exportKV)
 	mux.HandleFunc("POST /leave", e.leave)
+	mux.HandleFunc("GET "+PathCounts, e.counts)
 	return mux
 }
 
@@ -278,3 +279,20 @@
 	defer e.mu.Unlock()
 	e.dropKV = true
 }
+
+// Counts is what a test asks an engine stand-in for.
+type Counts struct {
+	// Cut is the streams that an order cut short.
+	Cut int `json:"cut"`
+	// Cancelled is the streams cancelled by request.
+	Cancelled int `json:"cancelled"`
+	// Orders is the orders that took effect, in order.
+	Orders []target.Order `json:"orders"`
+}
+
+// PathCounts serves Counts.
+const PathCounts = "/counts"
+
+func (e *Engine) counts(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, Counts{Cut: e.Cut(), Cancelled: e.Cancelled(), Orders: e.Orders()})
+}
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -22,6 +22,9 @@
 	closeAfterRead bool
 }
 
+// PathRan answers how often the call with the body of the query ran.
+const PathRan = "/ran"
+
 // NewPlain returns a running plain service.
 func NewPlain() *Plain {
 	return &Plain{boot: uint64(time.Now().UnixNano()), ran: map[string]int{}}
@@ -32,6 +35,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+target.PathStatus, p.status)
 	mux.HandleFunc("POST /leave", func(http.ResponseWriter, *http.Request) { p.SetLeaving(true) })
+	mux.HandleFunc("GET "+PathRan, func(w http.ResponseWriter, r *http.Request) {
+		writeJSON(w, http.StatusOK, p.Ran(r.URL.Query().Get("body")))
+	})
 	mux.HandleFunc("/", p.run)
 	return mux
 }
