Routing: as many homes for a prefix as its rate needs

Ruled out: pricing the miss higher (p99 unchanged for hot prefixes); spilling to random targets (the cache hits fall to 0.6 and the load they cost comes back as waiting: with misses dear the fleet falls into a state of few hits that it does not leave by itself).

Change: each entry estimates a prefix's rate from its own arrivals times the number of entries and gives it that many rendezvous homes; two of them are weighed by price. One's own sends correct a report (route.Load); what is cached where is remembered from one's own sends (route.Seen).

--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"garnethoist.org/garnethoist/api"
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/gossip"
 	"garnethoist.org/garnethoist/internal/limit"
@@ -23,9 +24,23 @@
 // speedShare is the weight of a new measurement of the prefill speed.
 const speedShare = 0.05
 
-// maxOwnSends bounds what is remembered of one's own work on a target since
-// its last report.
-const maxOwnSends = 256
+const (
+	// seenFacts is how many facts on cached prefixes an entry remembers for a
+	// service, and seenHorizon for how many seconds it believes them.
+	seenFacts   = 1 << 14
+	seenHorizon = 300
+	// heatPrefixes is how many prefixes' rates it tells apart, and heatWindow
+	// the time constant of the rates, in seconds.
+	heatPrefixes = 1 << 12
+	heatWindow   = 10
+	// cachedShare is the part of a prompt's prefill that a cached prefix is
+	// taken to save.
+	cachedShare = 0.5
+)
+
+func newMemory() *route.Memory {
+	return &route.Memory{Seen: route.NewSeen(seenFacts, seenHorizon), Heat: route.NewHeat(heatPrefixes, heatWindow)}
+}
 
 // fleet is the entry's picture of the targets: the last view corrected by its
 // own work since. It implements relay.Router and is safe for concurrent use.
@@ -48,6 +63,9 @@
 	targets         []route.Target
 	split           bool
 	secondsPerToken float64
+	memory          *route.Memory
+	// entries is how many entries share the targets.
+	entries int
 }
 
 // member is one target across views.
@@ -56,17 +74,11 @@
 	address string
 	boot    uint64
 	health  route.Health
-	// own is the work sent lately, oldest first.
-	own []ownSend
+	load    route.Load
 	// running is the own requests in hand.
 	running int
 }
 
-type ownSend struct {
-	at      float64
-	seconds float64
-}
-
 func newFleet(dataCentre string, log *telemetry.Logger, decisions *decisionLog) *fleet {
 	return &fleet{
 		dataCentre: dataCentre, log: log, start: time.Now(), decisions: decisions,
@@ -84,9 +96,11 @@
 	now := f.now()
 	services := make(map[string]*pool, len(v.Table.Rows))
 	for _, row := range v.Table.Rows {
-		p := &pool{row: row, secondsPerToken: defaultSecondsPerToken}
+		p := &pool{row: row, secondsPerToken: defaultSecondsPerToken, entries: f.entriesIn(v)}
 		if old, ok := f.services[row.Service]; ok {
-			p.secondsPerToken = old.secondsPerToken
+			p.secondsPerToken, p.memory = old.secondsPerToken, old.memory
+		} else {
+			p.memory = newMemory()
 		}
 		services[row.Service] = p
 	}
@@ -104,6 +118,17 @@
 	f.view, f.services, f.members = v, services, members
 }
 
+// entriesIn counts the VMs of the data centre, each of which has an entry.
+func (f *fleet) entriesIn(v *gossip.View) int {
+	n := 0
+	for _, it := range v.Peers {
+		if it.GetPeer().GetDataCentre() == f.dataCentre && it.GetPeer().GetState() == api.PeerState_PEER_ALIVE {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
 // memberFor keeps what is known of a target as long as it is the same
 // incarnation at the same address.
 func (f *fleet) memberFor(t gossip.TargetView) *member {
@@ -122,27 +147,15 @@
 func (p *pool) add(m *member, t gossip.TargetView, dataCentre string, now float64) {
 	s := t.Status
 	observed := now - float64(t.AgeMS)/1000
-	m.forgetBefore(observed)
-	until := observed + float64(s.GetQueuedTokens())*p.secondsPerToken
-	for _, o := range m.own {
-		until = max(until, o.at) + o.seconds
-	}
+	m.load.Report(observed, observed+float64(s.GetQueuedTokens())*p.secondsPerToken)
 	p.members = append(p.members, m)
 	p.targets = append(p.targets, route.Target{
-		Hash: xxhash.Sum64String(t.Name), Until: until,
+		Hash: xxhash.Sum64String(t.Name), Until: m.load.Until(),
 		Running: max(float64(s.GetRunning()), float64(m.running)), Slots: float64(s.GetSlots()),
 		Roles: rolesOf(t), Remote: t.DataCentre != dataCentre, Blocked: !t.Usable() || s.GetModel() != p.row.Model,
 	})
 }
 
-func (m *member) forgetBefore(at float64) {
-	i := 0
-	for i < len(m.own) && m.own[i].at < at {
-		i++
-	}
-	m.own = append(m.own[:0], m.own[i:]...)
-}
-
 // rolesOf returns what a target can be used for. An engine split off for one
 // phase still serves whole requests when no other is left; see pick.
 func rolesOf(t gossip.TargetView) route.Roles {
@@ -242,12 +255,15 @@
 	elapsed := time.Since(f.start)
 	blocked := p.block(n.Avoid, elapsed)
 	defer p.unblock(blocked)
+	seconds := float64(n.PromptTokens) * p.secondsPerToken
+	if !n.Retry && n.Prefix != 0 {
+		p.memory.Heat.Add(n.Prefix, now)
+	}
 	for _, role := range wantedRoles(n.Role) {
 		c := route.Pick(p.targets, route.Request{
-			Now: now, Role: role, Prefix: n.Prefix,
-			CachedSeconds: float64(n.PromptTokens) * p.secondsPerToken,
-			Random:        rand.Uint64(),
-		})
+			Now: now, Role: role, Prefix: n.Prefix, Entries: p.entries,
+			Seconds: seconds, CachedSeconds: seconds * cachedShare, Random: rand.Uint64(),
+		}, p.memory)
 		if c.Index >= 0 {
 			return c
 		}
@@ -311,12 +327,16 @@
 	m, t := p.members[i], &p.targets[i]
 	now := f.now()
 	work := float64(n.PromptTokens) * p.secondsPerToken
-	t.Until = max(t.Until, now) + work
+	if n.Prefix != 0 {
+		if p.memory.Seen.Has(n.Prefix, t.Hash, now) {
+			work *= 1 - cachedShare
+		}
+		p.memory.Seen.Set(n.Prefix, t.Hash, now)
+	}
+	m.load.Sent(now, work)
+	t.Until = m.load.Until()
 	t.Running++
 	m.running++
-	if len(m.own) < maxOwnSends {
-		m.own = append(m.own, ownSend{at: now, seconds: work})
-	}
 	m.health.Sent()
 	var once sync.Once
 	return relay.Route{Name: m.name, Address: m.address, Done: func(o relay.Outcome) {
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -276,7 +276,7 @@
 	refused := status("a")
 	is.Equal(refused.StatusCode, 429)
 	is.Equal(refused.Header.Get("Retry-After"), "2") // when the next token is there
-	is.Equal(status("b").StatusCode, 201)           // another account has its own
+	is.Equal(status("b").StatusCode, 201)            // another account has its own
 }
 
 func TestLeavingTargetGetsNothing(t *testing.T) {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -44,8 +44,12 @@
 	Role Roles
 	// Prefix is the hash of the prompt's prefix; zero for none.
 	Prefix uint64
-	// CachedSeconds is the prefill work that a cached prefix saves.
+	// Seconds is the prefill work of the prompt, and CachedSeconds the part of
+	// it that a cached prefix saves.
+	Seconds       float64
 	CachedSeconds float64
+	// Entries is how many entries share the targets, this one included.
+	Entries int
 	// Random is a random number for this request.
 	Random uint64
 }
@@ -55,10 +59,10 @@
 
 // The reasons.
 const (
-	ReasonNone       Reason = "no_usable_target"
-	ReasonPrefix     Reason = "prefix_home"
-	ReasonSecondHome Reason = "prefix_second_home"
-	ReasonSpill      Reason = "prefix_spill"
+	ReasonNone      Reason = "no_usable_target"
+	ReasonPrefix    Reason = "prefix_home"
+	ReasonOtherHome Reason = "prefix_other_home"
+	ReasonHot       Reason = "hot_prefix_home"
 )
 
 // Choice is the decision.
@@ -71,63 +75,100 @@
 }
 
 const (
-	// homes is how many targets of a prefix are weighed: those most likely to
-	// have it cached.
-	homes = 2
-	// spills is how many random targets are weighed against the homes.
-	spills = 2
+	// homes is how many targets of a prefix are found exactly, in the order
+	// of its rendezvous hash.
+	homes = 4
+	// homeShare is the part of one target's time that a single prefix may
+	// take before it is given a further home.
+	homeShare = 0.1
+	// drawTries bounds the search for a random one of many homes.
+	drawTries = 16
 	// batchPrice is the price in seconds of joining a full batch.
 	batchPrice = 0.25
+	// missPrice is the price of a second of prefill that a cached prefix
+	// would save: the request's own second, and what those behind it wait.
+	missPrice = 3
 )
 
-// Pick chooses among targets. The homes of the prefix are priced without the
-// work that a cached prefix saves; a few random targets catch what a hot
-// prefix spills. The least price wins.
-func Pick(targets []Target, r Request) Choice {
-	var home [homes]int
+// Memory is what an entry remembers for its decisions on one service. It is
+// not safe for concurrent use.
+type Memory struct {
+	Seen *Seen
+	Heat *Heat
+}
+
+// Pick chooses among targets. A prefix has as many homes as its arrival rate
+// needs, the same ones for every entry; as the rate is that at this entry
+// times the number of entries, no report is needed to spread a hot prefix. Two
+// homes are weighed: the least price wins, which is the wait plus the extra
+// work where the prefix is not cached.
+func Pick(targets []Target, r Request, m *Memory) Choice {
+	var top [homes]int
 	remote := false
-	n := rendezvous(targets, r, remote, home[:])
+	n := rendezvous(targets, r, remote, top[:])
 	if n == 0 {
 		remote = true
-		n = rendezvous(targets, r, remote, home[:])
+		n = rendezvous(targets, r, remote, top[:])
 	}
 	if n == 0 {
 		return Choice{Index: -1, Reason: ReasonNone}
 	}
-	best := Choice{Index: -1}
-	bestPrice := math.Inf(1)
-	for i := range n {
-		t := &targets[home[i]]
-		price := t.price(r.Now)
-		if r.Prefix != 0 {
-			price -= r.CachedSeconds
-		}
-		if price < bestPrice {
-			bestPrice = price
-			best = Choice{Index: home[i], Wait: t.wait(r.Now), Reason: homeReason(i)}
-		}
+	wanted := homesFor(r, m.Heat)
+	a, b := top[0], top[min(1, n-1)]
+	switch {
+	case wanted > n && n == homes:
+		share := float64(wanted) / float64(len(targets))
+		a = draw(targets, r, remote, share, r.Random, a)
+		b = draw(targets, r, remote, share, mix(r.Random), b)
+	case wanted > 1:
+		first := int(mix(r.Random) % uint64(min(wanted, n)))
+		a, b = top[first], top[(first+1)%min(wanted, n)]
+	}
+	return cheaper(targets, r, m, a, b, wanted, top[0])
+}
+
+// homesFor returns how many homes the prefix needs.
+func homesFor(r Request, heat *Heat) int {
+	if r.Prefix == 0 {
+		return 1
 	}
-	rnd := r.Random
-	for range spills {
-		rnd = mix(rnd)
-		i := int(rnd % uint64(len(targets)))
+	work := heat.Rate(r.Prefix, r.Now) * float64(r.Entries) * (r.Seconds - r.CachedSeconds)
+	return 1 + int(work/homeShare)
+}
+
+// draw returns a random one of the homes of a prefix that has many: those
+// whose rendezvous weight lies in the upper share of all weights.
+func draw(targets []Target, r Request, remote bool, share float64, random uint64, otherwise int) int {
+	bar := uint64(0)
+	if share < 1 {
+		bar = uint64((1 - share) * math.MaxUint64)
+	}
+	for range drawTries {
+		random = mix(random)
+		i := int(random % uint64(len(targets)))
 		t := &targets[i]
-		if !t.fits(r.Role, remote) {
-			continue
-		}
-		if price := t.price(r.Now); price < bestPrice {
-			bestPrice = price
-			best = Choice{Index: i, Wait: t.wait(r.Now), Reason: ReasonSpill}
+		if t.fits(r.Role, remote) && mix(t.Hash^r.Prefix) >= bar {
+			return i
 		}
 	}
-	return best
+	return otherwise
 }
 
-func homeReason(i int) Reason {
-	if i == 0 {
-		return ReasonPrefix
+func cheaper(targets []Target, r Request, m *Memory, a, b, wanted, first int) Choice {
+	priceA := targets[a].price(r, wanted > 1 || a == first, m.Seen)
+	priceB := targets[b].price(r, wanted > 1 || b == first, m.Seen)
+	i := a
+	if priceB < priceA {
+		i = b
+	}
+	c := Choice{Index: i, Wait: targets[i].wait(r.Now), Reason: ReasonOtherHome}
+	switch {
+	case i == first:
+		c.Reason = ReasonPrefix
+	case wanted > 1:
+		c.Reason = ReasonHot
 	}
-	return ReasonSecondHome
+	return c
 }
 
 func (t *Target) fits(role Roles, remote bool) bool {
@@ -137,12 +178,15 @@
 // wait is the estimated time until prefill starts, in seconds.
 func (t *Target) wait(now float64) float64 { return max(t.Until-now, 0) }
 
-// price is the wait plus the cost of joining the batch.
-func (t *Target) price(now float64) float64 {
-	p := t.wait(now)
+// price is what it costs to send r to t, in seconds.
+func (t *Target) price(r Request, home bool, seen *Seen) float64 {
+	p := t.wait(r.Now)
 	if t.Slots > 0 {
 		p += batchPrice * t.Running / t.Slots
 	}
+	if r.Prefix != 0 && !home && !seen.Has(r.Prefix, t.Hash, r.Now) {
+		p += missPrice * r.CachedSeconds
+	}
 	return p
 }
 
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,154 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func newMemory() *Memory { return &Memory{Seen: NewSeen(1<<14, 300), Heat: NewHeat(1<<12, 10)} }
+
+func someTargets(n int) []Target {
+	out := make([]Target, n)
+	for i := range out {
+		out[i] = Target{Hash: mix(uint64(i) + 1), Roles: Whole, Slots: 32}
+	}
+	return out
+}
+
+func ask(prefix uint64) Request {
+	return Request{Now: 1, Role: Whole, Prefix: prefix, Entries: 8, Seconds: 0.1, CachedSeconds: 0.05, Random: 42}
+}
+
+// A blocked target, one of another role and, while there is a near one, a
+// remote one are never chosen; and one is chosen whenever one fits.
+func TestPickFits(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		targets := someTargets(rapid.IntRange(1, 30).Draw(rt, "n"))
+		m := newMemory()
+		near, far := 0, 0
+		for i := range targets {
+			targets[i].Blocked = rapid.Bool().Draw(rt, "blocked")
+			targets[i].Remote = rapid.Bool().Draw(rt, "remote")
+			targets[i].Roles = Roles(rapid.IntRange(1, 7).Draw(rt, "roles"))
+			targets[i].Until = rapid.Float64Range(0, 9).Draw(rt, "until")
+			if targets[i].Blocked || targets[i].Roles&Decode == 0 {
+				continue
+			}
+			if targets[i].Remote {
+				far++
+			} else {
+				near++
+			}
+		}
+		r := ask(rapid.Uint64().Draw(rt, "prefix"))
+		r.Role, r.Random = Decode, rapid.Uint64().Draw(rt, "random")
+		for range rapid.IntRange(0, 50).Draw(rt, "arrivals") {
+			m.Heat.Add(r.Prefix, 1)
+		}
+		c := Pick(targets, r, m)
+		if c.Index < 0 {
+			if near+far > 0 {
+				rt.Fatal("nothing chosen although one fits")
+			}
+			return
+		}
+		got := targets[c.Index]
+		if got.Blocked || got.Roles&Decode == 0 || (got.Remote && near > 0) {
+			rt.Fatalf("chose %+v", got)
+		}
+	})
+}
+
+func TestSamePrefixSameHome(t *testing.T) {
+	is := is.New(t)
+	targets := someTargets(12)
+	first := Pick(targets, ask(77), newMemory())
+	is.Equal(first.Reason, ReasonPrefix)
+	other := ask(77)
+	other.Random = 4711
+	is.Equal(Pick(targets, other, newMemory()).Index, first.Index) // another entry agrees
+	targets[first.Index].Blocked = true
+	second := Pick(targets, ask(77), newMemory())
+	is.True(second.Index != first.Index)
+	targets[first.Index].Blocked = false
+	targets[first.Index].Until = 1.1 // a short queue is worth the cache
+	is.Equal(Pick(targets, ask(77), newMemory()).Index, first.Index)
+	targets[first.Index].Until = 60
+	is.Equal(Pick(targets, ask(77), newMemory()).Index, second.Index) // a long one is not
+}
+
+// A hot prefix is spread without any report.
+func TestHotPrefixIsSpread(t *testing.T) {
+	is := is.New(t)
+	targets, m := someTargets(12), newMemory()
+	used := map[int]int{}
+	for i := range 200 {
+		r := ask(77)
+		r.Now, r.Random = float64(i)*0.05, mix(uint64(i))
+		m.Heat.Add(77, r.Now)
+		used[Pick(targets, r, m).Index]++
+	}
+	is.True(len(used) > 6)
+	for _, n := range used {
+		is.True(n < 60)
+	}
+}
+
+func TestLoadCorrectedByOwnWork(t *testing.T) {
+	is := is.New(t)
+	var l Load
+	l.Report(10, 12)
+	l.Sent(11, 0.5)
+	is.Equal(l.Until(), 12.5)
+	l.Report(10.5, 11.5) // the report is older than the send: both count
+	is.Equal(l.Until(), 12.0)
+	l.Report(11.2, 11.9) // now the report holds the send
+	is.Equal(l.Until(), 11.9)
+	l.Report(10.8, 99) // a late one that was overtaken
+	is.Equal(l.Until(), 11.9)
+}
+
+func TestHealth(t *testing.T) {
+	is := is.New(t)
+	var h Health
+	is.Equal(h.Failed(0), time.Duration(0)) // one failure may be chance
+	is.True(h.Available(0))
+	is.Equal(h.Failed(0), time.Second)
+	is.True(!h.Available(999 * time.Millisecond))
+	is.True(h.Available(time.Second))
+	h.Sent()
+	is.True(!h.Available(time.Second)) // one at a time
+	is.Equal(h.Failed(time.Second), 2*time.Second)
+	is.True(h.Available(3 * time.Second))
+	h.Sent()
+	h.OK()
+	is.True(h.Available(3 * time.Second))
+}
+
+// The replay gives the same figures for the same seed.
+func TestReplayRepeats(t *testing.T) {
+	is := is.New(t)
+	s := sceneOf(8, 12)
+	s.age, s.requests = 2, 4000
+	is.Equal(replay(s, ours), replay(s, ours))
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{12, 217} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			targets, m := someTargets(n), newMemory()
+			b.ReportAllocs()
+			i := uint64(0)
+			for b.Loop() {
+				i++
+				r := ask(mix(i))
+				r.Random = i
+				Pick(targets, r, m)
+			}
+		})
+	}
+}
