--- a/internal/proc/failure_test.go
+++ b/internal/proc/failure_test.go
@@ -285,3 +285,68 @@
 	}
 	return ctx.Err()
 }
+
+// The mix turns to more than the engines carry in their present roles: the
+// holder changes roles one engine at a time while streams flow, and cuts none.
+func TestRolesFollowTheMix(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, proc.Shape{Engines: 4, Plains: 1, VMs: 2, Steward: func(_ int, s *settings.Steward) {
+		s.RoleInterval = settings.Duration(500 * time.Millisecond)
+		s.Engine.Away = settings.Duration(200 * time.Millisecond)
+		// Engines so slow that a few streams are more than the fleet carries.
+		s.Engine.PrefillTokensPerS, s.Engine.DecodeTokensPerS, s.Engine.Mixed = 20, 400, 0.5
+	}})
+	w.serve("v1", "checked")
+	ctx, stop := context.WithCancel(w.ctx)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var failures []error
+	served := 0
+	vms := append([]proc.VM(nil), w.VMs...)
+	for client := range 6 {
+		wg.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				err := balanced(w.ctx, vms, client+i, func(entry settings.Addr) error { return stream(w.ctx, entry, 40) })
+				mu.Lock()
+				served++
+				if err != nil {
+					failures = append(failures, err)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	w.until("a split of prefill and decode", func(context.Context) error {
+		out, err := w.ctl(0, "status")
+		if err != nil {
+			return errors.Errorf("%v: %s", err, out)
+		}
+		if !strings.Contains(out, "prefill") || !strings.Contains(out, "decode") {
+			return errors.New(out)
+		}
+		return nil
+	})
+	mu.Lock()
+	before := served
+	mu.Unlock()
+	w.until("streams over the split", func(context.Context) error {
+		mu.Lock()
+		defer mu.Unlock()
+		if served < before+30 {
+			return errors.Errorf("%d served", served)
+		}
+		return nil
+	})
+	stop()
+	wg.Wait()
+	for _, err := range failures {
+		t.Errorf("a request failed: %v", err)
+	}
+	for i := range w.Engines {
+		is.Equal(w.counts(i).Cut, 0)
+	}
+	out, err := w.ctl(0, "explain", "hints")
+	is.NoErr(err)
+	is.True(strings.Contains(out, "role_change"))
+	is.True(strings.Contains(out, "option")) // with the prices of the options
+}
--- /dev/null
+++ b/internal/roles/roles_test.go
@@ -0,0 +1,146 @@
+package roles
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestServed(t *testing.T) {
+	cases := []struct {
+		name  string
+		split Split
+		mix   Mix
+		want  float64
+	}{
+		{"enough of each", Split{Prefill: 4, Decode: 8}, Mix{3, 7}, 1},
+		{"too little prefill", Split{Prefill: 2, Decode: 8}, Mix{4, 4}, 0.5},
+		{"too little decode", Split{Prefill: 4, Decode: 2}, Mix{2, 4}, 0.5},
+		{"both help where needed", Split{Prefill: 2, Decode: 8, Both: 2}, Mix{3.5, 4}, 1},
+		{"both at their lower rate", Split{Both: 10}, Mix{5, 5}, 0.8},
+		{"nothing to do", Split{Both: 1}, Mix{}, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			got := c.split.Served(c.mix, 0.8)
+			is.True(got > c.want-1e-9 && got < c.want+1e-9)
+		})
+	}
+}
+
+func TestStepNeverTakesTheLast(t *testing.T) {
+	is := is.New(t)
+	_, _, ok := Step(Split{Prefill: 1, Decode: 3}, Split{Prefill: 0, Decode: 3, Both: 1})
+	is.True(!ok) // nobody would prefill while it is away
+	take, give, ok := Step(Split{Prefill: 2, Decode: 3}, Split{Prefill: 1, Decode: 4})
+	is.True(ok)
+	is.Equal(take, RolePrefill)
+	is.Equal(give, RoleDecode)
+	_, _, ok = Step(Split{Both: 1}, Split{Prefill: 1})
+	is.True(!ok)
+}
+
+// From any split to any other, single steps arrive and each leaves someone to
+// prefill and someone to decode, or the way is refused.
+func TestStepsArrive(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		all := allSplits(rapid.IntRange(3, 12).Draw(rt, "n"), 1)
+		from := rapid.SampledFrom(all).Draw(rt, "from")
+		to := rapid.SampledFrom(all).Draw(rt, "to")
+		want := from.Changes(to)
+		for i := range want {
+			take, give, ok := Step(from, to)
+			if !ok {
+				return
+			}
+			if !from.with(take, -1).Usable() {
+				rt.Fatalf("step %d from %+v leaves nobody", i, from)
+			}
+			from = from.with(take, -1).with(give, 1)
+		}
+		if from != to {
+			rt.Fatalf("%d steps lead to %+v, not %+v", want, from, to)
+		}
+	})
+}
+
+// Noise around a mix that the split serves never moves an engine.
+func TestNoiseIsNotChased(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := Split{Prefill: 5, Decode: 7}
+		p := NewPlanner(Config{Engines: 12, Mixed: 0.8, Away: 8, ChangeCost: 0}, s)
+		for range rapid.IntRange(1, 200).Draw(rt, "steps") {
+			pre := rapid.Float64Range(3.5, 4.9).Draw(rt, "prefill")
+			p.Observe(Mix{Prefill: pre, Decode: 10 - pre}, 8)
+			if d := p.Decide(s); d.Target != s {
+				rt.Fatalf("moved to %+v with regret %g", d.Target, d.Regret)
+			}
+		}
+	})
+}
+
+// A lasting shift is answered once its regret has paid for the change, sooner
+// where a change costs less.
+func TestShiftIsAnswered(t *testing.T) {
+	is := is.New(t)
+	steps := func(changeCost float64) int {
+		s := Split{Prefill: 5, Decode: 7}
+		p := NewPlanner(Config{Engines: 12, Mixed: 0.8, Away: 8, ChangeCost: changeCost}, s)
+		for i := 1; i < 1000; i++ {
+			p.Observe(Mix{Prefill: 7, Decode: 3}, 1)
+			if d := p.Decide(s); d.Target != s {
+				is.True(d.Target.Prefill+d.Target.Both > 5)
+				is.True(d.Regret >= d.Cost-tolerance)
+				is.True(len(d.Options) > 1)
+				return i
+			}
+		}
+		return -1
+	}
+	quick, slow := steps(0), steps(60)
+	is.True(quick > 0 && slow > quick)
+}
+
+// A large fleet is planned in groups, in bounded time.
+func TestLargeFleet(t *testing.T) {
+	is := is.New(t)
+	s := Split{Prefill: 80, Decode: 137}
+	p := NewPlanner(Config{Engines: 217, Mixed: 0.8, Away: 8}, s)
+	is.True(len(p.splits) <= (maxUnits+2)*(maxUnits+2)/2)
+	for range 50 {
+		p.Observe(Mix{Prefill: 120, Decode: 60}, 8)
+	}
+	is.True(p.Decide(s).Target.Prefill > 80)
+}
+
+func BenchmarkObserve(b *testing.B) {
+	p := NewPlanner(Config{Engines: 217, Mixed: 0.8, Away: 8}, Split{Prefill: 80, Decode: 137})
+	for b.Loop() {
+		p.Observe(Mix{Prefill: 120, Decode: 60}, 8)
+	}
+}
+
+// The goals of the two organisations hold on the recorded mixes, and the
+// same seed gives the same figures.
+func TestReplayGoals(t *testing.T) {
+	is := is.New(t)
+	c := usual()
+	bound, sums := 0.0, map[string]result{}
+	for _, tr := range c.traces()[2:5] { // a few, as the rest takes long
+		bound += c.hindsight(tr)
+		for _, r := range c.rules() {
+			got := c.run(tr, r.make)
+			is.Equal(got, c.run(tr, r.make))
+			sum := sums[r.name]
+			sums[r.name] = result{sum.goodput + got.goodput, sum.changes + got.changes}
+		}
+	}
+	is.True(sums["malabar"].goodput >= 0.95*bound)
+	for _, baseline := range []string{"static", "greedy", "threshold"} {
+		is.True(sums["malabar"].goodput > sums[baseline].goodput)
+	}
+	is.True(sums["association"].goodput >= 0.9*bound)
+	is.True(3*sums["association"].changes <= sums["greedy"].changes)
+}
--- a/internal/settings/programs.go
+++ b/internal/settings/programs.go
@@ -114,6 +114,22 @@
 	EngineReadTimeout Duration `json:"engine_read_timeout"`
 	// RoleInterval is the time between role plans.
 	RoleInterval Duration `json:"role_interval"`
+	// Engine is what one engine can do, for the role plans.
+	Engine EngineSpeed `json:"engine"`
+}
+
+// EngineSpeed is what one engine can do.
+type EngineSpeed struct {
+	// PrefillTokensPerS and DecodeTokensPerS are the rates of an engine that
+	// does only that.
+	PrefillTokensPerS float64 `json:"prefill_tokens_per_s"`
+	DecodeTokensPerS  float64 `json:"decode_tokens_per_s"`
+	// Mixed is the rate of an engine that does both, relative to one that
+	// does one thing.
+	Mixed float64 `json:"mixed"`
+	// Away is how long a change takes an engine away, drain and cold cache
+	// included.
+	Away Duration `json:"away"`
 }
 
 // DefaultSteward returns the steward's defaults.
@@ -126,6 +142,9 @@
 		LeaseTTL:          Duration(6 * time.Second),
 		EngineReadTimeout: Duration(5 * time.Second),
 		RoleInterval:      Duration(5 * time.Second),
+		Engine: EngineSpeed{
+			PrefillTokensPerS: 20000, DecodeTokensPerS: 2500, Mixed: 0.8, Away: Duration(8 * time.Second),
+		},
 	}
 }
 
@@ -142,6 +161,20 @@
 	r.needPositive("lease_ttl", int64(s.LeaseTTL))
 	r.needPositive("role_interval", int64(s.RoleInterval))
 	r.checkPeers(s.Peers)
+	s.Engine.check(r)
+}
+
+func (e EngineSpeed) check(r *report) {
+	if !(e.PrefillTokensPerS > 0) {
+		r.add("engine.prefill_tokens_per_s", "must be above zero")
+	}
+	if !(e.DecodeTokensPerS > 0) {
+		r.add("engine.decode_tokens_per_s", "must be above zero")
+	}
+	if !(e.Mixed > 0 && e.Mixed <= 1) {
+		r.add("engine.mixed", "must be above 0 and at most 1")
+	}
+	r.needPositive("engine.away", int64(e.Away))
 }
 
 // Standin is the settings of garnet-standin.
--- a/internal/steward/authority.go
+++ b/internal/steward/authority.go
@@ -90,7 +90,7 @@
 	return &controller{
 		authority: a, service: service, lease: l,
 		sender: order.NewSender(journal, l, a.engines, a.clock, a.cfg.EngineReadTimeout.D()),
-		drains: map[string]time.Duration{},
+		drains: map[string]time.Duration{}, plan: newRolePlan(a.cfg),
 	}
 }
 
@@ -129,6 +129,7 @@
 	// drains maps an engine to when its drain began.
 	drains     map[string]time.Duration
 	drainCount uint64
+	plan       *rolePlan
 	// nextLease is when the lease is due to be renewed or observed.
 	nextLease time.Duration
 }
@@ -165,6 +166,7 @@
 	case held && (!c.holds || c.fence != t.Fence):
 		c.drains = map[string]time.Duration{}
 		c.drainCount = 0
+		c.plan = newRolePlan(c.cfg)
 		c.log.Info(telemetry.EventLeaseAcquired, telemetry.F("service", c.service), telemetry.F("fence", t.Fence))
 	case !held && c.holds:
 		c.log.Warn(telemetry.EventLeaseLost, telemetry.F("service", c.service), telemetry.F("fence", c.fence), telemetry.F("cause", cause))
@@ -199,6 +201,7 @@
 	if err != nil || busy {
 		return err
 	}
+	c.planRoles(row, targets)
 	return c.next(ctx, t, row, targets)
 }
 
@@ -236,7 +239,7 @@
 		if tv.Status == nil || !tv.Status.GetReachable() || tv.Leaving() || tv.Status.GetChanging() {
 			continue
 		}
-		want := target.Want{Role: target.Role(tv.Status.GetRole()), Model: row.Model, Version: row.Version, Adapters: row.Adapters}
+		want := target.Want{Role: c.plan.roleOf(tv), Model: row.Model, Version: row.Version, Adapters: row.Adapters}
 		if wantOf(tv.Status).Equal(want) {
 			c.undrain(tv.Name)
 			continue
--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -7,16 +7,18 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"garnethoist.org/garnethoist/internal/roles"
 )
 
 // Role is what an engine does.
-type Role string
+type Role = roles.Role
 
 // The roles of an engine.
 const (
-	RoleBoth    Role = "both"
-	RolePrefill Role = "prefill"
-	RoleDecode  Role = "decode"
+	RoleBoth    = roles.RoleBoth
+	RolePrefill = roles.RolePrefill
+	RoleDecode  = roles.RoleDecode
 )
 
 // Paths of the targets' HTTP protocol.
