Relay: events are split in place and sent in batches

A profile of one event showed bytes.Index on a quote, which is everywhere in JSON, and a look at the clock for each event; a profile of the whole entry showed reads and writes of 4 KB, the writes of which no longer fitted the server's buffer once the ids had grown.

Change: events are split in place in one pass; the content is found where the last chunk had it; silence is watched without looking at the clock; buffers of 64 KB on the way from engines.

--- a/internal/proc/cluster.go
+++ b/internal/proc/cluster.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"garnethoist.org/garnethoist/internal/settings"
 )
 
 // Cluster is a set of processes on loopback.
@@ -18,6 +20,9 @@
 	Dir string
 	// Bin holds the programs.
 	Bin string
+	// Env returns further environment of the process called name; nil for
+	// none.
+	Env func(name string) []string
 
 	ports     *Ports
 	processes []*Process
@@ -45,7 +50,16 @@
 // Rerun starts a program with the settings file of an earlier Run.
 func (c *Cluster) Rerun(program, name string) (*Process, error) {
 	path := filepath.Join(c.Dir, name+".json")
-	p, err := start(c.Dir, name, filepath.Join(c.Bin, program), "--settings", path)
+	return c.Exec(name, filepath.Join(c.Bin, program), "--settings", path)
+}
+
+// Exec starts any program of the project as part of the cluster.
+func (c *Cluster) Exec(name, binary string, args ...string) (*Process, error) {
+	var env []string
+	if c.Env != nil {
+		env = c.Env(name)
+	}
+	p, err := start(c.Dir, name, env, binary, args...)
 	if err != nil {
 		return nil, err
 	}
@@ -53,6 +67,9 @@
 	return p, nil
 }
 
+// Addrs returns n addresses on which nothing listens.
+func (c *Cluster) Addrs(n int) ([]settings.Addr, error) { return c.ports.Take(n) }
+
 // StopAll stops every process, newest first: those that do not end within
 // grace are killed.
 func (c *Cluster) StopAll(grace time.Duration) {
--- a/internal/proc/harness_test.go
+++ b/internal/proc/harness_test.go
@@ -29,6 +29,10 @@
 )
 
 func TestMain(m *testing.M) {
+	if backend := os.Getenv(envProxyBackend); backend != "" {
+		serveReverseProxy(backend, os.Getenv(envProxyListen))
+		return
+	}
 	dir, err := os.MkdirTemp("", "garnet-test-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -56,7 +60,7 @@
 // world is a layout with what tests do to it.
 type world struct {
 	*proc.Layout
-	t   *testing.T
+	t   testing.TB
 	ctx context.Context
 }
 
@@ -66,8 +70,14 @@
 		t.Skip("starts processes")
 	}
 	t.Parallel()
+	return startWorld(t, shape, nil)
+}
+
+func startWorld(t testing.TB, shape proc.Shape, env func(string) []string) *world {
+	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 4*time.Minute)
 	c := proc.NewCluster(t.TempDir(), binDir, ports)
+	c.Env = env
 	t.Cleanup(func() {
 		c.StopAll(10 * time.Second)
 		cancel()
@@ -187,7 +197,7 @@
 }
 
 // getJSON reads a stand-in's counters.
-func getJSON(t *testing.T, url string, dst any) {
+func getJSON(t testing.TB, url string, dst any) {
 	t.Helper()
 	resp, err := http.Get(url)
 	if err != nil {
--- a/internal/proc/process.go
+++ b/internal/proc/process.go
@@ -24,13 +24,16 @@
 }
 
 // start runs binary with args; its output goes to a file in dir.
-func start(dir, name, binary string, args ...string) (*Process, error) {
+func start(dir, name string, env []string, binary string, args ...string) (*Process, error) {
 	log, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, errors.Wrap(err, "open log")
 	}
 	p := &Process{Name: name, cmd: exec.Command(binary, args...), log: log, done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
+	if len(env) > 0 {
+		p.cmd.Env = append(os.Environ(), env...)
+	}
 	if err := p.cmd.Start(); err != nil {
 		log.Close()
 		return nil, errors.Wrapf(err, "start %s", name)
@@ -79,6 +82,9 @@
 	}
 }
 
+// PID is the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Log returns what the process has written so far.
 func (p *Process) Log() string {
 	f, err := os.Open(p.log.Name())
--- a/internal/relay/eventid.go
+++ b/internal/relay/eventid.go
@@ -74,22 +74,16 @@
 
 // parseEngineID splits an engine's own id, STREAM:EVENT.
 func parseEngineID(s []byte) (stream []byte, event int, ok bool) {
+	scale := 1
 	for i := len(s) - 1; i > 0; i-- {
 		if s[i] == ':' {
 			return s[:i], event, event > 0
 		}
-		if s[i] < '0' || s[i] > '9' || len(s)-i > 9 {
+		if s[i] < '0' || s[i] > '9' || scale > maxEventNumber {
 			return nil, 0, false
 		}
-		event += int(s[i]-'0') * pow10(len(s)-1-i)
+		event += int(s[i]-'0') * scale
+		scale *= 10
 	}
 	return nil, 0, false
 }
-
-func pow10(n int) int {
-	p := 1
-	for range n {
-		p *= 10
-	}
-	return p
-}
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
 	"io"
@@ -21,108 +20,140 @@
 	id []byte
 	// rest is the event's other lines with the blank line that ends it.
 	rest []byte
-	// data is the payload of the data line.
+	// data is the payload of the first data line.
 	data []byte
 	done bool
+	// lines counts the lines, and idSize the bytes of the id line.
+	lines  int
+	idSize int
 }
 
 // maxEventBytes bounds one event.
 const maxEventBytes = 1 << 20
 
-var (
-	prefixID   = []byte("id:")
-	prefixData = []byte("data:")
-	doneData   = []byte("[DONE]")
+const (
+	prefixID   = "id:"
+	prefixData = "data:"
+	doneData   = "[DONE]"
 )
 
 // errEventTooLarge: an engine sent an event above maxEventBytes.
 var errEventTooLarge = errors.New("relay: event too large")
 
-// readers are pooled, as each stream needs one.
-var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferBytes) }}
+// buffers are pooled, as each stream needs one.
+var buffers = sync.Pool{New: func() any {
+	b := make([]byte, readBufferBytes)
+	return &b
+}}
 
-// eventReader splits an engine's answer into events.
+// eventReader splits an engine's answer into events, in place.
 type eventReader struct {
-	in  *bufio.Reader
+	src io.Reader
 	buf []byte
+	// pooled is the buffer to give back; buf may have outgrown it.
+	pooled *[]byte
+	// buf[start:end] has been read and not yet been taken.
+	start, end int
 }
 
 func newEventReader(r io.Reader) *eventReader {
-	in := readers.Get().(*bufio.Reader)
-	in.Reset(r)
-	return &eventReader{in: in}
+	pooled := buffers.Get().(*[]byte)
+	return &eventReader{src: r, buf: *pooled, pooled: pooled}
 }
 
 func (r *eventReader) release() {
-	r.in.Reset(nil)
-	readers.Put(r.in)
+	buffers.Put(r.pooled)
+	r.buf = nil
 }
 
-// buffered reports whether more bytes have already arrived.
-func (r *eventReader) buffered() bool { return r.in.Buffered() > 0 }
-
-// next reads one event. io.ErrUnexpectedEOF means that the stream ended
-// without its [DONE] event.
+// next reads one event, however long that takes. io.ErrUnexpectedEOF means
+// that the stream ended without its [DONE] event.
 func (r *eventReader) next() (event, error) {
-	var ev event
-	r.buf = r.buf[:0]
-	idEnd, dataStart, dataEnd := 0, -1, -1
 	for {
-		start := len(r.buf)
-		if err := r.readLine(); err != nil {
-			return ev, err
+		if ev, ok := r.take(); ok {
+			return ev, nil
 		}
-		line := bytes.TrimRight(r.buf[start:], "\r\n")
-		switch {
-		case len(line) == 0 && start == 0:
-			r.buf = r.buf[:0]
+		if err := r.fill(); err != nil {
+			return event{}, err
+		}
+	}
+}
+
+// take returns the next event that has arrived whole, if there is one. It is
+// valid until the next fill.
+func (r *eventReader) take() (event, bool) {
+	var ev event
+	for pos := r.start; ; {
+		end := bytes.IndexByte(r.buf[pos:r.end], '\n')
+		if end < 0 {
+			return event{}, false
+		}
+		line := r.buf[pos : pos+end]
+		pos += end + 1
+		if n := len(line); n > 0 && line[n-1] == '\r' {
+			line = line[:n-1]
+		}
+		if len(line) > 0 {
+			ev.addLine(line, r.buf[r.start:pos])
 			continue
-		case len(line) == 0:
-			ev.rest = r.buf[idEnd:]
-			if dataStart >= 0 {
-				ev.data = r.buf[dataStart:dataEnd]
-				ev.done = bytes.Equal(ev.data, doneData)
-			}
-			if idEnd > 0 {
-				ev.id = trimField(r.buf[:idEnd], prefixID)
-			}
-			return ev, nil
-		case start == 0 && bytes.HasPrefix(line, prefixID):
-			idEnd = len(r.buf)
-		case bytes.HasPrefix(line, prefixData) && dataStart < 0:
-			dataStart = start + len(prefixData)
-			if dataStart < len(r.buf) && r.buf[dataStart] == ' ' {
-				dataStart++
-			}
-			dataEnd = start + len(line)
 		}
+		if ev.lines > 0 {
+			ev.rest = r.buf[r.start+ev.idSize : pos]
+			r.start = pos
+			return ev, true
+		}
+		r.start = pos
 	}
 }
 
-func trimField(line, prefix []byte) []byte {
-	return bytes.TrimSpace(line[len(prefix):])
+// addLine notes an id or data line. The id is the first line, as engines write
+// it; an id elsewhere stays among the rest. upTo is the event so far, with
+// this line.
+func (ev *event) addLine(line, upTo []byte) {
+	ev.lines++
+	switch {
+	case ev.lines == 1 && string(line[:min(len(line), len(prefixID))]) == prefixID:
+		ev.id = trimField(line, len(prefixID))
+		ev.idSize = len(upTo)
+	case ev.data == nil && string(line[:min(len(line), len(prefixData))]) == prefixData:
+		ev.data = trimField(line, len(prefixData))
+		ev.done = string(ev.data) == doneData
+	}
 }
 
-func (r *eventReader) readLine() error {
-	for {
-		part, err := r.in.ReadSlice('\n')
-		r.buf = append(r.buf, part...)
-		if len(r.buf) > maxEventBytes {
+// fill reads more of the stream.
+func (r *eventReader) fill() error {
+	if r.start > 0 {
+		r.end = copy(r.buf, r.buf[r.start:r.end])
+		r.start = 0
+	}
+	if r.end == len(r.buf) {
+		if len(r.buf) >= maxEventBytes {
 			return errEventTooLarge
 		}
-		switch err {
-		case nil:
-			return nil
-		case bufio.ErrBufferFull:
-			continue
-		case io.EOF:
-			return io.ErrUnexpectedEOF
-		}
-		return err
+		r.buf = append(r.buf, make([]byte, len(r.buf))...)
+	}
+	n, err := r.src.Read(r.buf[r.end:])
+	r.end += n
+	switch {
+	case n > 0:
+		return nil
+	case err == io.EOF:
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// trimField returns a line's value: what follows the name and one space.
+func trimField(line []byte, name int) []byte {
+	value := line[name:]
+	if len(value) > 0 && value[0] == ' ' {
+		return value[1:]
 	}
+	return value
 }
 
-// eventWriter writes events to a caller.
+// eventWriter writes events to a caller. Events gather in buf until flush.
 type eventWriter struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
@@ -158,7 +189,8 @@
 		// Without numbers the stream can be relayed but not resumed.
 		s.replayable = false
 		o.start(s)
-		return o.write(ev.rest)
+		o.buf = append(o.buf, ev.rest...)
+		return nil
 	}
 	if n <= s.event && string(stream) == s.stream {
 		return nil
@@ -176,27 +208,32 @@
 	}
 	s.remember(ev.data)
 	o.start(s)
-	o.buf = append(o.buf[:0], "id: "...)
+	o.buf = append(o.buf, "id: "...)
 	o.buf = append(o.buf, s.engine...)
 	o.buf = append(o.buf, '/')
 	o.buf = append(o.buf, ev.id...)
 	o.buf = append(o.buf, ':')
-	o.buf = strconv.AppendInt(o.buf, int64(s.base), 10)
-	o.buf = append(o.buf, '\n')
-	o.buf = append(o.buf, s.sameChunkID(ev.rest)...)
-	return o.write(o.buf)
-}
-
-func (o *eventWriter) write(p []byte) error {
-	if _, err := o.w.Write(p); err != nil {
-		o.broken = true
-		return errCallerGone
+	if s.base == 0 {
+		o.buf = append(o.buf, "0\n"...)
+	} else {
+		o.buf = strconv.AppendInt(o.buf, int64(s.base), 10)
+		o.buf = append(o.buf, '\n')
 	}
+	o.buf = append(o.buf, s.sameChunkID(ev.rest)...)
 	return nil
 }
 
+// flush sends what has gathered.
 func (o *eventWriter) flush() error {
-	if err := o.control.Flush(); err != nil {
+	if len(o.buf) == 0 {
+		return nil
+	}
+	_, err := o.w.Write(o.buf)
+	if err == nil {
+		err = o.control.Flush()
+	}
+	o.buf = o.buf[:0]
+	if err != nil {
 		o.broken = true
 		return errCallerGone
 	}
@@ -206,9 +243,7 @@
 // done ends a complete stream.
 func (o *eventWriter) done(s *streamState) error {
 	o.start(s)
-	if err := o.write([]byte("data: [DONE]\n\n")); err != nil {
-		return err
-	}
+	o.buf = append(o.buf, "data: [DONE]\n\n"...)
 	return o.flush()
 }
 
@@ -219,9 +254,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode last chunk")
 	}
-	if err := o.write([]byte("data: " + string(data) + "\n\n")); err != nil {
-		return err
-	}
+	o.data(data)
 	return o.done(s)
 }
 
@@ -241,12 +274,18 @@
 // fail tells the caller in the stream that the answer is not complete. There
 // is no [DONE] after it.
 func (o *eventWriter) fail(e *errkind.Error) {
-	data := errkind.Body(e)
+	o.data(errkind.Body(e))
 	// The caller may be gone; there is no one else to tell.
-	_ = o.write([]byte("data: " + string(data) + "\n\n"))
 	_ = o.flush()
 }
 
+// data adds an event without an id.
+func (o *eventWriter) data(payload []byte) {
+	o.buf = append(o.buf, "data: "...)
+	o.buf = append(o.buf, payload...)
+	o.buf = append(o.buf, "\n\n"...)
+}
+
 var (
 	contentField = []byte(`"content":"`)
 	chunkIDField = []byte(`"id":"`)
@@ -256,24 +295,45 @@
 
 // remember keeps the token's text for going on elsewhere.
 func (s *streamState) remember(data []byte) {
-	if s.chunkID == nil {
-		s.chunkID = append([]byte{}, jsonString(data, chunkIDField)...)
-	}
 	if !s.replayable {
+		s.noteChunkID(data)
 		return
 	}
-	if len(s.text) > maxReplayBytes || bytes.Contains(data, toolField) {
-		s.replayable = false
-		s.text = nil
+	if len(s.text) > maxReplayBytes {
+		s.replayable, s.text = false, nil
+		return
+	}
+	// Chunks of one stream are alike up to the content.
+	if at := s.contentAt; at > 0 && at < len(data) && bytes.HasPrefix(data[at:], contentField) {
+		s.text = append(s.text, untilQuote(data[at+len(contentField):])...)
 		return
 	}
-	content := jsonString(data, contentField)
-	if content == nil && bytes.Contains(data, finishNull) && s.event > 1 {
+	s.rememberOther(data)
+}
+
+// rememberOther takes in a chunk that is not like the last one.
+func (s *streamState) rememberOther(data []byte) {
+	s.noteChunkID(data)
+	if bytes.Contains(data, toolField) {
+		s.replayable, s.text = false, nil
+		return
+	}
+	at := bytes.Index(data, contentField)
+	if at < 0 {
 		// A chunk of a shape not known here: its tokens cannot be kept.
-		s.replayable = false
+		if bytes.Contains(data, finishNull) && s.event > 1 {
+			s.replayable, s.text = false, nil
+		}
 		return
 	}
-	s.text = append(s.text, content...)
+	s.contentAt = at
+	s.text = append(s.text, untilQuote(data[at+len(contentField):])...)
+}
+
+func (s *streamState) noteChunkID(data []byte) {
+	if s.chunkID == nil {
+		s.chunkID = append([]byte{}, jsonString(data, chunkIDField)...)
+	}
 }
 
 // sameChunkID keeps the completion id the same across engines, as clients
@@ -296,7 +356,12 @@
 	if i < 0 {
 		return nil
 	}
-	s := data[i+len(field):]
+	return untilQuote(data[i+len(field):])
+}
+
+// untilQuote returns the raw JSON string that s begins with, or nil when it
+// does not end.
+func untilQuote(s []byte) []byte {
 	for j := 0; j < len(s); j++ {
 		switch s[j] {
 		case '\\':
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -92,7 +92,7 @@
 
 // readBufferBytes is the read buffer of a connection to an engine; it is part
 // of the memory of an idle stream.
-const readBufferBytes = 4 << 10
+const readBufferBytes = 64 << 10
 
 // New returns a relay that asks router for targets.
 func New(cfg Config, router Router, log *telemetry.Logger) *Relay {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -29,6 +29,8 @@
 	// text is the JSON string content of the tokens relayed, while replayable.
 	text       []byte
 	replayable bool
+	// contentAt is where the content began in the last chunk.
+	contentAt int
 	// skip is how many of the next engine's events the caller already has.
 	skip int
 	// chunkID is the completion id that the caller saw first.
@@ -240,8 +242,8 @@
 func (r *Relay) attempt(ctx context.Context, out *eventWriter, c *Call, s *streamState, route Route, body []byte, lastEvent string) error {
 	try, cancel := context.WithCancel(ctx)
 	defer cancel()
-	idle := time.AfterFunc(r.idleLimit(c, s), cancel)
-	defer idle.Stop()
+	idle := watchIdle(r.idleLimit(c, s), r.cfg.IdleTimeout, cancel)
+	defer idle.stop()
 	resp, err := r.post(try, c, route.Address, body, lastEvent)
 	switch {
 	case err != nil && ctx.Err() != nil:
@@ -314,36 +316,26 @@
 	return answer{status: resp.StatusCode, header: resp.Header, body: body}.writeTo(out.w)
 }
 
-// idleSlack is how much later than the idle limit a silent engine may be found
-// out; the timer is set anew at most once in that time, not at every event.
-const idleSlack = time.Second
-
 // copyEvents relays events until the end of the stream.
-func (r *Relay) copyEvents(out *eventWriter, s *streamState, body io.Reader, idle *time.Timer) error {
+func (r *Relay) copyEvents(out *eventWriter, s *streamState, body io.Reader, idle *idleWatch) error {
 	in := newEventReader(body)
 	defer in.release()
-	// Zero, so that the first event ends the longer limit of the wait for it.
-	var touched time.Time
 	for {
-		ev, err := in.next()
-		if err != nil {
-			return broken(errors.Wrap(err, "read stream"))
-		}
-		if ev.done {
-			return out.done(s)
-		}
-		if err := out.relay(s, ev); err != nil {
-			return err
-		}
-		if in.buffered() || !s.started {
-			continue
+		for ev, ok := in.take(); ok; ev, ok = in.take() {
+			if ev.done {
+				return out.done(s)
+			}
+			if err := out.relay(s, ev); err != nil {
+				return err
+			}
 		}
+		// All that has arrived is passed on before more is waited for.
 		if err := out.flush(); err != nil {
 			return err
 		}
-		if now := time.Now(); now.Sub(touched) > idleSlack {
-			idle.Reset(r.cfg.IdleTimeout)
-			touched = now
+		if err := in.fill(); err != nil {
+			return broken(errors.Wrap(err, "read stream"))
 		}
+		idle.progress()
 	}
 }
