--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 
 # Formatting, vet, staticcheck and every test with the race detector.
 test: check
-	go test -race -timeout 20m ./...
+	go test -race -count=1 -timeout 20m ./...
 
 check:
 	@out=$$(gofmt -l cmd internal api); if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
--- a/internal/platform/memory.go
+++ b/internal/platform/memory.go
@@ -21,6 +21,7 @@
 	writes   uint64
 	nextLoad time.Time
 	loadRate int64
+	now      func() time.Time
 }
 
 // Fault is a failure mode of the fake.
@@ -43,7 +44,14 @@
 
 // NewMemory returns an empty platform.
 func NewMemory() *Memory {
-	return &Memory{records: map[string]Record{}, objects: map[string][]byte{}, loadRate: defaultLoadRate}
+	return &Memory{records: map[string]Record{}, objects: map[string][]byte{}, loadRate: defaultLoadRate, now: time.Now}
+}
+
+// SetClock replaces the clock of the weight store's rate.
+func (m *Memory) SetClock(now func() time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.now = now
 }
 
 // SetFault switches the failure mode.
@@ -208,7 +216,7 @@
 	if m.fault == FaultDown {
 		return 0, ErrUnavailable
 	}
-	now := time.Now()
+	now := m.now()
 	if wait := m.nextLoad.Sub(now); wait > 0 {
 		return wait, nil
 	}
--- /dev/null
+++ b/internal/steward/authority_test.go
@@ -0,0 +1,201 @@
+package steward
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"garnethoist.org/garnethoist/api"
+	"garnethoist.org/garnethoist/internal/gossip"
+	"garnethoist.org/garnethoist/internal/member"
+	"garnethoist.org/garnethoist/internal/platform"
+	"garnethoist.org/garnethoist/internal/settings"
+	"garnethoist.org/garnethoist/internal/table"
+	"garnethoist.org/garnethoist/internal/target"
+	"garnethoist.org/garnethoist/internal/telemetry"
+)
+
+// fakeEngines are engines at the interface, by address.
+type fakeEngines struct {
+	status map[string]*target.Status
+	orders []target.Order
+	to     []string
+}
+
+func (f *fakeEngines) Status(_ context.Context, address string) (target.Status, error) {
+	return *f.status[address], nil
+}
+
+func (f *fakeEngines) Order(_ context.Context, address string, o target.Order, still func() bool) error {
+	if !still() {
+		return target.ErrFenced
+	}
+	f.orders = append(f.orders, o)
+	f.to = append(f.to, address)
+	s := f.status[address]
+	s.LastOrder, s.Role, s.Model, s.Version = o.ID, o.Want.Role, o.Want.Model, o.Want.Version
+	return nil
+}
+
+// stage is one controller over fake engines, with a clock set by hand.
+type stage struct {
+	t       *testing.T
+	now     time.Duration
+	engines *fakeEngines
+	store   *gossip.Store
+	c       *controller
+	seq     uint64
+}
+
+func newStage(t *testing.T, engines int) *stage {
+	t.Helper()
+	cfg := settings.DefaultSteward()
+	cfg.VM, cfg.DataCentre = "vm-1", "kakkanad"
+	s := &stage{t: t, store: gossip.NewStore(time.Now), engines: &fakeEngines{status: map[string]*target.Status{}}}
+	self := member.Self{VM: "vm-1", DataCentre: "kakkanad", Address: "a", Incarnation: 1}
+	memory := platform.NewMemory()
+	memory.SetClock(func() time.Time { return time.Unix(0, 0).Add(s.now) })
+	a := &authority{
+		cfg: cfg, store: s.store, gossip: member.New(self, time.Second, s.store, nil, nil, telemetry.Discard()),
+		table: memory, weights: memory, engines: s.engines, clock: func() time.Duration { return s.now },
+		log: telemetry.Discard(), records: newDecisionBook("vm-1"), controllers: map[string]*controller{},
+	}
+	var l platform.VMListing
+	l.Revision = 1
+	for i := range engines {
+		name := string(rune('a' + i))
+		l.VMs = append(l.VMs, platform.VM{Name: name, DataCentre: "kakkanad", Address: name, Kind: platform.VMEngine, State: platform.VMLive, Changed: 1})
+		s.engines.status[name] = &target.Status{Boot: 1, Role: target.RoleBoth, Model: "m", Version: "v1", Slots: 8}
+	}
+	s.store.Merge(s.store.VMItems(l), "")
+	s.table(1, "v1")
+	s.c = a.newController("hints")
+	return s
+}
+
+// table puts a version of the model into the row.
+func (s *stage) table(version uint64, model string) {
+	s.t.Helper()
+	items, err := gossip.TableItems(table.Table{Version: version, Rows: []table.Row{{
+		Service: "hints", Kind: table.Language, Model: "m", Version: model, Changed: version, Fencing: table.FencingChecked,
+		Engines: []table.Assignment{{DataCentre: "kakkanad", Count: 9}},
+	}}}, version-1, nil)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.store.Merge(items, "")
+}
+
+// report brings the engines' statuses into the store, as a poller does.
+func (s *stage) report() {
+	s.seq++
+	var items []*api.Item
+	for name, st := range s.engines.status {
+		st.Seq = s.seq
+		items = append(items, statusItem(name, "kakkanad", *st))
+	}
+	s.store.Merge(items, "")
+	// A view that was taken before must not stand in for the present.
+	s.store.View()
+}
+
+// run takes n steps, half a second apart.
+func (s *stage) run(n int) {
+	for range n {
+		s.report()
+		s.c.step(context.Background())
+		s.now += actInterval
+	}
+}
+
+func (s *stage) draining(name string) bool { return s.store.View().Targets[name].Draining }
+
+// A serving engine is ordered only after every entry has had time to hear that
+// it is drained, and only once it is idle.
+func TestDrainBeforeOrder(t *testing.T) {
+	is := is.New(t)
+	s := newStage(t, 3)
+	s.run(3)
+	is.Equal(len(s.engines.orders), 0) // all is as wanted
+	s.table(2, "v2")
+	s.engines.status["a"].Running = 2
+	s.run(1)
+	is.True(s.draining("a"))
+	s.engines.status["a"].Running = 0
+	s.run(int(drainSettle/actInterval) - 1)
+	is.Equal(len(s.engines.orders), 0) // idle, but entries may not know yet
+	s.engines.status["a"].Running = 1
+	s.run(6)
+	is.Equal(len(s.engines.orders), 0) // a late request is still running
+	s.engines.status["a"].Running = 0
+	s.run(1)
+	is.Equal(len(s.engines.orders), 1)
+	is.Equal(s.engines.to[0], "a")
+	is.True(s.draining("a"))
+	s.run(2)
+	is.True(!s.draining("a")) // done: it serves again
+}
+
+// One engine after the other, and each is ordered once.
+func TestRollOutOneByOne(t *testing.T) {
+	is := is.New(t)
+	s := newStage(t, 3)
+	s.table(2, "v2")
+	for range 60 {
+		s.run(1)
+		drained := 0
+		for name := range s.engines.status {
+			if s.draining(name) {
+				drained++
+			}
+		}
+		is.True(drained <= 1) // capacity is taken one engine at a time
+		s.now += time.Second  // the weight store's rate
+	}
+	is.Equal(s.engines.to, []string{"a", "b", "c"})
+}
+
+// The last engine that serves is not taken away, whatever the row asks for.
+func TestLastServingEngineStays(t *testing.T) {
+	is := is.New(t)
+	s := newStage(t, 2)
+	s.engines.status["b"].Leaving = true
+	s.table(2, "v2")
+	s.run(30)
+	is.Equal(len(s.engines.orders), 0)
+	is.True(!s.draining("a"))
+}
+
+// A change of the service's lease forgets drains of the old tenure: an engine
+// that was drained by a holder that is gone is used again or drained anew.
+func TestNewTenureTakesUpDrains(t *testing.T) {
+	is := is.New(t)
+	s := newStage(t, 3)
+	s.run(1)
+	s.table(2, "v2")
+	s.run(1)
+	is.True(s.draining("a"))
+	s.now += time.Hour // the lease lapses
+	s.run(1)
+	is.True(s.draining("a"))
+	is.Equal(len(s.engines.orders), 0) // the new tenure waits for its own drain
+	s.run(int(drainSettle/actInterval) + 2)
+	is.Equal(len(s.engines.orders), 1)
+}
+
+func TestNoLeaseNoOrders(t *testing.T) {
+	is := is.New(t)
+	s := newStage(t, 3)
+	s.run(2)
+	memory := s.c.table.(*platform.Memory)
+	memory.SetFault(platform.FaultDown)
+	s.now += time.Hour
+	s.table(2, "v2")
+	s.run(20)
+	is.Equal(len(s.engines.orders), 0)
+	memory.SetFault(platform.FaultNone)
+	s.run(20)
+	is.True(len(s.engines.orders) > 0)
+}
