An entry is ready only once it knows targets

An entry that had just started called itself ready with its first table, while its steward, just started too, did not know the targets' status yet.

Ruled out: the plain services (live in the other stewards' views); the longer time between polls of the second poller (it only made the window wider).

Change: ready when a usable target of every service is known, or 5 s after the first table, as a service may really have none.

--- a/internal/entry/feed.go
+++ b/internal/entry/feed.go
@@ -26,6 +26,10 @@
 	// rebuilds.
 	viewInterval = 50 * time.Millisecond
 	loadInterval = 500 * time.Millisecond
+	// coverGrace is how long after its first table an entry waits for a usable
+	// target of every service before it calls itself ready; a service may
+	// really have none.
+	coverGrace = 5 * time.Second
 	// feedSilence is how long a steward may send nothing before the next one
 	// is asked; stewards send an empty batch well within it.
 	feedSilence = 3 * time.Second
@@ -58,8 +62,8 @@
 	return nil
 }
 
-// hasTable reports whether a table was ever received.
-func (f *feed) hasTable() bool { return f.ready.Load() }
+// usable reports whether the entry has known enough to serve.
+func (f *feed) usable() bool { return f.ready.Load() }
 
 func (f *feed) follow(ctx context.Context) {
 	wait := backoff.NewExponentialBackOff()
@@ -131,23 +135,35 @@
 // rebuild puts a new view in force after changes.
 func (f *feed) rebuild(ctx context.Context) {
 	version := uint64(0)
+	var since time.Time
 	for {
 		changed := f.store.Changed()
 		_, digest := f.store.Summary()
 		v := f.store.View()
 		f.fleet.apply(v)
 		if v.Table.Version > version {
+			if version == 0 {
+				since = time.Now()
+			}
 			version = v.Table.Version
-			f.ready.Store(true)
 			f.log.Info(telemetry.EventTableVersion, telemetry.F("version", version))
 		}
+		if version > 0 && (f.fleet.covered() || time.Since(since) > coverGrace) {
+			f.ready.Store(true)
+		}
 		kernel.Sleep(ctx, viewInterval)
+		recheck := time.NewTimer(coverGrace)
 		select {
 		case <-ctx.Done():
+			recheck.Stop()
 			return
 		case <-changed:
+		case <-recheck.C:
+		}
+		recheck.Stop()
+		if f.ready.Load() {
+			f.awaitState(ctx, digest)
 		}
-		f.awaitState(ctx, digest)
 	}
 }
 
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -219,6 +219,22 @@
 	return p.row, true
 }
 
+// covered reports whether every service has a usable target.
+func (f *fleet) covered() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.services {
+		usable := false
+		for i := range p.targets {
+			usable = usable || !p.targets[i].Blocked
+		}
+		if !usable {
+			return false
+		}
+	}
+	return true
+}
+
 // totalWeight is the sum of all services' weights.
 func (f *fleet) totalWeight() float64 {
 	f.mu.Lock()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -36,6 +36,8 @@
 	headerTimeout = 5 * time.Second
 	// idleTimeout closes a caller's idle connection.
 	idleTimeout = 2 * time.Minute
+	// notReady is why an entry that has just started takes no requests.
+	notReady = "table and targets not known yet"
 	// headerIdempotencyKey marks a call that may be asked again.
 	headerIdempotencyKey = "Idempotency-Key"
 )
@@ -98,8 +100,8 @@
 	switch {
 	case s.stopping.Load():
 		return "stopping"
-	case !s.feed.hasTable():
-		return "no table yet"
+	case !s.feed.usable():
+		return notReady
 	}
 	return ""
 }
@@ -172,8 +174,8 @@
 }
 
 func (s *server) handle(w *statusWriter, r *http.Request, service string, q *request) error {
-	if s.ready() == "no table yet" {
-		return errkind.New(errkind.NotReady, "this entry has no table yet")
+	if s.ready() == notReady {
+		return errkind.New(errkind.NotReady, "this entry does not know the table and its targets yet")
 	}
 	row, ok := s.fleet.row(service)
 	if !ok {
