--- a/internal/entry/grants.go
+++ b/internal/entry/grants.go
@@ -7,6 +7,7 @@
 	"garnethoist.org/garnethoist/api"
 	"garnethoist.org/garnethoist/internal/kernel"
 	"garnethoist.org/garnethoist/internal/limit"
+	"garnethoist.org/garnethoist/internal/table"
 )
 
 // grantInterval is the time between requests for a share of limits.
@@ -18,19 +19,31 @@
 	for ctx.Err() == nil {
 		kernel.Sleep(ctx, grantInterval)
 		for _, row := range f.fleet.rows() {
-			if row.RatePerS == 0 && row.InFlight == 0 {
-				continue
-			}
-			base := limit.BasePart(limit.Limits{RatePerS: row.RatePerS, InFlight: row.InFlight}, len(row.Engines), f.shares.maxEntries)
 			perS, inFlight := f.usage.demand(row.Service)
-			f.renewGrant(ctx, c, row.Service, limit.Limits{
-				RatePerS: max(perS*demandHeadroom-base.RatePerS, 0),
-				InFlight: max(int(float64(inFlight)*demandHeadroom)+1-base.InFlight, 0),
-			})
+			want := wantOf(row, f.shares.maxEntries, perS, inFlight)
+			// Most services stay within their base part and ask nobody.
+			if want != (limit.Limits{}) {
+				f.renewGrant(ctx, c, row.Service, want)
+			}
 		}
 	}
 }
 
+// wantOf is how much of the row's limits the demand needs beyond the entry's
+// base part.
+func wantOf(row table.Row, maxEntries int, perS float64, inFlight int) limit.Limits {
+	total := limit.Limits{RatePerS: row.RatePerS, InFlight: row.InFlight}
+	base := limit.BasePart(total, len(row.Engines), maxEntries)
+	var want limit.Limits
+	if total.RatePerS > 0 {
+		want.RatePerS = max(perS*demandHeadroom-base.RatePerS, 0)
+	}
+	if total.InFlight > 0 {
+		want.InFlight = max(int(float64(inFlight)*demandHeadroom)-base.InFlight, 0)
+	}
+	return want
+}
+
 // demandHeadroom is how much more than its recent demand an entry asks for, so
 // that a rising demand does not meet the limit before the next renewal.
 const demandHeadroom = 1.3
--- a/internal/entry/plain_test.go
+++ b/internal/entry/plain_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"garnethoist.org/garnethoist/internal/errkind"
+	"garnethoist.org/garnethoist/internal/limit"
 	"garnethoist.org/garnethoist/internal/relay"
 	"garnethoist.org/garnethoist/internal/table"
 )
@@ -144,3 +145,13 @@
 	is.True(err != nil)
 	is.Equal(errkind.From(err).Answer().Outcome, errkind.NotRun)
 }
+
+// An entry asks for a grant only when its demand exceeds its base part.
+func TestWantBeyondBasePart(t *testing.T) {
+	is := is.New(t)
+	row := table.Row{RatePerS: 80, InFlight: 40, Engines: []table.Assignment{{DataCentre: "a"}, {DataCentre: "b"}}}
+	// Base part of one of 2 x 2 entries: 10 a second and 5 in flight.
+	is.Equal(wantOf(row, 2, 7, 3), limit.Limits{})
+	is.Equal(wantOf(row, 2, 20, 10), limit.Limits{RatePerS: 16, InFlight: 8})
+	is.Equal(wantOf(table.Row{}, 2, 20, 10), limit.Limits{}) // no limits, nothing to ask for
+}
