A steward started anew gets back what its peers had from it

Cause: in the first of twenty runs of the whole suite TestPlatformOutage hung. With the platform down a steward started anew on its VM; its only peer had the table from the old process there, and an exchange leaves out what came from the other side. The new process never got the table and its entry never became ready.

Ruled out: the digests (different, so items were asked for); the entry's new rule of readiness (it rightly waited); the load of fuzzing beside it (the goroutines showed only this wait).

Change: what came from a peer is left out only while the peer holds this side's log, which a process started anew does not.

Seen failing: TestRestartGetsItsOwnNewsBack (not at version 3 after 16 s).

--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -225,7 +225,7 @@
 	defer cancel()
 	p := g.progressOf(vm)
 	req := g.request(p)
-	scope := g.scope(vm, peer.GetPeer().GetDataCentre())
+	scope := g.scope(vm, peer.GetPeer().GetDataCentre(), p.sent)
 	req.Items, req.Index = g.store.Since(p.sent, scope)
 	if len(req.GetItems()) > probeAbove {
 		scope.LoadOnly = true
@@ -265,7 +265,7 @@
 		has[it.GetKey()] = it
 	}
 	req := g.request(progress{incarnation: resp.GetIncarnation(), sent: sent, received: resp.GetIndex()})
-	items, index := g.store.Since(sent, gossip.Scope{NotTo: vm})
+	items, index := g.store.Since(sent, gossip.Scope{})
 	for _, it := range items {
 		h := has[it.GetKey()]
 		if h == nil || h.GetEpoch() != it.GetEpoch() || h.GetSeq() != it.GetSeq() {
@@ -276,9 +276,15 @@
 	return g.dialer.Exchange(ctx, peer.GetPeer().GetAddress(), req)
 }
 
-// scope bounds what a peer is sent: another data centre gets no loads.
-func (g *Gossip) scope(vm, dataCentre string) gossip.Scope {
-	return gossip.Scope{NotTo: vm, StateOnly: dataCentre != g.self.DataCentre, LoadItems: loadItemsPerRound}
+// scope bounds what a peer is sent that holds this log up to held: another
+// data centre gets no loads, and what came from the peer is not sent back,
+// unless the peer holds nothing: it may have started anew since.
+func (g *Gossip) scope(vm, dataCentre string, held uint64) gossip.Scope {
+	s := gossip.Scope{StateOnly: dataCentre != g.self.DataCentre, LoadItems: loadItemsPerRound}
+	if held > 0 {
+		s.NotTo = vm
+	}
+	return s
 }
 
 func (g *Gossip) progressOf(vm string) progress {
@@ -304,7 +310,7 @@
 	if req.GetAckedIncarnation() != g.self.Incarnation {
 		acked = 0
 	}
-	scope := g.scope(req.GetVm(), req.GetDataCentre())
+	scope := g.scope(req.GetVm(), req.GetDataCentre(), acked)
 	scope.LoadOnly = same
 	resp.Items, resp.Index = g.store.Since(acked, scope)
 	return resp
--- a/internal/member/gossip_test.go
+++ b/internal/member/gossip_test.go
@@ -253,6 +253,22 @@
 	})
 }
 
+// A steward that is started anew gets back from its peers also what they had
+// from itself.
+func TestRestartGetsItsOwnNewsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork()
+		nodes := net.fleet(t, 2, "kakkanad")
+		time.Sleep(5 * interval)
+		nodes[1].edit(t, 3)
+		untilAll(t, nodes, 3, 16*time.Second)
+		nodes[1].kill()
+		nodes[1] = net.add(t, "vm-1", "kakkanad", 100, []Seed{{VM: "vm-0", DataCentre: "kakkanad", Address: "addr-vm-0"}})
+		defer stopAll(nodes)
+		untilAll(t, nodes, 3, 16*time.Second)
+	})
+}
+
 // A frozen steward that wakes refutes the suspicion, and its old word does not
 // replace what happened meanwhile.
 func TestFrozenStewardWakes(t *testing.T) {
--- a/internal/steward/modules.go
+++ b/internal/steward/modules.go
@@ -140,7 +140,7 @@
 	g := &kernel.Getter{Kernel: k}
 	admin := kernel.Need[*telemetry.Admin](g, ModuleAdmin)
 	s := &server{
-		listen: string(cfg.Listen), store: kernel.Need[*gossip.Store](g, ModuleStore),
+		listen: string(cfg.Listen), stopping: make(chan struct{}), store: kernel.Need[*gossip.Store](g, ModuleStore),
 		gossip: kernel.Need[*member.Gossip](g, ModuleGossip), sync: kernel.Need[*tableSync](g, ModuleSync),
 		tables: kernel.Need[*table.Store](g, ModuleTables), authority: kernel.Need[*authority](g, ModuleAuthority),
 		records: kernel.Need[*decisionBook](g, ModuleRecords), burns: kernel.Need[*burnBook](g, ModuleBurns),
--- a/internal/steward/server.go
+++ b/internal/steward/server.go
@@ -48,8 +48,10 @@
 	traffic   *traffic
 	log       *telemetry.Logger
 
-	grpc     *grpc.Server
-	served   sync.WaitGroup
+	grpc   *grpc.Server
+	served sync.WaitGroup
+	// stopping is closed by Stop. It exists before Start, as readiness is
+	// asked for as soon as the admin endpoint is up.
 	stopping chan struct{}
 	entries  atomic.Int64
 }
@@ -60,7 +62,6 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	s.stopping = make(chan struct{})
 	s.grpc = grpc.NewServer(grpc.StatsHandler(s.traffic))
 	api.RegisterStewardServer(s.grpc, s)
 	s.served.Go(func() {
