Routing: a busy share that does not age evens out the homes

Change: route.Busy, the share of the last minute that a target spent on prefill, is part of the price.

--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -85,6 +85,7 @@
 	boot    uint64
 	health  route.Health
 	load    route.Load
+	busy    route.Busy
 	// running is the own requests in hand.
 	running int
 }
@@ -159,6 +160,7 @@
 	s := t.Status
 	observed := now - time.Since(t.ObservedAt).Seconds()
 	m.load.Report(observed, observed+float64(s.GetQueuedTokens())*p.secondsPerToken)
+	m.busy.Report(observed, float64(s.GetPrefillTokens())*p.secondsPerToken)
 	blocked := !t.Usable() || s.GetModel() != p.row.Model
 	if !blocked && t.DataCentre == dataCentre && t.Status.GetRole() != string(target.RoleDecode) {
 		p.usable++
@@ -166,7 +168,7 @@
 	}
 	p.members = append(p.members, m)
 	p.targets = append(p.targets, route.Target{
-		Hash: xxhash.Sum64String(t.Name), Until: m.load.Until(),
+		Hash: xxhash.Sum64String(t.Name), Until: m.load.Until(), Busy: m.busy.Share(),
 		Running: max(float64(s.GetRunning()), float64(m.running)), Slots: float64(s.GetSlots()),
 		Roles: rolesOf(t), Remote: t.DataCentre != dataCentre, Blocked: blocked,
 	})
--- a/internal/route/replay_test.go
+++ b/internal/route/replay_test.go
@@ -44,12 +44,13 @@
 // fakeEngine is one engine: a queue and a cache.
 type fakeEngine struct {
 	until   float64
+	work    float64
 	history []report
 	cache   map[uint64]*list.Element
 	lru     *list.List
 }
 
-type report struct{ at, until float64 }
+type report struct{ at, until, work float64 }
 
 func (e *fakeEngine) meets(prefix uint64) bool {
 	if el, ok := e.cache[prefix]; ok {
@@ -74,7 +75,8 @@
 	}
 	start := max(e.until, now)
 	e.until = start + seconds
-	e.history = append(e.history, report{at: now, until: e.until})
+	e.work += seconds
+	e.history = append(e.history, report{at: now, until: e.until, work: e.work})
 	return start - now, hit
 }
 
@@ -85,13 +87,14 @@
 type entryView struct {
 	targets []Target
 	loads   []Load
+	busy    []Busy
 	memory  *Memory
 	read    []int // how much of each engine's history has been reported
 	next    int   // for round robin
 }
 
 func newEntryView(s scene) *entryView {
-	v := &entryView{targets: make([]Target, s.engines), loads: make([]Load, s.engines), read: make([]int, s.engines), memory: &Memory{Seen: NewSeen(1<<14, 300), Heat: NewHeat(1<<12, 10)}}
+	v := &entryView{targets: make([]Target, s.engines), loads: make([]Load, s.engines), busy: make([]Busy, s.engines), read: make([]int, s.engines), memory: &Memory{Seen: NewSeen(1<<14, 300), Heat: NewHeat(1<<12, 10)}}
 	for i := range v.targets {
 		v.targets[i] = Target{Hash: mix(uint64(i) + 1), Roles: Whole}
 	}
@@ -112,7 +115,10 @@
 		if v.read[i] > 0 && (v.read[i] > old || age > 0) {
 			v.loads[i].Report(now-age, e.history[v.read[i]-1].until)
 		}
-		v.targets[i].Until = v.loads[i].Until()
+		if n := v.read[i]; n > 0 {
+			v.busy[i].Report(now-age, e.history[n-1].work)
+		}
+		v.targets[i].Until, v.targets[i].Busy = v.loads[i].Until(), v.busy[i].Share()
 	}
 }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -23,6 +23,9 @@
 	// clock of Request.Now, in seconds: what was last reported, plus what this
 	// entry has sent since.
 	Until float64
+	// Busy is the share of the last while that the target spent on prefill. It
+	// moves slowly and so does not age as the wait does; see Busy.
+	Busy float64
 	// Running is the requests in the batch, reported and own since.
 	Running float64
 	// Slots is the batch size; zero where there is none.
@@ -83,6 +86,9 @@
 	homeShare = 0.1
 	// drawTries bounds the search for a random one of many homes.
 	drawTries = 16
+	// busyPrice is the price in seconds of a target that is always busy. It
+	// evens out what the hash deals unevenly.
+	busyPrice = 0.15
 	// batchPrice is the price in seconds of joining a full batch.
 	batchPrice = 0.25
 	// missPrice is the price of a second of prefill that a cached prefix
@@ -180,7 +186,7 @@
 
 // price is what it costs to send r to t, in seconds.
 func (t *Target) price(r Request, home bool, seen *Seen) float64 {
-	p := t.wait(r.Now)
+	p := t.wait(r.Now) + busyPrice*t.Busy
 	if t.Slots > 0 {
 		p += batchPrice * t.Running / t.Slots
 	}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -152,3 +152,37 @@
 		})
 	}
 }
+
+func TestBusyShare(t *testing.T) {
+	is := is.New(t)
+	var b Busy
+	is.Equal(b.Share(), 0.0)
+	for i := range 200 { // half busy, then idle
+		at := float64(i)
+		b.Report(at, min(at, 100)/2)
+		is.True(len(b.samples) <= busySamples+2)
+		if i == 90 {
+			is.True(b.Share() > 0.49 && b.Share() < 0.51)
+		}
+	}
+	is.True(b.Share() < 0.01) // the busy time has left the window
+	b.Report(300, 0)          // started anew
+	is.Equal(b.Share(), 0.0)
+	b.Report(299, 7) // an older report
+	is.Equal(b.Share(), 0.0)
+}
+
+// Of two homes that wait equally long the less busy one is taken once the
+// prefix is cached at both.
+func TestLessBusyHomeIsTaken(t *testing.T) {
+	is := is.New(t)
+	targets, m := someTargets(12), newMemory()
+	first := Pick(targets, ask(77), m).Index
+	targets[first].Blocked = true
+	second := Pick(targets, ask(77), m).Index
+	targets[first].Blocked = false
+	m.Seen.Set(77, targets[second].Hash, 1)
+	is.Equal(Pick(targets, ask(77), m).Index, first)
+	targets[first].Busy = 0.9
+	is.Equal(Pick(targets, ask(77), m).Index, second)
+}
