A lagging view gives no second order

Ruled out: a repeated id (the engine had two), a second holder (one fence).

Change: right before an order the engine itself is asked whether it is as wanted; for 2 s after an order is done the view of that engine decides nothing, so that it is not drained for nothing either.

Seen failing: TestStaleViewGivesNoSecondOrder on the old code, twenty orders to one engine.

--- a/internal/steward/authority.go
+++ b/internal/steward/authority.go
@@ -89,7 +89,7 @@
 	return &controller{
 		authority: a, service: service, lease: l,
 		sender: order.NewSender(journal, l, a.engines, a.clock, a.cfg.EngineReadTimeout.D()),
-		drains: map[string]time.Duration{}, plan: newRolePlan(a.cfg),
+		drains: map[string]time.Duration{}, doneAt: map[string]time.Duration{}, plan: newRolePlan(a.cfg),
 	}
 }
 
@@ -127,6 +127,9 @@
 	// drains maps an engine to when its drain began.
 	drains     map[string]time.Duration
 	drainCount uint64
+	// doneAt is when an engine was last seen to be done with an order; the
+	// view shows it as it was before for up to viewLag after.
+	doneAt map[string]time.Duration
 	plan       *rolePlan
 	// nextLease is when the lease is due to be renewed or observed.
 	nextLease time.Duration
@@ -230,6 +233,7 @@
 			continue
 		}
 		c.undrain(name)
+		c.doneAt[name] = c.clock()
 		c.log.Info(telemetry.EventOrderDone, telemetry.F("service", c.service), telemetry.F("target", name))
 	}
 	return busy, first
@@ -242,6 +246,9 @@
 			continue
 		}
 		want := target.Want{Role: c.plan.roleOf(tv), Model: row.Model, Version: row.Version, Adapters: row.Adapters}
+		if at, ok := c.doneAt[tv.Name]; ok && c.clock()-at < viewLag {
+			continue
+		}
 		if wantOf(tv.Status).Equal(want) {
 			c.undrain(tv.Name)
 			continue
@@ -255,6 +262,10 @@
 	return target.Want{Role: target.Role(s.GetRole()), Model: s.GetModel(), Version: s.GetVersion(), Adapters: s.GetAdapters()}
 }
 
+func wantOfStatus(s target.Status) target.Want {
+	return target.Want{Role: s.Role, Model: s.Model, Version: s.Version, Adapters: s.Adapters}
+}
+
 // change drains an engine and orders it once it is idle.
 func (c *controller) change(ctx context.Context, t lease.Tenure, row table.Row, tv gossip.TargetView, targets []gossip.TargetView, want target.Want) error {
 	if serves(tv, row.Model) {
@@ -270,7 +281,11 @@
 	if err != nil {
 		return errors.Wrapf(err, "status of %s", tv.Name)
 	}
-	if status.Running > 0 || status.Waiting > 0 {
+	if status.Running > 0 || status.Waiting > 0 || status.Changing {
+		return nil
+	}
+	if wantOfStatus(status).Equal(want) {
+		// It is as wanted already; the view lags behind.
 		return nil
 	}
 	wait, err := c.weights.Reserve(ctx, row.Model, weightBytes)
@@ -290,6 +305,9 @@
 const (
 	// drainSettle is how long after a drain began every entry has heard of it.
 	drainSettle = 2 * time.Second
+	// viewLag is how far the view of an engine may be behind the engine: a
+	// poll and the age of the view.
+	viewLag = 2 * time.Second
 	// weightBytes is the size assumed of one load of weights.
 	weightBytes = 1 << 30
 )
--- a/internal/steward/authority_test.go
+++ b/internal/steward/authority_test.go
@@ -199,3 +199,18 @@
 	s.run(20)
 	is.True(len(s.engines.orders) > 0)
 }
+
+// The view lags behind the engine: an order that is done is not given again
+// because the view still shows the engine as it was.
+func TestStaleViewGivesNoSecondOrder(t *testing.T) {
+	is := is.New(t)
+	s := newStage(t, 3)
+	s.engines.status["a"].Model, s.engines.status["a"].Version = "", "" // it has just been installed
+	s.report()
+	for range 20 { // no poll in between
+		s.c.step(context.Background())
+		s.now += actInterval
+	}
+	is.Equal(s.engines.to, []string{"a"})
+	is.True(!s.draining("a")) // nor is it drained for nothing
+}
