gofmt

Change: formatting only. Before: make check fails. After: it passes. Conclusion: check before each commit.

--- a/internal/steward/authority.go
+++ b/internal/steward/authority.go
@@ -130,7 +130,7 @@
 	// doneAt is when an engine was last seen to be done with an order; the
 	// view shows it as it was before for up to viewLag after.
 	doneAt map[string]time.Duration
-	plan       *rolePlan
+	plan   *rolePlan
 	// nextLease is when the lease is due to be renewed or observed.
 	nextLease time.Duration
 }
