Control bytes count polls and the platform; polls every 2 s

Cause: the bytes of control counted gossip only.

Ruled out: leaving the second poller out (its loss would go unnoticed).

Change: connections to targets and to the platform are counted; the default interval of polls is 2 s, the second poller asks in one of six rounds; the holder waits for as long as a view can lag by the settings.

--- a/internal/platform/httpplatform/client.go
+++ b/internal/platform/httpplatform/client.go
@@ -49,11 +49,24 @@
 // New returns a client of the platform at address. Each request ends after
 // timeout.
 func New(address string, timeout time.Duration) *Client {
+	return NewCounted(address, timeout, func(c net.Conn) net.Conn { return c })
+}
+
+// NewCounted is New with wrap applied to each connection, to count its bytes.
+func NewCounted(address string, timeout time.Duration, wrap func(net.Conn) net.Conn) *Client {
+	d := net.Dialer{Timeout: timeout}
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := d.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return wrap(conn), nil
+	}
 	return &Client{
 		base:    "http://" + address,
 		timeout: timeout,
 		http: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+			DialContext:         dial,
 			MaxIdleConnsPerHost: 16,
 			IdleConnTimeout:     time.Minute,
 		}},
--- a/internal/settings/programs.go
+++ b/internal/settings/programs.go
@@ -137,7 +137,7 @@
 	return &Steward{
 		Platform:          Platform{Timeout: Duration(2 * time.Second)},
 		GossipInterval:    Duration(time.Second),
-		PollInterval:      Duration(time.Second),
+		PollInterval:      Duration(2 * time.Second),
 		PlatformInterval:  Duration(2 * time.Second),
 		LeaseTTL:          Duration(6 * time.Second),
 		EngineReadTimeout: Duration(5 * time.Second),
--- a/internal/steward/authority.go
+++ b/internal/steward/authority.go
@@ -127,8 +127,8 @@
 	// drains maps an engine to when its drain began.
 	drains     map[string]time.Duration
 	drainCount uint64
-	// doneAt is when an engine was last seen to be done with an order; the
-	// view shows it as it was before for up to viewLag after.
+	// doneAt is when an engine was last seen to be done with an order; for
+	// up to viewLag after, the view shows it as it was before.
 	doneAt map[string]time.Duration
 	plan   *rolePlan
 	// nextLease is when the lease is due to be renewed or observed.
@@ -246,7 +246,7 @@
 			continue
 		}
 		want := target.Want{Role: c.plan.roleOf(tv), Model: row.Model, Version: row.Version, Adapters: row.Adapters}
-		if at, ok := c.doneAt[tv.Name]; ok && c.clock()-at < viewLag {
+		if at, ok := c.doneAt[tv.Name]; ok && c.clock()-at < c.viewLag() {
 			continue
 		}
 		if wantOf(tv.Status).Equal(want) {
@@ -266,6 +266,12 @@
 	return target.Want{Role: s.Role, Model: s.Model, Version: s.Version, Adapters: s.Adapters}
 }
 
+// viewLag is how far the view of an engine may be behind the engine: a poll,
+// the way of its report and the age of the view.
+func (c *controller) viewLag() time.Duration {
+	return c.cfg.PollInterval.D() + c.cfg.GossipInterval.D() + viewAge
+}
+
 // change drains an engine and orders it once it is idle.
 func (c *controller) change(ctx context.Context, t lease.Tenure, row table.Row, tv gossip.TargetView, targets []gossip.TargetView, want target.Want) error {
 	if serves(tv, row.Model) {
@@ -305,9 +311,6 @@
 const (
 	// drainSettle is how long after a drain began every entry has heard of it.
 	drainSettle = 2 * time.Second
-	// viewLag is how far the view of an engine may be behind the engine: a
-	// poll and the age of the view.
-	viewLag = 2 * time.Second
 	// weightBytes is the size assumed of one load of weights.
 	weightBytes = 1 << 30
 )
--- a/internal/steward/metrics.go
+++ b/internal/steward/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -12,8 +13,9 @@
 	"garnethoist.org/garnethoist/internal/telemetry"
 )
 
-// traffic counts the bytes of control between VMs as they are on the wire,
-// headers included. It is a gRPC stats handler, safe for concurrent use.
+// traffic counts the bytes of control as they are on the wire, headers
+// included: gossip, polls of targets and the platform. It is a gRPC stats
+// handler and wraps connections; safe for concurrent use.
 type traffic struct {
 	sent     atomic.Int64
 	received atomic.Int64
@@ -28,6 +30,37 @@
 // HandleConn implements stats.Handler.
 func (t *traffic) HandleConn(context.Context, stats.ConnStats) {}
 
+// packetBytes is what TCP and IP add to a packet, about.
+const packetBytes = 52
+
+// wrap counts what goes over a connection to a target or to the platform.
+func (t *traffic) wrap(c net.Conn) net.Conn { return &countedConn{Conn: c, traffic: t} }
+
+// countedConn is a connection whose bytes are counted.
+type countedConn struct {
+	net.Conn
+	traffic *traffic
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		// The packet and its acknowledgement.
+		c.traffic.received.Add(int64(n) + packetBytes)
+		c.traffic.sent.Add(packetBytes)
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.sent.Add(int64(n) + packetBytes)
+	c.traffic.received.Add(packetBytes)
+	return n, err
+}
+
 // headerBytes is what HTTP/2, TCP and IP add to a message, about.
 const headerBytes = 120
 
@@ -43,11 +76,11 @@
 
 // registerMetrics exposes what an operator watches of a steward.
 func registerMetrics(m *telemetry.Metrics, t *traffic, store *gossip.Store) error {
-	sent, err := m.Meter.Int64ObservableCounter("garnet_control_sent_bytes_total", metric.WithDescription("Bytes sent to other stewards and entries."))
+	sent, err := m.Meter.Int64ObservableCounter("garnet_control_sent_bytes_total", metric.WithDescription("Bytes of control sent."))
 	if err != nil {
 		return errors.Wrap(err, "sent counter")
 	}
-	received, err := m.Meter.Int64ObservableCounter("garnet_control_received_bytes_total", metric.WithDescription("Bytes received from other stewards and entries."))
+	received, err := m.Meter.Int64ObservableCounter("garnet_control_received_bytes_total", metric.WithDescription("Bytes of control received."))
 	if err != nil {
 		return errors.Wrap(err, "received counter")
 	}
--- a/internal/steward/modules.go
+++ b/internal/steward/modules.go
@@ -54,10 +54,20 @@
 		}
 		return telemetry.NewAdmin(string(cfg.AdminListen), m), nil
 	})
-	k.Register(ModulePlatform, func(*kernel.Kernel) (any, error) {
-		return httpplatform.New(string(cfg.Platform.Address), cfg.Platform.Timeout.D()), nil
+	k.Register(ModulePlatform, func(k *kernel.Kernel) (any, error) {
+		t, err := kernel.Get[*traffic](k, ModuleTraffic)
+		if err != nil {
+			return nil, err
+		}
+		return httpplatform.NewCounted(string(cfg.Platform.Address), cfg.Platform.Timeout.D(), t.wrap), nil
+	})
+	k.Register(ModuleTargets, func(k *kernel.Kernel) (any, error) {
+		t, err := kernel.Get[*traffic](k, ModuleTraffic)
+		if err != nil {
+			return nil, err
+		}
+		return target.NewCountedClient(statusTimeout, t.wrap), nil
 	})
-	k.Register(ModuleTargets, func(*kernel.Kernel) (any, error) { return target.NewClient(statusTimeout), nil })
 	k.Register(ModuleStore, func(*kernel.Kernel) (any, error) { return gossip.NewStore(time.Now), nil })
 	k.Register(ModuleDialer, func(k *kernel.Kernel) (any, error) {
 		t, err := kernel.Get[*traffic](k, ModuleTraffic)
--- a/internal/steward/poller.go
+++ b/internal/steward/poller.go
@@ -21,7 +21,7 @@
 	// one goes unnoticed. The first asks in each round, the others only in
 	// one of backupEvery rounds.
 	targetPollers = 2
-	backupEvery   = 3
+	backupEvery   = 6
 	// refresh is how long a report of an unchanged load is kept back.
 	refresh = 5 * time.Second
 	// pollsAtOnce bounds the targets asked at the same time.
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -21,18 +21,33 @@
 type Client struct {
 	timeout time.Duration
 	http    *http.Client
+	// wrap is applied to each connection, to count its bytes.
+	wrap func(net.Conn) net.Conn
 }
 
 // NewClient returns a client whose requests end after timeout.
 func NewClient(timeout time.Duration) *Client {
-	return &Client{
-		timeout: timeout,
-		http: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
-			MaxIdleConnsPerHost: 1,
-			IdleConnTimeout:     time.Minute,
-		}},
+	return NewCountedClient(timeout, func(c net.Conn) net.Conn { return c })
+}
+
+// NewCountedClient is NewClient with wrap applied to each connection.
+func NewCountedClient(timeout time.Duration, wrap func(net.Conn) net.Conn) *Client {
+	c := &Client{timeout: timeout, wrap: wrap}
+	c.http = &http.Client{Transport: &http.Transport{
+		DialContext:         c.dial,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     time.Minute,
+	}}
+	return c
+}
+
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: c.timeout}
+	conn, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
 	}
+	return c.wrap(conn), nil
 }
 
 // Stop closes idle connections.
@@ -76,8 +91,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", address)
+	conn, err := c.dial(ctx, "tcp", address)
 	if err != nil {
 		return errors.Wrapf(ErrUnreachable, "%v", err)
 	}
