--- a/internal/once/claim.go
+++ b/internal/once/claim.go
@@ -8,6 +8,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -92,51 +93,88 @@
 // prefixClaim starts the keys of claims.
 const prefixClaim = "claim/"
 
-func (c Call) key() string {
+// day is a day by an entry's clock. Claims are kept by the day they were made
+// on, so that old ones can be found and removed. An entry looks at the days
+// before and after its own as well: entries' clocks may differ by up to a day.
+type day int64
+
+const secondsPerDay = 24 * 60 * 60
+
+// Keep is for how long at least an answer is kept and a key is remembered.
+const Keep = 24 * time.Hour
+
+func (s *Store) today() day { return day(s.now().Unix() / secondsPerDay) }
+
+func (d day) prefix(service string) string {
+	return fmt.Sprintf("%s%s/%d/", prefixClaim, service, int64(d))
+}
+
+func (c Call) key(d day) string {
 	sum := sha256.Sum256([]byte(c.Account + "\x00" + c.Key))
-	return prefixClaim + c.Service + "/" + hex.EncodeToString(sum[:])
+	return d.prefix(c.Service) + hex.EncodeToString(sum[:])
 }
 
 // Claim is the right to send one call once.
 type Claim struct {
 	store   *Store
 	call    Call
+	day     day
 	version uint64
 }
 
+// slots is what is known of a call's key on the days that count: zero for
+// nothing, else the version of a claim that was released.
+type slots map[day]uint64
+
+func slotsAround(d day) slots { return slots{d - 1: 0, d: 0, d + 1: 0} }
+
 // Acquire claims the call. It returns a claim when the call may be sent, or
 // the kept answer when it ran before. Otherwise the error is an
 // *errkind.Error: KeyReused, CallInProgress, OutcomeUnknown or PlatformDown.
 // A refusal as not_run is given only when nothing was or will be sent.
 func (s *Store) Acquire(ctx context.Context, c Call) (*Claim, *Answer, error) {
-	version := uint64(0)
+	today := s.today()
+	known := slotsAround(today)
 	for {
-		v, err := s.write(ctx, c, version, claim{State: stateClaimed})
+		v, err := s.write(ctx, c, today, known, claim{State: stateClaimed})
 		if err == nil {
-			return &Claim{store: s, call: c, version: v}, nil, nil
+			return &Claim{store: s, call: c, day: today, version: v}, nil, nil
 		}
 		if errors.Is(err, platform.ErrUnavailable) {
 			return nil, nil, errkind.Wrap(errkind.PlatformDown, err, "the call cannot be claimed while the platform is down")
 		}
-		rec, held, err := s.read(ctx, c)
+		claim, kept, err := s.look(ctx, c, known)
+		if claim != nil || kept != nil || err != nil {
+			return claim, kept, err
+		}
+		if ctx.Err() != nil {
+			return nil, nil, errkind.Wrap(errkind.PlatformDown, ctx.Err(), "the claim of the call could not be confirmed in time")
+		}
+		// The write had no effect yet, or met a released claim; it may be
+		// tried again on what is known now.
+		kernel.Sleep(ctx, retryPause)
+	}
+}
+
+// look finds out whose claim stands: this request's own, another's, or none.
+func (s *Store) look(ctx context.Context, c Call, known slots) (*Claim, *Answer, error) {
+	for d := range known {
+		rec, held, err := s.read(ctx, c, d)
 		switch {
 		case errors.Is(err, platform.ErrNotFound):
-			// The write had no effect yet; it may be tried again as it is.
-			kernel.Sleep(ctx, retryPause)
+			known[d] = 0
 		case err != nil:
 			return nil, nil, errkind.Wrap(errkind.PlatformDown, err, "the claim of the call could not be confirmed")
 		case held.Token == c.Token:
-			return &Claim{store: s, call: c, version: rec.Version}, nil, nil
+			return &Claim{store: s, call: c, day: d, version: rec.Version}, nil, nil
 		case held.State == stateReleased:
-			version = rec.Version
+			known[d] = rec.Version
 		default:
 			a, err := s.settled(ctx, c, held)
 			return nil, a, err
 		}
-		if ctx.Err() != nil {
-			return nil, nil, errkind.Wrap(errkind.PlatformDown, ctx.Err(), "the claim of the call could not be confirmed in time")
-		}
 	}
+	return nil, nil, nil
 }
 
 // retryPause is the time between two tries of a claim's write.
@@ -168,26 +206,35 @@
 	return &a, nil
 }
 
-func (s *Store) read(ctx context.Context, c Call) (platform.Record, claim, error) {
+func (s *Store) read(ctx context.Context, c Call, d day) (platform.Record, claim, error) {
 	var held claim
-	rec, err := s.table.Get(ctx, c.key())
+	rec, err := s.table.Get(ctx, c.key(d))
 	if err != nil {
 		return rec, held, err
 	}
 	return rec, held, errors.Wrap(json.Unmarshal(rec.Value, &held), "decode claim")
 }
 
-func (s *Store) write(ctx context.Context, c Call, version uint64, next claim) (uint64, error) {
+// write stores next under the call's key of day d if all known slots are still
+// as known.
+func (s *Store) write(ctx context.Context, c Call, d day, known slots, next claim) (uint64, error) {
 	next.Token, next.Entry, next.BodyHash = c.Token, s.entry, c.BodyHash
 	next.UnixMS = s.now().UnixMilli()
 	value, err := json.Marshal(next)
 	if err != nil {
 		return 0, errors.Wrap(err, "encode claim")
 	}
-	return s.table.Commit(ctx, platform.Txn{
-		Conds: []platform.Cond{{Key: c.key(), Version: version}},
-		Puts:  []platform.Put{{Key: c.key(), Value: value}},
-	})
+	txn := platform.Txn{Puts: []platform.Put{{Key: c.key(d), Value: value}}}
+	for other, version := range known {
+		txn.Conds = append(txn.Conds, platform.Cond{Key: c.key(other), Version: version})
+	}
+	return s.table.Commit(ctx, txn)
+}
+
+// settle replaces the claim's record.
+func (c *Claim) settle(ctx context.Context, next claim) error {
+	_, err := c.store.write(ctx, c.call, c.day, slots{c.day: c.version}, next)
+	return err
 }
 
 // Keep stores the answer of the call. An error means that a caller that asks
@@ -205,13 +252,11 @@
 		}
 		next.Answer, next.Object = nil, name
 	}
-	_, err := c.store.write(ctx, c.call, c.version, next)
-	return errors.Wrap(err, "keep answer")
+	return errors.Wrap(c.settle(ctx, next), "keep answer")
 }
 
 // Release frees the key. It must be called only when the call certainly did
 // not run.
 func (c *Claim) Release(ctx context.Context) error {
-	_, err := c.store.write(ctx, c.call, c.version, claim{State: stateReleased})
-	return errors.Wrap(err, "release claim")
+	return errors.Wrap(c.settle(ctx, claim{State: stateReleased}), "release claim")
 }
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -131,6 +131,47 @@
 	is.Equal(errkind.From(err).Answer().Outcome, errkind.MayHaveRun)
 }
 
+// Around midnight entries see different days; a key is one key all the same.
+func TestKeyAcrossMidnight(t *testing.T) {
+	midnight := time.Unix(20000*secondsPerDay, 0)
+	for _, skew := range []time.Duration{-2 * time.Second, 2 * time.Second, -23 * time.Hour, 23 * time.Hour} {
+		is := is.New(t)
+		p := platform.NewMemory()
+		a := NewStore(p, p, "vm-1", func() time.Time { return midnight.Add(-time.Second) })
+		b := NewStore(p, p, "vm-2", func() time.Time { return midnight.Add(skew) })
+		claim, _, err := a.Acquire(t.Context(), call("t1", "x"))
+		is.NoErr(err)
+		_, _, err = b.Acquire(t.Context(), call("t2", "x"))
+		is.True(errkind.Is(err, errkind.CallInProgress))
+		is.NoErr(claim.Keep(t.Context(), Answer{Status: 200}))
+		_, kept, err := b.Acquire(t.Context(), call("t3", "x"))
+		is.NoErr(err)
+		is.True(kept != nil)
+	}
+}
+
+// A sweep removes what no entry looks at, and nothing else.
+func TestSweep(t *testing.T) {
+	is := is.New(t)
+	p := platform.NewMemory()
+	now := time.Unix(20000*secondsPerDay, 0)
+	s := NewStore(p, p, "vm-1", func() time.Time { return now })
+	for i := range 2*sweepBatch + 7 {
+		c := call(fmt.Sprint(i), "x")
+		c.Key = fmt.Sprint(i)
+		_, _, err := s.Acquire(t.Context(), c)
+		is.NoErr(err)
+	}
+	for days, want := range []int{0, 0, 0, 2*sweepBatch + 7, 0} {
+		n, err := Sweep(t.Context(), p, "renewals", now.Add(time.Duration(days)*24*time.Hour))
+		is.NoErr(err)
+		is.Equal(n, want)
+	}
+	rest, err := p.List(t.Context(), prefixClaim)
+	is.NoErr(err)
+	is.Equal(len(rest), 0)
+}
+
 // lateWrites lets commits take effect only after their answer was lost and the
 // record was read back: the late effect of an earlier write.
 type lateWrites struct {
--- a/internal/steward/controller.go
+++ b/internal/steward/controller.go
@@ -11,6 +11,7 @@
 	"garnethoist.org/garnethoist/internal/gossip"
 	"garnethoist.org/garnethoist/internal/kernel"
 	"garnethoist.org/garnethoist/internal/lease"
+	"garnethoist.org/garnethoist/internal/once"
 	"garnethoist.org/garnethoist/internal/order"
 	"garnethoist.org/garnethoist/internal/table"
 	"garnethoist.org/garnethoist/internal/target"
@@ -32,6 +33,8 @@
 	// up to viewLag after, the view shows it as it was before.
 	doneAt map[string]time.Duration
 	plan   *rolePlan
+	// nextSweep is when old claims are next removed.
+	nextSweep time.Duration
 	// nextLease is when the lease is due to be renewed or observed.
 	nextLease time.Duration
 }
@@ -99,9 +102,12 @@
 		return err
 	}
 	row, ok := c.store.RecentView(viewAge).Table.Row(c.service)
-	if !ok || row.Kind != table.Language {
+	if !ok {
 		return nil
 	}
+	if row.Kind != table.Language {
+		return c.sweep(ctx)
+	}
 	targets := c.targets()
 	busy, err := c.complete(ctx, targets)
 	if err != nil || busy {
@@ -111,6 +117,21 @@
 	return c.next(ctx, t, row, targets)
 }
 
+// sweepInterval is the time between removals of old claims.
+const sweepInterval = time.Hour
+
+// sweep removes claims that are too old to matter.
+func (c *controller) sweep(ctx context.Context) error {
+	if now := c.clock(); now >= c.nextSweep {
+		c.nextSweep = now + sweepInterval
+		n, err := once.Sweep(ctx, c.table, c.service, time.Now())
+		if n > 0 || err != nil {
+			c.log.Info(telemetry.EventClaimsRemoved, telemetry.F("service", c.service), telemetry.F("count", n), telemetry.F("cause", err))
+		}
+	}
+	return nil
+}
+
 // complete carries every unfinished order of this service on by a step, and
 // reports whether any remains.
 func (c *controller) complete(ctx context.Context, targets []gossip.TargetView) (bool, error) {
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -40,6 +40,7 @@
 	EventStewardJoined    Event = "steward_joined"
 	EventGossipFailed     Event = "gossip_failed"
 	EventClaimUnknown     Event = "claim_unknown"
+	EventClaimsRemoved    Event = "claims_removed"
 )
 
 // Logger writes one key=value line for each event.
