--- a/internal/once/claim.go
+++ b/internal/once/claim.go
@@ -100,9 +100,6 @@
 
 const secondsPerDay = 24 * 60 * 60
 
-// Keep is for how long at least an answer is kept and a key is remembered.
-const Keep = 24 * time.Hour
-
 func (s *Store) today() day { return day(s.now().Unix() / secondsPerDay) }
 
 func (d day) prefix(service string) string {
