The busy share follows tokens, not a changing estimate of their time

Cause: reading the entry as a newcomer: the share was taken from the engine's token count times the present estimate of a token's time, so that each change of the estimate looked like work done or undone; a report that was overtaken began the share anew; and a target without a status was reported as of the year one.

Change: the share is kept in tokens a second and priced with the present estimate; an older report is dropped before it is compared.

Seen failing: TestBusyShareSurvivesANewEstimate and TestBusyShare on the old code.

Conclusion: mended.

--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -56,7 +56,6 @@
 	decisions  *decisionLog
 
 	mu       sync.Mutex
-	view     *gossip.View
 	services map[string]*pool
 	members  map[string]*member
 }
@@ -127,7 +126,7 @@
 		p.split = p.hasRole(route.Prefill) && p.hasRole(route.Decode)
 		p.reported /= float64(max(p.usable, 1))
 	}
-	f.view, f.services, f.members = v, services, members
+	f.services, f.members = services, members
 }
 
 // entriesIn counts the VMs of the data centre, each of which has an entry.
@@ -158,9 +157,12 @@
 
 func (p *pool) add(m *member, t gossip.TargetView, dataCentre string, now float64) {
 	s := t.Status
-	observed := now - time.Since(t.ObservedAt).Seconds()
-	m.load.Report(observed, observed+float64(s.GetQueuedTokens())*p.secondsPerToken)
-	m.busy.Report(observed, float64(s.GetPrefillTokens())*p.secondsPerToken)
+	if s != nil {
+		observed := now - time.Since(t.ObservedAt).Seconds()
+		m.load.Report(observed, observed+float64(s.GetQueuedTokens())*p.secondsPerToken)
+		// In tokens, as the estimate of their time changes.
+		m.busy.Report(observed, float64(s.GetPrefillTokens()))
+	}
 	blocked := !t.Usable() || s.GetModel() != p.row.Model
 	if !blocked && t.DataCentre == dataCentre && t.Status.GetRole() != string(target.RoleDecode) {
 		p.usable++
@@ -168,7 +170,7 @@
 	}
 	p.members = append(p.members, m)
 	p.targets = append(p.targets, route.Target{
-		Hash: xxhash.Sum64String(t.Name), Until: m.load.Until(), Busy: m.busy.Share(),
+		Hash: xxhash.Sum64String(t.Name), Until: m.load.Until(), Busy: m.busy.Share() * p.secondsPerToken,
 		Running: max(float64(s.GetRunning()), float64(m.running)), Slots: float64(s.GetSlots()),
 		Roles: rolesOf(t), Remote: t.DataCentre != dataCentre, Blocked: blocked,
 	})
--- a/internal/entry/plain_test.go
+++ b/internal/entry/plain_test.go
@@ -14,10 +14,13 @@
 
 	"github.com/matryer/is"
 
+	"garnethoist.org/garnethoist/api"
 	"garnethoist.org/garnethoist/internal/errkind"
+	"garnethoist.org/garnethoist/internal/gossip"
 	"garnethoist.org/garnethoist/internal/limit"
 	"garnethoist.org/garnethoist/internal/relay"
 	"garnethoist.org/garnethoist/internal/table"
+	"garnethoist.org/garnethoist/internal/telemetry"
 )
 
 // closingTarget answers the first request of each connection and closes the
@@ -155,3 +158,26 @@
 	is.Equal(wantOf(row, 2, 20, 10), limit.Limits{RatePerS: 16, InFlight: 8})
 	is.Equal(wantOf(table.Row{}, 2, 20, 10), limit.Limits{}) // no limits, nothing to ask for
 }
+
+// The busy share follows the engine's work, whatever becomes of the estimate
+// of a token's time meanwhile.
+func TestBusyShareSurvivesANewEstimate(t *testing.T) {
+	is := is.New(t)
+	f := newFleet("kakkanad", telemetry.Discard(), newDecisionLog("vm-1"))
+	p := &pool{row: table.Row{Service: "hints", Model: "m"}, secondsPerToken: 1e-3, memory: newMemory(), pace: &limit.Pace{}}
+	m := &member{name: "e1"}
+	view := func(seconds float64, tokens uint64) gossip.TargetView {
+		return gossip.TargetView{
+			Name: "e1", DataCentre: "kakkanad", ObservedAt: f.start.Add(time.Duration(seconds * float64(time.Second))),
+			Status: &api.Target{Reachable: true, Model: "m", PrefillTokens: tokens},
+		}
+	}
+	p.add(m, gossip.TargetView{Name: "e1"}, "kakkanad", 0) // no status yet
+	for i, tokens := range []uint64{10000, 14000, 18000} {
+		p.secondsPerToken /= 2
+		p.targets, p.members = nil, nil
+		p.add(m, view(float64(8*i), tokens), "kakkanad", time.Since(f.start).Seconds())
+	}
+	// 500 tokens a second at an eighth of a millisecond each.
+	is.True(p.targets[0].Busy > 0.06 && p.targets[0].Busy < 0.065)
+}
--- a/internal/route/busy.go
+++ b/internal/route/busy.go
@@ -9,8 +9,9 @@
 	busySamples = 16
 )
 
-// Busy is the share of the last while that a target spent on prefill, from its
-// reports of the work done so far. It is not safe for concurrent use.
+// Busy is how much work a target did a second over the last while, from its
+// reports of the work done so far; with work in seconds it is the share of the
+// time that the target was busy. It is not safe for concurrent use.
 type Busy struct {
 	samples []busySample
 }
@@ -20,16 +21,16 @@
 	work float64
 }
 
-// Report takes in that the target had done work seconds of prefill by time at.
-// Work that shrinks, as after a restart, begins anew.
+// Report takes in that the target had done so much work by time at. Work that
+// shrinks, as after a restart, begins anew.
 func (b *Busy) Report(at, work float64) {
 	n := len(b.samples)
 	switch {
+	case n > 0 && at <= b.samples[n-1].at:
+		return
 	case n == 0 || work < b.samples[n-1].work:
 		b.samples = append(b.samples[:0], busySample{at: at, work: work})
 		return
-	case at <= b.samples[n-1].at:
-		return
 	case n > 1 && b.samples[n-1].at-b.samples[n-2].at < busyWindow/busySamples:
 		b.samples[n-1] = busySample{at: at, work: work}
 	default:
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -166,7 +166,9 @@
 		}
 	}
 	is.True(b.Share() < 0.01) // the busy time has left the window
-	b.Report(300, 0)          // started anew
+	b.Report(150, 20)         // an older report, which was overtaken
+	is.True(len(b.samples) > 2)
+	b.Report(300, 0) // started anew
 	is.Equal(b.Share(), 0.0)
 	b.Report(299, 7) // an older report
 	is.Equal(b.Share(), 0.0)
