A test read what another goroutine wrote

Cause: TestLeavingEngineRefuses read the fake router's outcomes without waiting for the request's end; the race detector found it in one run. Ruled out: the relay itself (Done is called once, before the answer ends). Change: outcomes are read under the router's lock after the request has ended, in the two older tests as well. Seen failing: once under -race. After: five runs under -race pass. Conclusion: the checks are the same.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -221,6 +221,14 @@
 
 func (w *begunWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
+// outcomes waits for the end of a request and returns how an engine fared.
+func (b *bench) outcomes(engine string) []Outcome {
+	<-b.errs
+	b.router.mu.Lock()
+	defer b.router.mu.Unlock()
+	return b.router.outcomes[engine]
+}
+
 const prompt = `[{"role":"user","content":"7 across?"}]`
 
 // tokens is the right answer's first n tokens.
@@ -505,7 +513,7 @@
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, http.StatusOK)
 	is.True(strings.Contains(string(data), tokens(5)))
-	is.Equal(b.router.outcomes["a"], []Outcome{OutcomeFailed})
+	is.Equal(b.outcomes("a"), []Outcome{OutcomeFailed})
 }
 
 // A spent budget ends the tries.
@@ -516,7 +524,7 @@
 	b.cutters["a"].fail()
 	got := b.read(t, t.Context(), chatBody(``), "", 0)
 	is.Equal(got.status, http.StatusBadGateway)
-	is.Equal(len(b.router.outcomes["b"]), 0)
+	is.Equal(len(b.outcomes("b")), 0)
 }
 
 func TestUnknownFieldsPassUnharmed(t *testing.T) {
@@ -618,5 +626,5 @@
 	got := b.read(t, t.Context(), chatBody(`,"max_tokens":6`), "", 0)
 	is.True(got.done)
 	is.Equal(got.text, tokens(6))
-	is.Equal(b.router.outcomes["a"], []Outcome{OutcomeRefused}) // it is not held against the engine
+	is.Equal(b.outcomes("a"), []Outcome{OutcomeRefused}) // it is not held against the engine
 }
