Burn counters of entries that are gone are forgotten

Cause: reading the steward for what grows: a restarted entry is a new series of up to 9 KB for each service, and none was ever dropped. Ruled out: decision records (64 a service); failures of polls (a number each). Change: a series whose last sample is older than the long window is dropped. Before and after: TestGoneEntriesAreForgotten holds one series instead of two.

--- a/internal/burn/burn.go
+++ b/internal/burn/burn.go
@@ -39,6 +39,14 @@
 	}
 }
 
+// Last returns when the last sample was taken; false for none.
+func (s *Series) Last() (time.Duration, bool) {
+	if len(s.samples) == 0 {
+		return 0, false
+	}
+	return s.samples[len(s.samples)-1].At, true
+}
+
 // Counts returns the good and bad answers in the window that ends with the
 // last sample.
 func (s *Series) Counts(window time.Duration) (good, bad uint64) {
--- a/internal/steward/burnbook.go
+++ b/internal/steward/burnbook.go
@@ -43,6 +43,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	at := time.Since(b.start)
+	b.forgetBefore(at - longWindow)
 	for _, u := range r.GetUsage() {
 		key := seriesKey{vm: r.GetVm(), incarnation: r.GetIncarnation(), service: u.GetService()}
 		s, ok := b.series[key]
@@ -55,6 +56,16 @@
 	}
 }
 
+// forgetBefore drops the series of entries that have been gone for longer than
+// any window; the caller holds the lock.
+func (b *burnBook) forgetBefore(at time.Duration) {
+	for key, s := range b.series {
+		if last, ok := s.Last(); ok && last < at {
+			delete(b.series, key)
+		}
+	}
+}
+
 // lines returns the counts of each service of the table.
 func (b *burnBook) lines(t table.Table) []*api.BurnLine {
 	b.mu.Lock()
--- /dev/null
+++ b/internal/steward/burnbook_test.go
@@ -0,0 +1,33 @@
+package steward
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"garnethoist.org/garnethoist/api"
+	"garnethoist.org/garnethoist/internal/table"
+)
+
+func usageReport(vm string, good uint64) *api.EntryReport {
+	return &api.EntryReport{Vm: vm, Incarnation: 1, Usage: []*api.ServiceUsage{{Service: "hints", Usage: &api.Usage{Good: good}}}}
+}
+
+// Entries that are gone count as long as a window holds them, and are then
+// forgotten.
+func TestGoneEntriesAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBurnBook()
+		rows := table.Table{Rows: []table.Row{{Service: "hints", Objective: 0.99}}}
+		b.add(usageReport("old", 5))
+		time.Sleep(longWindow / 2)
+		b.add(usageReport("new", 3))
+		is.Equal(b.lines(rows)[0].GetLongGood(), uint64(8))
+		time.Sleep(longWindow)
+		b.add(usageReport("new", 4))
+		is.Equal(len(b.series), 1)
+	})
+}
