News goes to eight peers at once

Cause: with four, a peer of a data centre of eight VMs could be missed by all tellers, worked out as about one time in three hundred for each peer; it then heard of a leaving target only in a regular round, and TestLeavingTargetIsKnownInTime could fail. Ruled out: a longer limit in the test (it would have hidden the missed peer). Change: eight, which is everyone at today's size. Conclusion: at today's size the spread does not depend on chance.

--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -29,7 +29,7 @@
 	probeAbove = 16
 	// rumourFanout is how many peers of the data centre are told at once of
 	// a change of state.
-	rumourFanout = 4
+	rumourFanout = 8
 	// rumourSpacing is the least time between two such rounds.
 	rumourSpacing = 50 * time.Millisecond
 	// otherCentreEvery is how many rounds pass between exchanges with
