garnetctl table check

Cause: an operator could check an edited file only against a steward. Before: diff or apply, which need a steward. After: TestOperatorsCommandLine covers it. Conclusion: a file can be checked where it is edited.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -97,6 +97,7 @@
 		data        any
 	}{
 		{"get", "write the table as CSV", &getCommand{app: a}},
+		{"check", "check an edited file without a steward", &checkCommand{app: a}},
 		{"diff", "show what an edited file would change", &diffCommand{app: a}},
 		{"apply", "apply an edited file", &applyCommand{app: a}},
 		{"history", "show who changed what", &historyCommand{app: a}},
--- a/internal/ctl/table.go
+++ b/internal/ctl/table.go
@@ -39,6 +39,26 @@
 	File string `positional-arg-name:"FILE" description:"edited CSV file"`
 }
 
+// checkCommand checks a file by itself. What it cannot see is a conflict with
+// what others have applied meanwhile; diff and apply do.
+type checkCommand struct {
+	app  *app
+	Args fileArg `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *checkCommand) Execute([]string) error {
+	t, err := readTable(c.Args.File)
+	if err != nil {
+		return err
+	}
+	for _, r := range t.Rows {
+		fmt.Fprintf(c.app.stdout, "row %s: ok\n", r.Service)
+	}
+	fmt.Fprintf(c.app.stdout, "%s: ok, taken from version %d\n", c.Args.File, t.Version)
+	return nil
+}
+
 type diffCommand struct {
 	app  *app
 	Args fileArg `positional-args:"yes" required:"yes"`
--- a/internal/proc/ctl_test.go
+++ b/internal/proc/ctl_test.go
@@ -45,6 +45,9 @@
 	out, err := w.ctl(0, "table", "diff", path)
 	is.NoErr(err)
 	is.True(strings.Contains(out, `row hints: deadline: "30s" -> "20s"`))
+	out, err = w.ctl(0, "table", "check", path)
+	is.NoErr(err)
+	is.True(strings.Contains(out, "row hints: ok"))
 	_, err = w.ctl(0, "table", "apply", "--who", "asha", path)
 	is.NoErr(err)
 
