--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -326,17 +326,20 @@
 	}
 }
 
+// loseEngineMidway cuts engine a off for good once it serves a stream.
+func (b *bench) loseEngineMidway() {
+	for b.engines["a"].Status().Running == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond)
+	b.cutters["a"].fail()
+}
+
 // The engine itself is lost midway: another goes on with the same answer.
 func TestEngineLostMidway(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t, "a", "b")
-	go func() {
-		for b.engines["a"].Status().Running == 0 {
-			time.Sleep(time.Millisecond)
-		}
-		time.Sleep(20 * time.Millisecond)
-		b.cutters["a"].fail()
-	}()
+	go b.loseEngineMidway()
 	got := b.read(t, t.Context(), chatBody(`,"max_tokens":60`), "", 0)
 	is.True(got.done)
 	is.Equal(got.text, tokens(60))
@@ -392,13 +395,7 @@
 func TestAllEnginesLost(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t, "a")
-	go func() {
-		for b.engines["a"].Status().Running == 0 {
-			time.Sleep(time.Millisecond)
-		}
-		time.Sleep(20 * time.Millisecond)
-		b.cutters["a"].fail()
-	}()
+	go b.loseEngineMidway()
 	got := b.read(t, t.Context(), chatBody(`,"max_tokens":200`), "", 0)
 	is.True(!got.done)
 	is.True(strings.Contains(got.failed, string(errkind.MayHaveRun)))
