--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -99,6 +99,14 @@
 	return &node{lease: l, sender: NewSender(j, l, w.engine, w.clock, readTimeout)}
 }
 
+// pair is a holder and a candidate that has observed it.
+func (w *world) pair(t testing.TB) (a, b *node) {
+	a, b = w.node("a"), w.node("b")
+	a.step(t)
+	b.step(t)
+	return a, b
+}
+
 func (n *node) step(t testing.TB) {
 	t.Helper()
 	if err := n.lease.Step(context.Background(), true); err != nil {
@@ -196,9 +204,7 @@
 	for _, dropped := range []bool{false, true} {
 		is := is.New(t)
 		w := newWorld(true)
-		a, b := w.node("a"), w.node("b")
-		a.step(t)
-		b.step(t)
+		a, b := w.pair(t)
 		w.engine.dropped = dropped
 		// The answer is of no interest: the holder dies here.
 		_ = a.give(table.FencingChecked, "v1")
@@ -219,9 +225,7 @@
 func TestFrozenHolderCheckedEngine(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(true)
-	a, b := w.node("a"), w.node("b")
-	a.step(t)
-	b.step(t)
+	a, b := w.pair(t)
 	w.engine.hold = true
 	_ = a.give(table.FencingChecked, "v1") // on its way when the holder freezes
 	w.now += 2 * ttl
@@ -240,9 +244,7 @@
 func TestFrozenHolderIgnoringEngine(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(false)
-	a, b := w.node("a"), w.node("b")
-	a.step(t)
-	b.step(t)
+	a, b := w.pair(t)
 	w.now += readTimeout
 	a.step(t)
 	w.engine.hold = true
@@ -336,9 +338,7 @@
 func TestReplacedHolderCannotJournal(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(true)
-	a, b := w.node("a"), w.node("b")
-	a.step(t)
-	b.step(t)
+	a, b := w.pair(t)
 	old, ok := a.lease.Held()
 	is.True(ok)
 	w.now += 2 * ttl
