--- a/internal/entry/feed_test.go
+++ b/internal/entry/feed_test.go
@@ -10,7 +10,7 @@
 
 	"garnethoist.org/garnethoist/api"
 	"garnethoist.org/garnethoist/internal/gossip"
-	"garnethoist.org/garnethoist/internal/platform"
+	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/table"
 	"garnethoist.org/garnethoist/internal/telemetry"
 )
@@ -49,8 +49,8 @@
 				is.True(f.usable())
 				return
 			}
-			f.store.Merge(f.store.VMItems(platform.VMListing{Revision: 1, VMs: []platform.VM{
-				{Name: "d1", DataCentre: "kakkanad", Kind: platform.VMPlain, State: platform.VMLive, Changed: 1},
+			f.store.Merge(f.store.VMItems(store.VMListing{Revision: 1, VMs: []store.VM{
+				{Name: "d1", DataCentre: "kakkanad", Kind: store.VMPlain, State: store.VMLive, Changed: 1},
 			}}), "")
 			f.store.Merge([]*api.Item{{Key: gossip.TargetKey("d1"), Epoch: 1, Seq: 1, Body: &api.Item_Target{Target: &api.Target{Reachable: true}}}}, "")
 			time.Sleep(time.Second)
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -10,10 +10,10 @@
 	"garnethoist.org/garnethoist/internal/kernel"
 	"garnethoist.org/garnethoist/internal/limit"
 	"garnethoist.org/garnethoist/internal/once"
-	"garnethoist.org/garnethoist/internal/platform/httpplatform"
 	"garnethoist.org/garnethoist/internal/relay"
 	"garnethoist.org/garnethoist/internal/retry"
 	"garnethoist.org/garnethoist/internal/settings"
+	"garnethoist.org/garnethoist/internal/store/httpstore"
 	"garnethoist.org/garnethoist/internal/telemetry"
 )
 
@@ -43,7 +43,7 @@
 	})
 	k.Register(ModuleMetrics, func(*kernel.Kernel) (any, error) { return telemetry.NewMetrics("garnet-entry") })
 	k.Register(ModulePlatform, func(*kernel.Kernel) (any, error) {
-		return httpplatform.New(string(cfg.Platform.Address), cfg.Platform.Timeout.D()), nil
+		return httpstore.New(string(cfg.Platform.Address), cfg.Platform.Timeout.D()), nil
 	})
 	k.Register(ModuleStore, func(*kernel.Kernel) (any, error) { return gossip.NewStore(time.Now), nil })
 	k.Register(ModuleDecision, func(*kernel.Kernel) (any, error) { return newDecisionLog(cfg.VM), nil })
@@ -54,7 +54,7 @@
 	k.Register(ModuleFeed, func(k *kernel.Kernel) (any, error) { return provideFeed(k, cfg, incarnation) })
 	k.Register(ModuleRelay, provideRelay)
 	k.Register(ModuleClaims, func(k *kernel.Kernel) (any, error) {
-		p, err := kernel.Get[*httpplatform.Client](k, ModulePlatform)
+		p, err := kernel.Get[*httpstore.Client](k, ModulePlatform)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -22,11 +22,11 @@
 	"garnethoist.org/garnethoist/internal/gossip"
 	"garnethoist.org/garnethoist/internal/limit"
 	"garnethoist.org/garnethoist/internal/once"
-	"garnethoist.org/garnethoist/internal/platform"
 	"garnethoist.org/garnethoist/internal/relay"
 	"garnethoist.org/garnethoist/internal/retry"
 	"garnethoist.org/garnethoist/internal/settings"
 	"garnethoist.org/garnethoist/internal/standin"
+	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/table"
 	"garnethoist.org/garnethoist/internal/target"
 	"garnethoist.org/garnethoist/internal/telemetry"
@@ -39,7 +39,7 @@
 	front  *httptest.Server
 	engine *standin.Engine
 	plain  *standin.Plain
-	memory *platform.Memory
+	memory *store.Memory
 	store  *gossip.Store
 	rows   []table.Row
 }
@@ -64,7 +64,7 @@
 	}
 	b := &bench{
 		engine: standin.NewEngine(standin.EngineConfig{Name: "e1", TokenInterval: time.Millisecond}),
-		plain:  standin.NewPlain(), memory: platform.NewMemory(), store: gossip.NewStore(time.Now), rows: rows,
+		plain:  standin.NewPlain(), memory: store.NewMemory(), store: gossip.NewStore(time.Now), rows: rows,
 	}
 	engine, plain := httptest.NewServer(b.engine.Handler()), httptest.NewServer(b.plain.Handler())
 	t.Cleanup(engine.Close)
@@ -83,9 +83,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	items = append(items, b.store.VMItems(platform.VMListing{Revision: 1, VMs: []platform.VM{
-		{Name: "e1", DataCentre: "kakkanad", Address: engine, Kind: platform.VMEngine, State: platform.VMLive, Changed: 1},
-		{Name: "d1", DataCentre: "kakkanad", Address: plain, Kind: platform.VMPlain, State: platform.VMLive, Changed: 1},
+	items = append(items, b.store.VMItems(store.VMListing{Revision: 1, VMs: []store.VM{
+		{Name: "e1", DataCentre: "kakkanad", Address: engine, Kind: store.VMEngine, State: store.VMLive, Changed: 1},
+		{Name: "d1", DataCentre: "kakkanad", Address: plain, Kind: store.VMPlain, State: store.VMLive, Changed: 1},
 	}})...)
 	for name, model := range map[string]string{"e1": "m", "d1": ""} {
 		items = append(items, &api.Item{Key: gossip.TargetKey(name), Epoch: 1, Seq: 1, Body: &api.Item_Target{Target: &api.Target{
@@ -285,8 +285,8 @@
 func TestLeavingTargetGetsNothing(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t, nil)
-	b.store.Merge(b.store.VMItems(platform.VMListing{Revision: 2, VMs: []platform.VM{
-		{Name: "d1", DataCentre: "kakkanad", Address: "127.0.0.1:1", Kind: platform.VMPlain, State: platform.VMLeaving, Changed: 2},
+	b.store.Merge(b.store.VMItems(store.VMListing{Revision: 2, VMs: []store.VM{
+		{Name: "d1", DataCentre: "kakkanad", Address: "127.0.0.1:1", Kind: store.VMPlain, State: store.VMLeaving, Changed: 2},
 	}}), "")
 	b.server.fleet.apply(b.store.View())
 	resp, err := b.front.Client().Get(b.front.URL + "/services/renewals/x")
@@ -354,8 +354,8 @@
 	frozen := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-hold }))
 	defer frozen.Close()
 	defer close(hold)
-	b.store.Merge(b.store.VMItems(platform.VMListing{Revision: 2, VMs: []platform.VM{
-		{Name: "d1", DataCentre: "kakkanad", Address: frozen.Listener.Addr().String(), Kind: platform.VMPlain, State: platform.VMLive, Changed: 2},
+	b.store.Merge(b.store.VMItems(store.VMListing{Revision: 2, VMs: []store.VM{
+		{Name: "d1", DataCentre: "kakkanad", Address: frozen.Listener.Addr().String(), Kind: store.VMPlain, State: store.VMLive, Changed: 2},
 	}}), "")
 	b.server.fleet.apply(b.store.View())
 	for _, want := range []int{502, 409} {
--- a/internal/gossip/keys.go
+++ b/internal/gossip/keys.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 
 	"garnethoist.org/garnethoist/api"
-	"garnethoist.org/garnethoist/internal/platform"
+	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/table"
 )
 
@@ -76,7 +76,7 @@
 
 // VMItems returns the items of the lines in l that differ from what s holds,
 // and of lines that l no longer has.
-func (s *Store) VMItems(l platform.VMListing) []*api.Item {
+func (s *Store) VMItems(l store.VMListing) []*api.Item {
 	listed := make(map[string]bool, len(l.VMs))
 	out := []*api.Item{{Key: keyListHead, Seq: l.Revision, Body: &api.Item_ListHead{ListHead: &api.ListHead{Revision: l.Revision}}}}
 	for _, vm := range l.VMs {
--- a/internal/gossip/store_test.go
+++ b/internal/gossip/store_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"garnethoist.org/garnethoist/api"
-	"garnethoist.org/garnethoist/internal/platform"
+	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/table"
 )
 
@@ -106,10 +106,10 @@
 	items, err = TableItems(table.Table{Version: 2, Rows: rows[:1]}, 1, []string{"old"})
 	is.NoErr(err)
 	s.Merge(items, "")
-	e1 := platform.VM{Name: "e1", DataCentre: "kakkanad", Kind: platform.VMEngine, State: platform.VMLive, Changed: 1}
-	e2 := platform.VM{Name: "e2", DataCentre: "kakkanad", Kind: platform.VMEngine, State: platform.VMLive, Changed: 1}
-	s.Merge(s.VMItems(platform.VMListing{Revision: 1, VMs: []platform.VM{e1, e2}}), "")
-	s.Merge(s.VMItems(platform.VMListing{Revision: 2, VMs: []platform.VM{e1}}), "")
+	e1 := store.VM{Name: "e1", DataCentre: "kakkanad", Kind: store.VMEngine, State: store.VMLive, Changed: 1}
+	e2 := store.VM{Name: "e2", DataCentre: "kakkanad", Kind: store.VMEngine, State: store.VMLive, Changed: 1}
+	s.Merge(s.VMItems(store.VMListing{Revision: 1, VMs: []store.VM{e1, e2}}), "")
+	s.Merge(s.VMItems(store.VMListing{Revision: 2, VMs: []store.VM{e1}}), "")
 	s.Merge([]*api.Item{load(1, 4), DrainItem("e1", true, 3, 1)}, "")
 	v := s.View()
 	is.Equal(v.Table.Version, uint64(2))
@@ -131,7 +131,7 @@
 		s := NewStore(time.Now)
 		highest := uint64(0)
 		for _, data := range [][]byte{first, second} {
-			var l platform.VMListing
+			var l store.VMListing
 			if json.Unmarshal(data, &l) != nil {
 				continue
 			}
@@ -153,14 +153,14 @@
 // filled is a store with the whole plan's VMs and targets.
 func filled(entries, targets int) *Store {
 	s := NewStore(time.Now)
-	l := platform.VMListing{Revision: 1}
+	l := store.VMListing{Revision: 1}
 	var items []*api.Item
 	for i := range entries {
 		items = append(items, &api.Item{Key: PeerKey(fmt.Sprint("vm-", i)), Epoch: 1, Body: &api.Item_Peer{Peer: &api.Peer{DataCentre: "kakkanad"}}})
 	}
 	for i := range targets {
 		name := fmt.Sprint("e", i)
-		l.VMs = append(l.VMs, platform.VM{Name: name, DataCentre: "kakkanad", Kind: platform.VMEngine, State: platform.VMLive, Changed: 1})
+		l.VMs = append(l.VMs, store.VM{Name: name, DataCentre: "kakkanad", Kind: store.VMEngine, State: store.VMLive, Changed: 1})
 		it := load(1, uint32(i))
 		it.Key = TargetKey(name)
 		items = append(items, it)
--- a/internal/gossip/view.go
+++ b/internal/gossip/view.go
@@ -6,14 +6,14 @@
 	"time"
 
 	"garnethoist.org/garnethoist/api"
-	"garnethoist.org/garnethoist/internal/platform"
+	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/table"
 )
 
 // View is the typed content of a store at one moment. It is immutable.
 type View struct {
 	Table   table.Table
-	VMs     map[string]platform.VM
+	VMs     map[string]store.VM
 	Peers   map[string]*api.Item
 	Targets map[string]TargetView
 	// ListRevision is the revision of the VM list.
@@ -28,7 +28,7 @@
 	Name       string
 	DataCentre string
 	Address    string
-	Kind       platform.VMKind
+	Kind       store.VMKind
 	// Service is the service it is assigned to, empty for none.
 	Service string
 	// Boot is the target's incarnation; zero while no status was seen.
@@ -40,12 +40,12 @@
 	// ObservedAt is when the status was taken, on the store's clock.
 	ObservedAt time.Time
 	// Listed is the platform's word: live or leaving.
-	Listed platform.VMState
+	Listed store.VMState
 }
 
 // Leaving reports whether any sign says that the target is on its way out.
 func (t TargetView) Leaving() bool {
-	return t.Listed == platform.VMLeaving || t.Status.GetLeaving()
+	return t.Listed == store.VMLeaving || t.Status.GetLeaving()
 }
 
 // Usable reports whether the target may get new work.
@@ -81,7 +81,7 @@
 func (s *Store) decode(now time.Time) *View {
 	n := s.log.Len()
 	v := &View{
-		VMs: make(map[string]platform.VM, n), Peers: map[string]*api.Item{},
+		VMs: make(map[string]store.VM, n), Peers: map[string]*api.Item{},
 		Targets: make(map[string]TargetView, n), Index: s.index, taken: now,
 	}
 	statuses := make(map[string]*record, n)
@@ -131,9 +131,9 @@
 	if vm.GetRemoved() {
 		return
 	}
-	v.VMs[name] = platform.VM{
+	v.VMs[name] = store.VM{
 		Name: name, DataCentre: vm.GetDataCentre(), Address: vm.GetAddress(),
-		Kind: platform.VMKind(vm.GetKind()), State: platform.VMState(vm.GetState()),
+		Kind: store.VMKind(vm.GetKind()), State: store.VMState(vm.GetState()),
 	}
 }
 
@@ -160,11 +160,11 @@
 	}
 }
 
-func serviceKind(k platform.VMKind) (table.Kind, bool) {
+func serviceKind(k store.VMKind) (table.Kind, bool) {
 	switch k {
-	case platform.VMEngine:
+	case store.VMEngine:
 		return table.Language, true
-	case platform.VMPlain:
+	case store.VMPlain:
 		return table.Plain, true
 	}
 	return "", false
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -13,7 +13,7 @@
 
 	"github.com/pkg/errors"
 
-	"garnethoist.org/garnethoist/internal/platform"
+	"garnethoist.org/garnethoist/internal/store"
 )
 
 // ErrNotHeld: the lease is not held, or not any more.
@@ -70,7 +70,7 @@
 // other methods are safe for concurrent use.
 type Lease struct {
 	cfg   Config
-	table platform.Table
+	table store.Table
 	clock Clock
 
 	// Observation of the record, owned by Step.
@@ -86,7 +86,7 @@
 }
 
 // New returns a candidate that does not hold the lease.
-func New(cfg Config, table platform.Table, clock Clock) *Lease {
+func New(cfg Config, table store.Table, clock Clock) *Lease {
 	return &Lease{cfg: cfg, table: table, clock: clock}
 }
 
@@ -122,7 +122,7 @@
 // observe reads the record and notes when it was first seen at this version.
 func (l *Lease) observe(ctx context.Context) error {
 	rec, err := l.table.Get(ctx, Key(l.cfg.DataCentre, l.cfg.Service))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		l.haveRecord = false
 		l.setRecord(Record{}, 0)
 		return nil
@@ -215,7 +215,7 @@
 
 func (l *Lease) nextFence(ctx context.Context) (fence, error) {
 	rec, err := l.table.Get(ctx, CounterKey(l.cfg.DataCentre))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return fence{number: 1}, nil
 	}
 	if err != nil {
@@ -236,9 +236,9 @@
 		return 0, errors.Wrap(err, "encode lease")
 	}
 	key := Key(l.cfg.DataCentre, l.cfg.Service)
-	txn := platform.Txn{
-		Conds: []platform.Cond{{Key: key, Version: l.version}},
-		Puts:  []platform.Put{{Key: key, Value: value}},
+	txn := store.Txn{
+		Conds: []store.Cond{{Key: key, Version: l.version}},
+		Puts:  []store.Put{{Key: key, Value: value}},
 	}
 	if f != nil {
 		fv, err := json.Marshal(fenceRecord{Fence: f.number})
@@ -246,10 +246,10 @@
 			return 0, errors.Wrap(err, "encode fence")
 		}
 		counter := CounterKey(l.cfg.DataCentre)
-		txn.Conds = append(txn.Conds, platform.Cond{Key: counter, Version: f.version})
+		txn.Conds = append(txn.Conds, store.Cond{Key: counter, Version: f.version})
 		txn.Puts = append(txn.Puts,
-			platform.Put{Key: counter, Value: fv},
-			platform.Put{Key: FenceKey(l.cfg.DataCentre, l.cfg.Service), Value: fv})
+			store.Put{Key: counter, Value: fv},
+			store.Put{Key: FenceKey(l.cfg.DataCentre, l.cfg.Service), Value: fv})
 	}
 	return l.table.Commit(ctx, txn)
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -11,7 +11,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"garnethoist.org/garnethoist/internal/platform"
+	"garnethoist.org/garnethoist/internal/store"
 )
 
 const ttl = 6 * time.Second
@@ -34,7 +34,7 @@
 	c.now += d
 }
 
-func candidate(p platform.Table, name string, clock Clock) *Lease {
+func candidate(p store.Table, name string, clock Clock) *Lease {
 	return New(Config{DataCentre: "kakkanad", Service: "hints", Holder: name, Incarnation: 1, TTL: ttl}, p, clock)
 }
 
@@ -52,7 +52,7 @@
 
 func TestOneHolderAndSuccession(t *testing.T) {
 	is := is.New(t)
-	p, clock := platform.NewMemory(), &fakeClock{}
+	p, clock := store.NewMemory(), &fakeClock{}
 	a, b := candidate(p, "a", clock.read), candidate(p, "b", clock.read)
 	step(t, a)
 	step(t, b)
@@ -80,7 +80,7 @@
 // not anyone has taken over, and must not go on with its old tenure.
 func TestFrozenHolder(t *testing.T) {
 	is := is.New(t)
-	p, clock := platform.NewMemory(), &fakeClock{}
+	p, clock := store.NewMemory(), &fakeClock{}
 	a := candidate(p, "a", clock.read)
 	step(t, a)
 	first, _ := a.Held()
@@ -98,7 +98,7 @@
 // however old the record is.
 func TestObserverStartsItsOwnClock(t *testing.T) {
 	is := is.New(t)
-	p, clock := platform.NewMemory(), &fakeClock{}
+	p, clock := store.NewMemory(), &fakeClock{}
 	a := candidate(p, "a", clock.read)
 	step(t, a)
 	other := &fakeClock{now: 1000 * time.Hour}
@@ -115,7 +115,7 @@
 
 func TestReleaseIsTakenAtOnce(t *testing.T) {
 	is := is.New(t)
-	p, clock := platform.NewMemory(), &fakeClock{}
+	p, clock := store.NewMemory(), &fakeClock{}
 	a, b := candidate(p, "a", clock.read), candidate(p, "b", clock.read)
 	step(t, a)
 	is.NoErr(a.Release(context.Background()))
@@ -127,19 +127,19 @@
 func TestFaults(t *testing.T) {
 	cases := []struct {
 		name  string
-		fault platform.Fault
+		fault store.Fault
 		// heldAfter is whether the holder still holds right after a renewal
 		// under the fault, within the old TTL.
 		heldAfter bool
 	}{
-		{"down", platform.FaultDown, true},
-		{"renewal without effect", platform.FaultLostWrites, true},
-		{"renewal without an answer", platform.FaultLostAnswers, true},
+		{"down", store.FaultDown, true},
+		{"renewal without effect", store.FaultLostWrites, true},
+		{"renewal without an answer", store.FaultLostAnswers, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			p, clock := platform.NewMemory(), &fakeClock{}
+			p, clock := store.NewMemory(), &fakeClock{}
 			a, b := candidate(p, "a", clock.read), candidate(p, "b", clock.read)
 			step(t, a)
 			p.SetFault(c.fault)
@@ -148,7 +148,7 @@
 			is.Equal(held(a), c.heldAfter)
 			clock.add(ttl * 3 / 4)
 			is.True(!held(a)) // an unconfirmed renewal does not count
-			p.SetFault(platform.FaultNone)
+			p.SetFault(store.FaultNone)
 			step(t, b)
 			clock.add(2 * ttl)
 			step(t, b)
@@ -160,12 +160,12 @@
 // An acquisition whose answer was lost is found out and used.
 func TestAcquisitionWithoutAnswer(t *testing.T) {
 	is := is.New(t)
-	p, clock := platform.NewMemory(), &fakeClock{}
+	p, clock := store.NewMemory(), &fakeClock{}
 	a := candidate(p, "a", clock.read)
-	p.SetFault(platform.FaultLostAnswers)
-	is.True(errors.Is(a.Step(context.Background(), true), platform.ErrUnknown))
+	p.SetFault(store.FaultLostAnswers)
+	is.True(errors.Is(a.Step(context.Background(), true), store.ErrUnknown))
 	is.True(!held(a))
-	p.SetFault(platform.FaultNone)
+	p.SetFault(store.FaultNone)
 	step(t, a)
 	is.True(held(a))
 }
@@ -173,7 +173,7 @@
 // A restarted process on the same VM is not taken for the old one.
 func TestRestartedHolder(t *testing.T) {
 	is := is.New(t)
-	p, clock := platform.NewMemory(), &fakeClock{}
+	p, clock := store.NewMemory(), &fakeClock{}
 	old := candidate(p, "a", clock.read)
 	step(t, old)
 	next := New(Config{DataCentre: "kakkanad", Service: "hints", Holder: "a", Incarnation: 2, TTL: ttl}, p, clock.read)
@@ -186,7 +186,7 @@
 // own with its own zero; true time moves all of them, some a little faster.
 func TestNeverTwoHolders(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		p := platform.NewMemory()
+		p := store.NewMemory()
 		const n = 3
 		clocks := make([]*fakeClock, n)
 		leases := make([]*Lease, n)
@@ -195,7 +195,7 @@
 			leases[i] = candidate(p, fmt.Sprint(i), clocks[i].read)
 		}
 		highest := uint64(0)
-		faults := []platform.Fault{platform.FaultNone, platform.FaultNone, platform.FaultDown, platform.FaultLostWrites, platform.FaultLostAnswers}
+		faults := []store.Fault{store.FaultNone, store.FaultNone, store.FaultDown, store.FaultLostWrites, store.FaultLostAnswers}
 		for range rapid.IntRange(1, 60).Draw(rt, "events") {
 			i := rapid.IntRange(0, n-1).Draw(rt, "who")
 			p.SetFault(rapid.SampledFrom(faults).Draw(rt, "fault"))
--- a/internal/member/gossip_test.go
+++ b/internal/member/gossip_test.go
@@ -14,7 +14,7 @@
 
 	"garnethoist.org/garnethoist/api"
 	"garnethoist.org/garnethoist/internal/gossip"
-	"garnethoist.org/garnethoist/internal/platform"
+	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/table"
 	"garnethoist.org/garnethoist/internal/telemetry"
 )
@@ -313,7 +313,7 @@
 		net := newNetwork()
 		nodes := net.fleet(t, 8, "kakkanad")
 		defer stopAll(nodes)
-		list := platform.VMListing{Revision: 1, VMs: []platform.VM{{Name: "e1", DataCentre: "kakkanad", Kind: platform.VMEngine, State: platform.VMLive, Changed: 1}}}
+		list := store.VMListing{Revision: 1, VMs: []store.VM{{Name: "e1", DataCentre: "kakkanad", Kind: store.VMEngine, State: store.VMLive, Changed: 1}}}
 		nodes[0].store.Merge(nodes[0].store.VMItems(list), "")
 		nodes[0].store.Merge([]*api.Item{statusOf(1, 10, false, 0)}, "")
 		nodes[0].gossip.Spread()
--- a/internal/once/claim.go
+++ b/internal/once/claim.go
@@ -16,7 +16,7 @@
 
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/kernel"
-	"garnethoist.org/garnethoist/internal/platform"
+	"garnethoist.org/garnethoist/internal/store"
 )
 
 // Answer is a kept answer.
@@ -58,14 +58,14 @@
 
 // Store keeps claims on the platform. It is safe for concurrent use.
 type Store struct {
-	table   platform.Table
-	objects platform.Objects
+	table   store.Table
+	objects store.Objects
 	entry   string
 	now     func() time.Time
 }
 
 // NewStore returns the claims as written by the entry VM called entry.
-func NewStore(table platform.Table, objects platform.Objects, entry string, now func() time.Time) *Store {
+func NewStore(table store.Table, objects store.Objects, entry string, now func() time.Time) *Store {
 	return &Store{table: table, objects: objects, entry: entry, now: now}
 }
 
@@ -137,7 +137,7 @@
 		if err == nil {
 			return &Claim{store: s, call: c, day: today, version: v}, nil, nil
 		}
-		if errors.Is(err, platform.ErrUnavailable) {
+		if errors.Is(err, store.ErrUnavailable) {
 			return nil, nil, errkind.Wrap(errkind.PlatformDown, err, "the call cannot be claimed while the platform is down")
 		}
 		claim, kept, err := s.look(ctx, c, known)
@@ -158,7 +158,7 @@
 	for d := range known {
 		rec, held, err := s.read(ctx, c, d)
 		switch {
-		case errors.Is(err, platform.ErrNotFound):
+		case errors.Is(err, store.ErrNotFound):
 			known[d] = 0
 		case err != nil:
 			return nil, nil, errkind.Wrap(errkind.PlatformDown, err, "the claim of the call could not be confirmed")
@@ -203,7 +203,7 @@
 	return &a, nil
 }
 
-func (s *Store) read(ctx context.Context, c Call, d day) (platform.Record, claim, error) {
+func (s *Store) read(ctx context.Context, c Call, d day) (store.Record, claim, error) {
 	var held claim
 	rec, err := s.table.Get(ctx, c.key(d))
 	if err != nil {
@@ -221,9 +221,9 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "encode claim")
 	}
-	txn := platform.Txn{Puts: []platform.Put{{Key: c.key(d), Value: value}}}
+	txn := store.Txn{Puts: []store.Put{{Key: c.key(d), Value: value}}}
 	for other, version := range known {
-		txn.Conds = append(txn.Conds, platform.Cond{Key: c.key(other), Version: version})
+		txn.Conds = append(txn.Conds, store.Cond{Key: c.key(other), Version: version})
 	}
 	return s.table.Commit(ctx, txn)
 }
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -14,14 +14,14 @@
 	"github.com/matryer/is"
 
 	"garnethoist.org/garnethoist/internal/errkind"
-	"garnethoist.org/garnethoist/internal/platform"
+	"garnethoist.org/garnethoist/internal/store"
 )
 
 func call(token, body string) Call {
 	return Call{Service: "renewals", Account: "acc", Key: "k1", Token: token, BodyHash: HashBody("POST", "/confirm", []byte(body))}
 }
 
-func newStore(p *platform.Memory, entry string) *Store { return NewStore(p, p, entry, time.Now) }
+func newStore(p *store.Memory, entry string) *Store { return NewStore(p, p, entry, time.Now) }
 
 // short bounds the tries of a claim whose write never shows.
 func short(t *testing.T) context.Context {
@@ -33,7 +33,7 @@
 func TestKeptAnswer(t *testing.T) {
 	for _, size := range []int{10, maxInlineAnswer + 1} {
 		is := is.New(t)
-		p := platform.NewMemory()
+		p := store.NewMemory()
 		a, b := newStore(p, "vm-1"), newStore(p, "vm-2")
 		claim, kept, err := a.Acquire(t.Context(), call("t1", "x"))
 		is.NoErr(err)
@@ -55,7 +55,7 @@
 
 func TestKeyReused(t *testing.T) {
 	is := is.New(t)
-	s := newStore(platform.NewMemory(), "vm-1")
+	s := newStore(store.NewMemory(), "vm-1")
 	_, _, err := s.Acquire(t.Context(), call("t1", "x"))
 	is.NoErr(err)
 	_, _, err = s.Acquire(t.Context(), call("t2", "another body"))
@@ -69,7 +69,7 @@
 
 func TestReleasedKeyIsFree(t *testing.T) {
 	is := is.New(t)
-	s := newStore(platform.NewMemory(), "vm-1")
+	s := newStore(store.NewMemory(), "vm-1")
 	claim, _, err := s.Acquire(t.Context(), call("t1", "x"))
 	is.NoErr(err)
 	is.NoErr(claim.Release(t.Context()))
@@ -81,19 +81,19 @@
 func TestFaults(t *testing.T) {
 	cases := []struct {
 		name    string
-		fault   platform.Fault
+		fault   store.Fault
 		claimed bool
 		// afterwards is what a second caller meets once the platform is well.
 		afterwards errkind.Kind
 	}{
-		{"down", platform.FaultDown, false, ""},
-		{"claim written, answer lost", platform.FaultLostAnswers, true, errkind.CallInProgress},
-		{"claim lost", platform.FaultLostWrites, false, ""},
+		{"down", store.FaultDown, false, ""},
+		{"claim written, answer lost", store.FaultLostAnswers, true, errkind.CallInProgress},
+		{"claim lost", store.FaultLostWrites, false, ""},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			p := platform.NewMemory()
+			p := store.NewMemory()
 			s := newStore(p, "vm-1")
 			p.SetFault(c.fault)
 			claim, _, err := s.Acquire(short(t), call("t1", "x"))
@@ -104,7 +104,7 @@
 				is.Equal(a.Outcome, errkind.NotRun) // true: nothing was sent
 				is.True(a.RetryAfter > 0)
 			}
-			p.SetFault(platform.FaultNone)
+			p.SetFault(store.FaultNone)
 			_, _, err = newStore(p, "vm-2").Acquire(t.Context(), call("t2", "x"))
 			if c.afterwards == "" {
 				is.NoErr(err)
@@ -119,13 +119,13 @@
 // never not_run.
 func TestAnswerNotKept(t *testing.T) {
 	is := is.New(t)
-	p := platform.NewMemory()
+	p := store.NewMemory()
 	s := newStore(p, "vm-1")
 	claim, _, err := s.Acquire(t.Context(), call("t1", "x"))
 	is.NoErr(err)
-	p.SetFault(platform.FaultDown)
+	p.SetFault(store.FaultDown)
 	is.True(claim.Keep(t.Context(), Answer{Status: 200}) != nil)
-	p.SetFault(platform.FaultNone)
+	p.SetFault(store.FaultNone)
 	_, _, err = s.Acquire(t.Context(), call("t2", "x"))
 	is.True(err != nil)
 	is.Equal(errkind.From(err).Answer().Outcome, errkind.MayHaveRun)
@@ -136,7 +136,7 @@
 	midnight := time.Unix(20000*secondsPerDay, 0)
 	for _, skew := range []time.Duration{-2 * time.Second, 2 * time.Second, -23 * time.Hour, 23 * time.Hour} {
 		is := is.New(t)
-		p := platform.NewMemory()
+		p := store.NewMemory()
 		a := NewStore(p, p, "vm-1", func() time.Time { return midnight.Add(-time.Second) })
 		b := NewStore(p, p, "vm-2", func() time.Time { return midnight.Add(skew) })
 		claim, _, err := a.Acquire(t.Context(), call("t1", "x"))
@@ -153,7 +153,7 @@
 // A sweep removes what no entry looks at, and nothing else.
 func TestSweep(t *testing.T) {
 	is := is.New(t)
-	p := platform.NewMemory()
+	p := store.NewMemory()
 	now := time.Unix(20000*secondsPerDay, 0)
 	s := NewStore(p, p, "vm-1", func() time.Time { return now })
 	for i := range 2*sweepBatch + 7 {
@@ -175,19 +175,19 @@
 // lateWrites lets commits take effect only after their answer was lost and the
 // record was read back: the late effect of an earlier write.
 type lateWrites struct {
-	*platform.Memory
+	*store.Memory
 	mu      sync.Mutex
-	pending []platform.Txn
+	pending []store.Txn
 	left    int
 }
 
-func (l *lateWrites) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+func (l *lateWrites) Commit(ctx context.Context, txn store.Txn) (uint64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.left > 0 {
 		l.left--
 		l.pending = append(l.pending, txn)
-		return 0, platform.ErrUnknown
+		return 0, store.ErrUnknown
 	}
 	for _, old := range l.pending {
 		// It lands now, on whatever conditions still hold.
@@ -199,7 +199,7 @@
 
 func TestLateClaim(t *testing.T) {
 	is := is.New(t)
-	p := &lateWrites{Memory: platform.NewMemory(), left: 1}
+	p := &lateWrites{Memory: store.NewMemory(), left: 1}
 	s := NewStore(p, p, "vm-1", time.Now)
 	claim, _, err := s.Acquire(t.Context(), call("t1", "x"))
 	is.NoErr(err)
@@ -240,7 +240,7 @@
 // Many entries ask for one key at once, some writes without an answer.
 func TestConcurrentClaimsHistory(t *testing.T) {
 	for round := range 20 {
-		p := &lateWrites{Memory: platform.NewMemory(), left: round % 4}
+		p := &lateWrites{Memory: store.NewMemory(), left: round % 4}
 		start := time.Now()
 		var mu sync.Mutex
 		var history []porcupine.Operation
@@ -263,7 +263,7 @@
 						continue
 					}
 					from = time.Since(start)
-					if err := claim.Keep(t.Context(), Answer{Status: 200}); err != nil && !errors.Is(err, platform.ErrUnknown) {
+					if err := claim.Keep(t.Context(), Answer{Status: 200}); err != nil && !errors.Is(err, store.ErrUnknown) {
 						t.Error(err)
 						return
 					}
--- a/internal/once/sweep.go
+++ b/internal/once/sweep.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"garnethoist.org/garnethoist/internal/platform"
+	"garnethoist.org/garnethoist/internal/store"
 )
 
 const (
@@ -22,7 +22,7 @@
 // Sweep removes the service's claims of days that no entry looks at any more
 // and returns how many there were. It may run anywhere and at any time, also
 // twice at once.
-func Sweep(ctx context.Context, table platform.Table, service string, now time.Time) (int, error) {
+func Sweep(ctx context.Context, table store.Table, service string, now time.Time) (int, error) {
 	today := day(now.Unix() / secondsPerDay)
 	removed := 0
 	for age := day(sweepFrom); age <= sweepTo; age++ {
@@ -35,13 +35,13 @@
 	return removed, nil
 }
 
-func sweepDay(ctx context.Context, table platform.Table, prefix string) (int, error) {
+func sweepDay(ctx context.Context, table store.Table, prefix string) (int, error) {
 	recs, err := table.List(ctx, prefix)
 	if err != nil {
 		return 0, errors.Wrap(err, "list old claims")
 	}
 	for i := 0; i < len(recs); i += sweepBatch {
-		var txn platform.Txn
+		var txn store.Txn
 		for _, rec := range recs[i:min(i+sweepBatch, len(recs))] {
 			txn.Deletes = append(txn.Deletes, rec.Key)
 		}
--- a/internal/order/journal.go
+++ b/internal/order/journal.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 
 	"garnethoist.org/garnethoist/internal/lease"
-	"garnethoist.org/garnethoist/internal/platform"
+	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/target"
 )
 
@@ -27,13 +27,13 @@
 
 // Journal is the order journal of one service in one data centre.
 type Journal struct {
-	table      platform.Table
+	table      store.Table
 	dataCentre string
 	service    string
 }
 
 // NewJournal returns the journal of a service in a data centre.
-func NewJournal(table platform.Table, dataCentre, service string) *Journal {
+func NewJournal(table store.Table, dataCentre, service string) *Journal {
 	return &Journal{table: table, dataCentre: dataCentre, service: service}
 }
 
@@ -64,7 +64,7 @@
 }
 
 // Write stores e on top of the row version that e holds, within the tenure t.
-// platform.ErrConflict means that the tenure is over or that another wrote
+// store.ErrConflict means that the tenure is over or that another wrote
 // the row. An unknown outcome is resolved by reading back.
 func (j *Journal) Write(ctx context.Context, t lease.Tenure, e Entry) (Entry, error) {
 	value, err := json.Marshal(e)
@@ -72,14 +72,14 @@
 		return e, errors.Wrap(err, "encode journal row")
 	}
 	key := j.key(e.Engine)
-	version, err := j.table.Commit(ctx, platform.Txn{
-		Conds: []platform.Cond{
+	version, err := j.table.Commit(ctx, store.Txn{
+		Conds: []store.Cond{
 			{Key: lease.FenceKey(j.dataCentre, j.service), Version: t.FenceVersion},
 			{Key: key, Version: e.Version},
 		},
-		Puts: []platform.Put{{Key: key, Value: value}},
+		Puts: []store.Put{{Key: key, Value: value}},
 	})
-	if errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, store.ErrUnknown) {
 		return j.readBack(ctx, e, value)
 	}
 	if err != nil {
@@ -95,10 +95,10 @@
 func (j *Journal) readBack(ctx context.Context, e Entry, value []byte) (Entry, error) {
 	rec, err := j.table.Get(ctx, j.key(e.Engine))
 	if err != nil {
-		return e, errors.Wrapf(platform.ErrUnknown, "read back order to %s: %v", e.Engine, err)
+		return e, errors.Wrapf(store.ErrUnknown, "read back order to %s: %v", e.Engine, err)
 	}
 	if string(rec.Value) != string(value) {
-		return e, errors.Wrapf(platform.ErrUnknown, "order to %s not in the journal", e.Engine)
+		return e, errors.Wrapf(store.ErrUnknown, "order to %s not in the journal", e.Engine)
 	}
 	e.Version = rec.Version
 	return e, nil
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"garnethoist.org/garnethoist/internal/lease"
-	"garnethoist.org/garnethoist/internal/platform"
+	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/table"
 	"garnethoist.org/garnethoist/internal/target"
 )
@@ -82,13 +82,13 @@
 }
 
 type world struct {
-	platform *platform.Memory
+	platform *store.Memory
 	now      time.Duration
 	engine   *fakeEngine
 }
 
 func newWorld(checks bool) *world {
-	return &world{platform: platform.NewMemory(), engine: &fakeEngine{checks: checks}}
+	return &world{platform: store.NewMemory(), engine: &fakeEngine{checks: checks}}
 }
 
 func (w *world) clock() time.Duration { return w.now }
@@ -154,9 +154,9 @@
 	}{
 		{"effect without an answer", func(w *world) { w.engine.lost = true }},
 		{"order lost", func(w *world) { w.engine.dropped = true }},
-		{"journal write without an answer", func(w *world) { w.platform.SetFault(platform.FaultLostAnswers) }},
-		{"journal write lost", func(w *world) { w.platform.SetFault(platform.FaultLostWrites) }},
-		{"platform down", func(w *world) { w.platform.SetFault(platform.FaultDown) }},
+		{"journal write without an answer", func(w *world) { w.platform.SetFault(store.FaultLostAnswers) }},
+		{"journal write lost", func(w *world) { w.platform.SetFault(store.FaultLostWrites) }},
+		{"platform down", func(w *world) { w.platform.SetFault(store.FaultDown) }},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -169,7 +169,7 @@
 			c.set(w)
 			// The answer is of no interest; the journal decides what to do.
 			_ = a.give(table.FencingChecked, "v1")
-			w.platform.SetFault(platform.FaultNone)
+			w.platform.SetFault(store.FaultNone)
 			_, err = a.sender.Begin(context.Background())
 			is.NoErr(err)
 			for range 3 {
@@ -193,7 +193,7 @@
 	_, err := a.sender.Begin(context.Background())
 	is.NoErr(err)
 	w.now += readTimeout
-	w.platform.SetFault(platform.FaultDown)
+	w.platform.SetFault(store.FaultDown)
 	is.True(a.give(table.FencingIgnored, "v1") != nil)
 	is.Equal(len(w.engine.taken), 0)
 }
@@ -299,8 +299,8 @@
 			if w.engine.held == nil {
 				w.engine.hold = rapid.Bool().Draw(rt, "hold")
 			}
-			w.platform.SetFault(rapid.SampledFrom([]platform.Fault{
-				platform.FaultNone, platform.FaultNone, platform.FaultLostAnswers, platform.FaultLostWrites, platform.FaultDown,
+			w.platform.SetFault(rapid.SampledFrom([]store.Fault{
+				store.FaultNone, store.FaultNone, store.FaultLostAnswers, store.FaultLostWrites, store.FaultDown,
 			}).Draw(rt, "fault"))
 			// Errors leave outcomes open, which is what is tested.
 			switch rapid.IntRange(0, 4).Draw(rt, "event") {
@@ -347,7 +347,7 @@
 	is.True(ok)
 	late := Entry{Engine: "e1", Order: target.Order{ID: "late", Fence: old.Fence, Want: want("v0")}}
 	_, err := NewJournal(w.platform, "kakkanad", "hints").Write(context.Background(), old, late)
-	is.True(errors.Is(err, platform.ErrConflict))
+	is.True(errors.Is(err, store.ErrConflict))
 	is.NoErr(b.give(table.FencingChecked, "v1")) // the row is still free
 }
 
--- a/internal/order/sender.go
+++ b/internal/order/sender.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"garnethoist.org/garnethoist/internal/lease"
-	"garnethoist.org/garnethoist/internal/platform"
+	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/table"
 	"garnethoist.org/garnethoist/internal/target"
 )
@@ -217,5 +217,5 @@
 
 // Conflict reports whether err says that another holder has taken over.
 func Conflict(err error) bool {
-	return errors.Is(err, platform.ErrConflict) || errors.Is(err, target.ErrFenced)
+	return errors.Is(err, store.ErrConflict) || errors.Is(err, target.ErrFenced)
 }
--- a/internal/proc/control_bench_test.go
+++ b/internal/proc/control_bench_test.go
@@ -11,10 +11,10 @@
 
 	"github.com/pkg/errors"
 
-	"garnethoist.org/garnethoist/internal/platform"
 	"garnethoist.org/garnethoist/internal/proc"
 	"garnethoist.org/garnethoist/internal/settings"
 	"garnethoist.org/garnethoist/internal/standin"
+	"garnethoist.org/garnethoist/internal/store"
 )
 
 // BenchmarkControl prints what control costs a node, for "make bench": real
@@ -51,9 +51,9 @@
 	// Further targets are names for the one engine process: what counts here
 	// is their number.
 	for i := 1; i < targets; i++ {
-		w.setVM(platform.VM{
+		w.setVM(store.VM{
 			Name: fmt.Sprintf("x-%d", i), DataCentre: w.DataCentre, Address: string(w.Engines[0].Address),
-			Kind: platform.VMEngine, State: platform.VMLive,
+			Kind: store.VMEngine, State: store.VMLive,
 		})
 	}
 	w.untilStewards()
@@ -87,7 +87,7 @@
 	fmt.Printf("figure edit_in_force_%s %.2f s\n", name, time.Since(start).Seconds())
 }
 
-func (w *world) setVM(vm platform.VM) {
+func (w *world) setVM(vm store.VM) {
 	w.t.Helper()
 	data, err := json.Marshal(vm)
 	if err != nil {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -8,26 +8,26 @@
 	"net/http"
 	"time"
 
-	"garnethoist.org/garnethoist/internal/platform"
-	"garnethoist.org/garnethoist/internal/platform/httpplatform"
+	"garnethoist.org/garnethoist/internal/store"
+	"garnethoist.org/garnethoist/internal/store/httpstore"
 )
 
-// Platform serves a platform.Memory over the HTTP protocol.
+// Platform serves a store.Memory over the HTTP protocol.
 type Platform struct {
-	Memory *platform.Memory
+	Memory *store.Memory
 }
 
 // Handler serves the platform's protocol, and POST /fault?mode=M and
 // POST /vm to set it up.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+httpplatform.PathRecord, p.get)
-	mux.HandleFunc("GET "+httpplatform.PathRecords, p.list)
-	mux.HandleFunc("POST "+httpplatform.PathCommit, p.commit)
-	mux.HandleFunc("PUT "+httpplatform.PathObjects+"{name}", p.putObject)
-	mux.HandleFunc("GET "+httpplatform.PathObjects+"{name}", p.getObject)
-	mux.HandleFunc("GET "+httpplatform.PathVMs, p.vms)
-	mux.HandleFunc("POST "+httpplatform.PathWeights, p.reserve)
+	mux.HandleFunc("GET "+httpstore.PathRecord, p.get)
+	mux.HandleFunc("GET "+httpstore.PathRecords, p.list)
+	mux.HandleFunc("POST "+httpstore.PathCommit, p.commit)
+	mux.HandleFunc("PUT "+httpstore.PathObjects+"{name}", p.putObject)
+	mux.HandleFunc("GET "+httpstore.PathObjects+"{name}", p.getObject)
+	mux.HandleFunc("GET "+httpstore.PathVMs, p.vms)
+	mux.HandleFunc("POST "+httpstore.PathWeights, p.reserve)
 	mux.HandleFunc("POST /fault", p.setFault)
 	mux.HandleFunc("POST /vm", p.setVM)
 	mux.HandleFunc("GET /counts", p.counts)
@@ -45,13 +45,13 @@
 }
 
 func (p *Platform) commit(w http.ResponseWriter, r *http.Request) {
-	var txn platform.Txn
+	var txn store.Txn
 	if err := json.NewDecoder(r.Body).Decode(&txn); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	v, err := p.Memory.Commit(r.Context(), txn)
-	answer(w, httpplatform.CommitAnswer{Version: v}, err)
+	answer(w, httpstore.CommitAnswer{Version: v}, err)
 }
 
 func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
@@ -78,7 +78,7 @@
 
 func (p *Platform) vms(w http.ResponseWriter, r *http.Request) {
 	l, err := p.Memory.VMs(r.Context(), noRevision)
-	tag := httpplatform.Revision(l.Revision)
+	tag := httpstore.Revision(l.Revision)
 	if err == nil && r.Header.Get("If-None-Match") == tag {
 		w.WriteHeader(http.StatusNotModified)
 		return
@@ -88,17 +88,17 @@
 }
 
 func (p *Platform) reserve(w http.ResponseWriter, r *http.Request) {
-	var req httpplatform.ReserveRequest
+	var req httpstore.ReserveRequest
 	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	wait, err := p.Memory.Reserve(r.Context(), req.Model, req.Bytes)
-	answer(w, httpplatform.ReserveAnswer{WaitMS: int64(wait / time.Millisecond)}, err)
+	answer(w, httpstore.ReserveAnswer{WaitMS: int64(wait / time.Millisecond)}, err)
 }
 
 func (p *Platform) setFault(_ http.ResponseWriter, r *http.Request) {
-	p.Memory.SetFault(platform.Fault(r.URL.Query().Get("mode")))
+	p.Memory.SetFault(store.Fault(r.URL.Query().Get("mode")))
 }
 
 // PlatformCounts is how many requests the platform has served.
@@ -113,7 +113,7 @@
 }
 
 func (p *Platform) setVM(w http.ResponseWriter, r *http.Request) {
-	var vm platform.VM
+	var vm store.VM
 	if err := json.NewDecoder(r.Body).Decode(&vm); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -125,11 +125,11 @@
 	switch {
 	case err == nil:
 		writeJSON(w, http.StatusOK, v)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		w.WriteHeader(http.StatusNotFound)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		w.WriteHeader(http.StatusPreconditionFailed)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, store.ErrUnavailable):
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
 		w.WriteHeader(http.StatusInternalServerError)
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -8,8 +8,8 @@
 
 	"github.com/pkg/errors"
 
-	"garnethoist.org/garnethoist/internal/platform"
 	"garnethoist.org/garnethoist/internal/settings"
+	"garnethoist.org/garnethoist/internal/store"
 )
 
 // Server serves one stand-in; it is a kernel module.
@@ -24,11 +24,11 @@
 	s := &Server{cfg: cfg}
 	switch cfg.Kind {
 	case "platform":
-		m := platform.NewMemory()
+		m := store.NewMemory()
 		for _, vm := range cfg.VMs {
-			m.SetVM(platform.VM{
+			m.SetVM(store.VM{
 				Name: vm.Name, DataCentre: vm.DataCentre, Address: string(vm.Address),
-				Kind: platform.VMKind(vm.Kind), State: platform.VMLive,
+				Kind: store.VMKind(vm.Kind), State: store.VMLive,
 			})
 		}
 		s.http = &http.Server{Handler: (&Platform{Memory: m}).Handler()}
--- a/internal/steward/authority.go
+++ b/internal/steward/authority.go
@@ -12,8 +12,8 @@
 	"garnethoist.org/garnethoist/internal/lease"
 	"garnethoist.org/garnethoist/internal/member"
 	"garnethoist.org/garnethoist/internal/order"
-	"garnethoist.org/garnethoist/internal/platform"
 	"garnethoist.org/garnethoist/internal/settings"
+	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/telemetry"
 )
 
@@ -33,8 +33,8 @@
 	cfg     *settings.Steward
 	store   *gossip.Store
 	gossip  *member.Gossip
-	table   platform.Table
-	weights platform.WeightStore
+	table   store.Table
+	weights store.WeightStore
 	engines order.Engines
 	clock   lease.Clock
 	log     *telemetry.Logger
--- a/internal/steward/controller_test.go
+++ b/internal/steward/controller_test.go
@@ -10,8 +10,8 @@
 	"garnethoist.org/garnethoist/api"
 	"garnethoist.org/garnethoist/internal/gossip"
 	"garnethoist.org/garnethoist/internal/member"
-	"garnethoist.org/garnethoist/internal/platform"
 	"garnethoist.org/garnethoist/internal/settings"
+	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/table"
 	"garnethoist.org/garnethoist/internal/target"
 	"garnethoist.org/garnethoist/internal/telemetry"
@@ -55,18 +55,18 @@
 	cfg.VM, cfg.DataCentre = "vm-1", "kakkanad"
 	s := &stage{t: t, store: gossip.NewStore(time.Now), engines: &fakeEngines{status: map[string]*target.Status{}}}
 	self := member.Self{VM: "vm-1", DataCentre: "kakkanad", Address: "a", Incarnation: 1}
-	memory := platform.NewMemory()
+	memory := store.NewMemory()
 	memory.SetClock(func() time.Time { return time.Unix(0, 0).Add(s.now) })
 	a := &authority{
 		cfg: cfg, store: s.store, gossip: member.New(self, time.Second, s.store, nil, nil, telemetry.Discard()),
 		table: memory, weights: memory, engines: s.engines, clock: func() time.Duration { return s.now },
 		log: telemetry.Discard(), records: newDecisionBook("vm-1"), controllers: map[string]*controller{},
 	}
-	var l platform.VMListing
+	var l store.VMListing
 	l.Revision = 1
 	for i := range engines {
 		name := string(rune('a' + i))
-		l.VMs = append(l.VMs, platform.VM{Name: name, DataCentre: "kakkanad", Address: name, Kind: platform.VMEngine, State: platform.VMLive, Changed: 1})
+		l.VMs = append(l.VMs, store.VM{Name: name, DataCentre: "kakkanad", Address: name, Kind: store.VMEngine, State: store.VMLive, Changed: 1})
 		s.engines.status[name] = &target.Status{Boot: 1, Role: target.RoleBoth, Model: "m", Version: "v1", Slots: 8}
 	}
 	s.store.Merge(s.store.VMItems(l), "")
@@ -189,13 +189,13 @@
 	is := is.New(t)
 	s := newStage(t, 3)
 	s.run(2)
-	memory := s.c.table.(*platform.Memory)
-	memory.SetFault(platform.FaultDown)
+	memory := s.c.table.(*store.Memory)
+	memory.SetFault(store.FaultDown)
 	s.now += time.Hour
 	s.table(2, "v2")
 	s.run(20)
 	is.Equal(len(s.engines.orders), 0)
-	memory.SetFault(platform.FaultNone)
+	memory.SetFault(store.FaultNone)
 	s.run(20)
 	is.True(len(s.engines.orders) > 0)
 }
--- a/internal/steward/modules.go
+++ b/internal/steward/modules.go
@@ -11,8 +11,8 @@
 	"garnethoist.org/garnethoist/internal/kernel"
 	"garnethoist.org/garnethoist/internal/lease"
 	"garnethoist.org/garnethoist/internal/member"
-	"garnethoist.org/garnethoist/internal/platform/httpplatform"
 	"garnethoist.org/garnethoist/internal/settings"
+	"garnethoist.org/garnethoist/internal/store/httpstore"
 	"garnethoist.org/garnethoist/internal/table"
 	"garnethoist.org/garnethoist/internal/target"
 	"garnethoist.org/garnethoist/internal/telemetry"
@@ -59,7 +59,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return httpplatform.NewCounted(string(cfg.Platform.Address), cfg.Platform.Timeout.D(), t.wrap), nil
+		return httpstore.NewCounted(string(cfg.Platform.Address), cfg.Platform.Timeout.D(), t.wrap), nil
 	})
 	k.Register(ModuleTargets, func(k *kernel.Kernel) (any, error) {
 		t, err := kernel.Get[*traffic](k, ModuleTraffic)
@@ -77,7 +77,7 @@
 	k.Register(ModuleRecords, func(*kernel.Kernel) (any, error) { return newDecisionBook(cfg.VM), nil })
 	k.Register(ModuleBurns, func(*kernel.Kernel) (any, error) { return newBurnBook(), nil })
 	k.Register(ModuleTables, func(k *kernel.Kernel) (any, error) {
-		p, err := kernel.Get[*httpplatform.Client](k, ModulePlatform)
+		p, err := kernel.Get[*httpstore.Client](k, ModulePlatform)
 		return table.NewStore(p, time.Now), err
 	})
 	k.Register(ModuleGossip, func(k *kernel.Kernel) (any, error) { return provideGossip(k, cfg) })
@@ -118,7 +118,7 @@
 	g := &kernel.Getter{Kernel: k}
 	t := &tableSync{
 		store: kernel.Need[*gossip.Store](g, ModuleStore), gossip: kernel.Need[*member.Gossip](g, ModuleGossip),
-		tables: kernel.Need[*table.Store](g, ModuleTables), vms: kernel.Need[*httpplatform.Client](g, ModulePlatform),
+		tables: kernel.Need[*table.Store](g, ModuleTables), vms: kernel.Need[*httpstore.Client](g, ModulePlatform),
 		interval: cfg.PlatformInterval.D(), log: kernel.Need[*telemetry.Logger](g, ModuleLog),
 	}
 	return t, g.Err
@@ -136,7 +136,7 @@
 
 func provideAuthority(k *kernel.Kernel, cfg *settings.Steward) (any, error) {
 	g := &kernel.Getter{Kernel: k}
-	p := kernel.Need[*httpplatform.Client](g, ModulePlatform)
+	p := kernel.Need[*httpstore.Client](g, ModulePlatform)
 	a := &authority{
 		cfg: cfg, store: kernel.Need[*gossip.Store](g, ModuleStore), gossip: kernel.Need[*member.Gossip](g, ModuleGossip),
 		table: p, weights: p, engines: kernel.Need[*target.Client](g, ModuleTargets), clock: lease.BootClock,
--- a/internal/steward/server.go
+++ b/internal/steward/server.go
@@ -18,7 +18,7 @@
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/gossip"
 	"garnethoist.org/garnethoist/internal/member"
-	"garnethoist.org/garnethoist/internal/platform"
+	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/table"
 	"garnethoist.org/garnethoist/internal/telemetry"
 )
@@ -190,9 +190,9 @@
 		return errkind.TableConflict
 	case errors.As(err, &invalid):
 		return errkind.TableInvalid
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, store.ErrUnknown):
 		return errkind.OutcomeUnknown
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, store.ErrUnavailable):
 		return errkind.PlatformDown
 	}
 	return errkind.BadRequest
--- a/internal/steward/tablesync.go
+++ b/internal/steward/tablesync.go
@@ -12,7 +12,7 @@
 	"garnethoist.org/garnethoist/internal/gossip"
 	"garnethoist.org/garnethoist/internal/kernel"
 	"garnethoist.org/garnethoist/internal/member"
-	"garnethoist.org/garnethoist/internal/platform"
+	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/table"
 	"garnethoist.org/garnethoist/internal/telemetry"
 )
@@ -27,7 +27,7 @@
 	store    *gossip.Store
 	gossip   *member.Gossip
 	tables   *table.Store
-	vms      platform.VMList
+	vms      store.VMList
 	interval time.Duration
 	log      *telemetry.Logger
 
--- a/internal/platform/contract_test.go
+++ b/internal/store/contract_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -11,32 +11,32 @@
 
 	"github.com/matryer/is"
 
-	"garnethoist.org/garnethoist/internal/platform"
-	"garnethoist.org/garnethoist/internal/platform/httpplatform"
 	"garnethoist.org/garnethoist/internal/standin"
+	"garnethoist.org/garnethoist/internal/store"
+	"garnethoist.org/garnethoist/internal/store/httpstore"
 )
 
 // services is all that the platform gives.
 type services interface {
-	platform.Table
-	platform.Objects
-	platform.VMList
-	platform.WeightStore
+	store.Table
+	store.Objects
+	store.VMList
+	store.WeightStore
 }
 
 // implementations are held to the same contract. Each case gets the services
 // and the memory behind them, to set faults.
-func implementations(t *testing.T) map[string]func() (services, *platform.Memory) {
-	return map[string]func() (services, *platform.Memory){
-		"memory": func() (services, *platform.Memory) {
-			m := platform.NewMemory()
+func implementations(t *testing.T) map[string]func() (services, *store.Memory) {
+	return map[string]func() (services, *store.Memory){
+		"memory": func() (services, *store.Memory) {
+			m := store.NewMemory()
 			return m, m
 		},
-		"http": func() (services, *platform.Memory) {
-			m := platform.NewMemory()
+		"http": func() (services, *store.Memory) {
+			m := store.NewMemory()
 			srv := httptest.NewServer((&standin.Platform{Memory: m}).Handler())
 			t.Cleanup(srv.Close)
-			return httpplatform.New(srv.Listener.Addr().String(), 5*time.Second), m
+			return httpstore.New(srv.Listener.Addr().String(), 5*time.Second), m
 		},
 	}
 }
@@ -44,40 +44,40 @@
 func TestContract(t *testing.T) {
 	cases := []struct {
 		name string
-		run  func(*is.I, context.Context, services, *platform.Memory)
+		run  func(*is.I, context.Context, services, *store.Memory)
 	}{
-		{"absent key", func(is *is.I, ctx context.Context, s services, _ *platform.Memory) {
+		{"absent key", func(is *is.I, ctx context.Context, s services, _ *store.Memory) {
 			_, err := s.Get(ctx, "k")
-			is.True(errors.Is(err, platform.ErrNotFound))
+			is.True(errors.Is(err, store.ErrNotFound))
 		}},
-		{"create, then create again", func(is *is.I, ctx context.Context, s services, _ *platform.Memory) {
+		{"create, then create again", func(is *is.I, ctx context.Context, s services, _ *store.Memory) {
 			_, err := s.Commit(ctx, put("k", "a", 0))
 			is.NoErr(err)
 			_, err = s.Commit(ctx, put("k", "b", 0))
-			is.True(errors.Is(err, platform.ErrConflict))
+			is.True(errors.Is(err, store.ErrConflict))
 			r, err := s.Get(ctx, "k")
 			is.NoErr(err)
 			is.Equal(string(r.Value), "a")
 		}},
-		{"stale version", func(is *is.I, ctx context.Context, s services, _ *platform.Memory) {
+		{"stale version", func(is *is.I, ctx context.Context, s services, _ *store.Memory) {
 			v, err := s.Commit(ctx, put("k", "a", 0))
 			is.NoErr(err)
 			_, err = s.Commit(ctx, put("k", "b", v))
 			is.NoErr(err)
 			_, err = s.Commit(ctx, put("k", "c", v))
-			is.True(errors.Is(err, platform.ErrConflict))
+			is.True(errors.Is(err, store.ErrConflict))
 		}},
-		{"all or nothing", func(is *is.I, ctx context.Context, s services, _ *platform.Memory) {
+		{"all or nothing", func(is *is.I, ctx context.Context, s services, _ *store.Memory) {
 			_, err := s.Commit(ctx, put("k", "a", 0))
 			is.NoErr(err)
 			txn := put("other", "x", 0)
-			txn.Conds = append(txn.Conds, platform.Cond{Key: "k", Version: 0})
+			txn.Conds = append(txn.Conds, store.Cond{Key: "k", Version: 0})
 			_, err = s.Commit(ctx, txn)
-			is.True(errors.Is(err, platform.ErrConflict))
+			is.True(errors.Is(err, store.ErrConflict))
 			_, err = s.Get(ctx, "other")
-			is.True(errors.Is(err, platform.ErrNotFound))
+			is.True(errors.Is(err, store.ErrNotFound))
 		}},
-		{"list by prefix in order", func(is *is.I, ctx context.Context, s services, _ *platform.Memory) {
+		{"list by prefix in order", func(is *is.I, ctx context.Context, s services, _ *store.Memory) {
 			for _, k := range []string{"b/2", "a/1", "b/1"} {
 				_, err := s.Commit(ctx, put(k, k, 0))
 				is.NoErr(err)
@@ -87,49 +87,49 @@
 			is.Equal(len(rs), 2)
 			is.Equal(rs[0].Key, "b/1")
 		}},
-		{"down: certainly no effect", func(is *is.I, ctx context.Context, s services, m *platform.Memory) {
-			m.SetFault(platform.FaultDown)
+		{"down: certainly no effect", func(is *is.I, ctx context.Context, s services, m *store.Memory) {
+			m.SetFault(store.FaultDown)
 			_, err := s.Commit(ctx, put("k", "a", 0))
-			is.True(errors.Is(err, platform.ErrUnavailable))
+			is.True(errors.Is(err, store.ErrUnavailable))
 			_, err = s.Get(ctx, "k")
-			is.True(errors.Is(err, platform.ErrUnavailable))
+			is.True(errors.Is(err, store.ErrUnavailable))
 			_, err = s.VMs(ctx, 0)
-			is.True(errors.Is(err, platform.ErrUnavailable))
-			is.True(errors.Is(s.PutObject(ctx, "o", nil), platform.ErrUnavailable))
-			m.SetFault(platform.FaultNone)
+			is.True(errors.Is(err, store.ErrUnavailable))
+			is.True(errors.Is(s.PutObject(ctx, "o", nil), store.ErrUnavailable))
+			m.SetFault(store.FaultNone)
 			_, err = s.Get(ctx, "k")
-			is.True(errors.Is(err, platform.ErrNotFound))
+			is.True(errors.Is(err, store.ErrNotFound))
 		}},
-		{"effect without an answer", func(is *is.I, ctx context.Context, s services, m *platform.Memory) {
-			m.SetFault(platform.FaultLostAnswers)
+		{"effect without an answer", func(is *is.I, ctx context.Context, s services, m *store.Memory) {
+			m.SetFault(store.FaultLostAnswers)
 			_, err := s.Commit(ctx, put("k", "a", 0))
-			is.True(errors.Is(err, platform.ErrUnknown))
-			is.True(errors.Is(s.PutObject(ctx, "o", []byte("x")), platform.ErrUnknown))
-			m.SetFault(platform.FaultNone)
+			is.True(errors.Is(err, store.ErrUnknown))
+			is.True(errors.Is(s.PutObject(ctx, "o", []byte("x")), store.ErrUnknown))
+			m.SetFault(store.FaultNone)
 			r, err := s.Get(ctx, "k")
 			is.NoErr(err)
 			is.Equal(string(r.Value), "a")
 		}},
-		{"no effect and no answer", func(is *is.I, ctx context.Context, s services, m *platform.Memory) {
-			m.SetFault(platform.FaultLostWrites)
+		{"no effect and no answer", func(is *is.I, ctx context.Context, s services, m *store.Memory) {
+			m.SetFault(store.FaultLostWrites)
 			_, err := s.Commit(ctx, put("k", "a", 0))
-			is.True(errors.Is(err, platform.ErrUnknown))
+			is.True(errors.Is(err, store.ErrUnknown))
 			_, err = s.Get(ctx, "k")
-			is.True(errors.Is(err, platform.ErrNotFound))
+			is.True(errors.Is(err, store.ErrNotFound))
 		}},
-		{"objects are written once", func(is *is.I, ctx context.Context, s services, _ *platform.Memory) {
+		{"objects are written once", func(is *is.I, ctx context.Context, s services, _ *store.Memory) {
 			is.NoErr(s.PutObject(ctx, "o", []byte("first")))
-			is.True(errors.Is(s.PutObject(ctx, "o", []byte("second")), platform.ErrConflict))
+			is.True(errors.Is(s.PutObject(ctx, "o", []byte("second")), store.ErrConflict))
 			data, err := s.GetObject(ctx, "o")
 			is.NoErr(err)
 			is.Equal(string(data), "first")
 			_, err = s.GetObject(ctx, "none")
-			is.True(errors.Is(err, platform.ErrNotFound))
+			is.True(errors.Is(err, store.ErrNotFound))
 		}},
-		{"VM list keeps the revision of each change", func(is *is.I, ctx context.Context, s services, m *platform.Memory) {
-			m.SetVM(platform.VM{Name: "e1", Kind: platform.VMEngine, State: platform.VMLive})
-			m.SetVM(platform.VM{Name: "e2", Kind: platform.VMEngine, State: platform.VMLive})
-			m.SetVM(platform.VM{Name: "e1", Kind: platform.VMEngine, State: platform.VMLeaving})
+		{"VM list keeps the revision of each change", func(is *is.I, ctx context.Context, s services, m *store.Memory) {
+			m.SetVM(store.VM{Name: "e1", Kind: store.VMEngine, State: store.VMLive})
+			m.SetVM(store.VM{Name: "e2", Kind: store.VMEngine, State: store.VMLive})
+			m.SetVM(store.VM{Name: "e1", Kind: store.VMEngine, State: store.VMLeaving})
 			l, err := s.VMs(ctx, 0)
 			is.NoErr(err)
 			same, err := s.VMs(ctx, 3)
@@ -140,7 +140,7 @@
 			is.Equal(l.VMs[0].Changed, uint64(3))
 			is.Equal(l.VMs[1].Changed, uint64(2))
 		}},
-		{"weight store says how long to wait", func(is *is.I, ctx context.Context, s services, _ *platform.Memory) {
+		{"weight store says how long to wait", func(is *is.I, ctx context.Context, s services, _ *store.Memory) {
 			wait, err := s.Reserve(ctx, "m", 8<<30)
 			is.NoErr(err)
 			is.Equal(wait, time.Duration(0))
@@ -148,7 +148,7 @@
 			is.NoErr(err)
 			is.True(wait > 0)
 		}},
-		{"only one of many creators", func(is *is.I, ctx context.Context, s services, _ *platform.Memory) {
+		{"only one of many creators", func(is *is.I, ctx context.Context, s services, _ *store.Memory) {
 			var wg sync.WaitGroup
 			var mu sync.Mutex
 			won := 0
@@ -175,10 +175,10 @@
 	}
 }
 
-func put(key, value string, version uint64) platform.Txn {
-	return platform.Txn{
-		Conds: []platform.Cond{{Key: key, Version: version}},
-		Puts:  []platform.Put{{Key: key, Value: []byte(value)}},
+func put(key, value string, version uint64) store.Txn {
+	return store.Txn{
+		Conds: []store.Cond{{Key: key, Version: version}},
+		Puts:  []store.Put{{Key: key, Value: []byte(value)}},
 	}
 }
 
@@ -192,30 +192,30 @@
 		serve func(net.Conn)
 		want  error
 	}{
-		{"closed after the request", func(c net.Conn) { readSome(c) }, platform.ErrUnknown},
+		{"closed after the request", func(c net.Conn) { readSome(c) }, store.ErrUnknown},
 		{"half an answer", func(c net.Conn) {
 			readSome(c)
 			write(c, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{\"ver")
-		}, platform.ErrUnknown},
-		{"garbage", func(c net.Conn) { readSome(c); write(c, "what?\r\n\r\n") }, platform.ErrUnknown},
+		}, store.ErrUnknown},
+		{"garbage", func(c net.Conn) { readSome(c); write(c, "what?\r\n\r\n") }, store.ErrUnknown},
 		{"error after the effect", func(c net.Conn) {
 			readSome(c)
 			write(c, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
-		}, platform.ErrUnknown},
-		{"no answer", func(c net.Conn) { readSome(c); <-hang }, platform.ErrUnknown},
+		}, store.ErrUnknown},
+		{"no answer", func(c net.Conn) { readSome(c); <-hang }, store.ErrUnknown},
 		{"answer that is not JSON", func(c net.Conn) {
 			readSome(c)
 			write(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes")
-		}, platform.ErrUnknown},
+		}, store.ErrUnknown},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			addr := listen(t, c.serve)
-			_, err := httpplatform.New(addr, 300*time.Millisecond).Commit(t.Context(), put("k", "a", 0))
+			_, err := httpstore.New(addr, 300*time.Millisecond).Commit(t.Context(), put("k", "a", 0))
 			is.True(errors.Is(err, c.want))
-			_, err = httpplatform.New(addr, 300*time.Millisecond).Get(t.Context(), "k")
-			is.True(errors.Is(err, platform.ErrUnavailable)) // reads have no effect to be unsure of
+			_, err = httpstore.New(addr, 300*time.Millisecond).Get(t.Context(), "k")
+			is.True(errors.Is(err, store.ErrUnavailable)) // reads have no effect to be unsure of
 		})
 	}
 	t.Run("no listener", func(t *testing.T) {
@@ -223,8 +223,8 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		is.NoErr(err)
 		l.Close()
-		_, err = httpplatform.New(l.Addr().String(), time.Second).Commit(t.Context(), put("k", "a", 0))
-		is.True(errors.Is(err, platform.ErrUnavailable))
+		_, err = httpstore.New(l.Addr().String(), time.Second).Commit(t.Context(), put("k", "a", 0))
+		is.True(errors.Is(err, store.ErrUnavailable))
 	})
 }
 
--- a/internal/platform/httpplatform/client.go
+++ b/internal/store/httpstore/client.go
@@ -1,6 +1,6 @@
-// Package httpplatform is the adapter from the platform interfaces to a
+// Package httpstore is the adapter from the platform interfaces to a
 // platform that speaks HTTP with conditional requests.
-package httpplatform
+package httpstore
 
 import (
 	"bytes"
@@ -15,7 +15,7 @@
 
 	"github.com/pkg/errors"
 
-	"garnethoist.org/garnethoist/internal/platform"
+	"garnethoist.org/garnethoist/internal/store"
 )
 
 // Paths of the HTTP protocol, shared with the stand-in.
@@ -40,10 +40,10 @@
 }
 
 var (
-	_ platform.Table       = (*Client)(nil)
-	_ platform.Objects     = (*Client)(nil)
-	_ platform.VMList      = (*Client)(nil)
-	_ platform.WeightStore = (*Client)(nil)
+	_ store.Table       = (*Client)(nil)
+	_ store.Objects     = (*Client)(nil)
+	_ store.VMList      = (*Client)(nil)
+	_ store.WeightStore = (*Client)(nil)
 )
 
 // New returns a client of the platform at address. Each request ends after
@@ -79,16 +79,16 @@
 	return nil
 }
 
-// Get implements platform.Table.
-func (c *Client) Get(ctx context.Context, key string) (platform.Record, error) {
-	var r platform.Record
+// Get implements store.Table.
+func (c *Client) Get(ctx context.Context, key string) (store.Record, error) {
+	var r store.Record
 	err := c.read(ctx, PathRecord+"?key="+url.QueryEscape(key), &r)
 	return r, err
 }
 
-// List implements platform.Table.
-func (c *Client) List(ctx context.Context, prefix string) ([]platform.Record, error) {
-	var rs []platform.Record
+// List implements store.Table.
+func (c *Client) List(ctx context.Context, prefix string) ([]store.Record, error) {
+	var rs []store.Record
 	err := c.read(ctx, PathRecords+"?prefix="+url.QueryEscape(prefix), &rs)
 	return rs, err
 }
@@ -98,8 +98,8 @@
 	Version uint64 `json:"version"`
 }
 
-// Commit implements platform.Table.
-func (c *Client) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+// Commit implements store.Table.
+func (c *Client) Commit(ctx context.Context, txn store.Txn) (uint64, error) {
 	body, err := json.Marshal(txn)
 	if err != nil {
 		return 0, errors.Wrap(err, "encode transaction")
@@ -109,26 +109,26 @@
 	return a.Version, err
 }
 
-// PutObject implements platform.Objects.
+// PutObject implements store.Objects.
 func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
 	return c.write(ctx, http.MethodPut, PathObjects+url.PathEscape(name), data, nil)
 }
 
-// GetObject implements platform.Objects.
+// GetObject implements store.Objects.
 func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
 	data, err := c.get(ctx, PathObjects+url.PathEscape(name))
 	return data, err
 }
 
-// VMs implements platform.VMList.
-func (c *Client) VMs(ctx context.Context, known uint64) (platform.VMListing, error) {
-	var l platform.VMListing
+// VMs implements store.VMList.
+func (c *Client) VMs(ctx context.Context, known uint64) (store.VMListing, error) {
+	var l store.VMListing
 	data, err := c.getUnless(ctx, PathVMs, Revision(known))
 	if err != nil || data == nil {
-		return platform.VMListing{Revision: known}, err
+		return store.VMListing{Revision: known}, err
 	}
 	if err := json.Unmarshal(data, &l); err != nil {
-		return l, errors.Wrapf(platform.ErrUnavailable, "decode VM list: %v", err)
+		return l, errors.Wrapf(store.ErrUnavailable, "decode VM list: %v", err)
 	}
 	return l, nil
 }
@@ -147,7 +147,7 @@
 	Bytes int64  `json:"bytes"`
 }
 
-// Reserve implements platform.WeightStore.
+// Reserve implements store.WeightStore.
 func (c *Client) Reserve(ctx context.Context, model string, size int64) (time.Duration, error) {
 	body, err := json.Marshal(ReserveRequest{Model: model, Bytes: size})
 	if err != nil {
@@ -164,7 +164,7 @@
 		return err
 	}
 	if err := json.Unmarshal(data, dst); err != nil {
-		return errors.Wrapf(platform.ErrUnavailable, "decode %s: %v", path, err)
+		return errors.Wrapf(store.ErrUnavailable, "decode %s: %v", path, err)
 	}
 	return nil
 }
@@ -186,7 +186,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, errors.Wrapf(platform.ErrUnavailable, "%v", err)
+		return nil, errors.Wrapf(store.ErrUnavailable, "%v", err)
 	}
 	defer resp.Body.Close()
 	if tag != "" && resp.StatusCode == http.StatusNotModified {
@@ -194,9 +194,9 @@
 	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
-		return nil, errors.Wrapf(platform.ErrUnavailable, "%v", err)
+		return nil, errors.Wrapf(store.ErrUnavailable, "%v", err)
 	}
-	return data, statusError(resp.StatusCode, platform.ErrUnavailable)
+	return data, statusError(resp.StatusCode, store.ErrUnavailable)
 }
 
 // write sends one write and never repeats it: GetBody is cleared, so that the
@@ -216,16 +216,16 @@
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
-		return errors.Wrapf(platform.ErrUnknown, "%v", err)
+		return errors.Wrapf(store.ErrUnknown, "%v", err)
 	}
-	if err := statusError(resp.StatusCode, platform.ErrUnknown); err != nil {
+	if err := statusError(resp.StatusCode, store.ErrUnknown); err != nil {
 		return err
 	}
 	if dst == nil {
 		return nil
 	}
 	if err := json.Unmarshal(data, dst); err != nil {
-		return errors.Wrapf(platform.ErrUnknown, "decode answer: %v", err)
+		return errors.Wrapf(store.ErrUnknown, "decode answer: %v", err)
 	}
 	return nil
 }
@@ -235,9 +235,9 @@
 func writeFailure(err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
-	return platform.ErrUnknown
+	return store.ErrUnknown
 }
 
 // statusError maps a status to the platform's errors; any status that the
@@ -247,11 +247,11 @@
 	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
 		return nil
 	case http.StatusNotFound:
-		return platform.ErrNotFound
+		return store.ErrNotFound
 	case http.StatusPreconditionFailed:
-		return platform.ErrConflict
+		return store.ErrConflict
 	case http.StatusServiceUnavailable:
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	return errors.Wrapf(other, "status %d", status)
 }
--- a/internal/platform/memory.go
+++ b/internal/store/memory.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
--- a/internal/platform/platform.go
+++ b/internal/store/store.go
@@ -2,7 +2,7 @@
 // transactional table, an object store, a VM list and a weight store. The
 // interfaces are narrow so that an adapter is one small package; platformtest
 // holds the contract tests that any adapter must pass.
-package platform
+package store
 
 import (
 	"context"
--- a/internal/table/store.go
+++ b/internal/table/store.go
@@ -10,7 +10,7 @@
 
 	"github.com/pkg/errors"
 
-	"garnethoist.org/garnethoist/internal/platform"
+	"garnethoist.org/garnethoist/internal/store"
 )
 
 // Keys of the table on the platform.
@@ -30,12 +30,12 @@
 // Store keeps the table on the platform. Each row is written on the version it
 // was taken from; one head record carries the version of the whole.
 type Store struct {
-	platform platform.Table
+	platform store.Table
 	now      func() time.Time
 }
 
 // NewStore returns the table kept on p.
-func NewStore(p platform.Table, now func() time.Time) *Store {
+func NewStore(p store.Table, now func() time.Time) *Store {
 	return &Store{platform: p, now: now}
 }
 
@@ -94,7 +94,7 @@
 func (s *Store) head(ctx context.Context) (head, uint64, error) {
 	var h head
 	rec, err := s.platform.Get(ctx, keyHead)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return h, 0, nil
 	}
 	if err != nil {
@@ -129,7 +129,7 @@
 			return Table{Version: before.Version, Rows: rows}, version, nil
 		}
 	}
-	return Table{}, 0, errors.Wrap(platform.ErrUnavailable, "the table changes faster than it can be read")
+	return Table{}, 0, errors.Wrap(store.ErrUnavailable, "the table changes faster than it can be read")
 }
 
 func (s *Store) rows(ctx context.Context) ([]Row, error) {
@@ -161,22 +161,22 @@
 		switch {
 		case err == nil:
 			return version, nil
-		case errors.Is(err, platform.ErrUnknown):
+		case errors.Is(err, store.ErrUnknown):
 			// The write may land, now or later, but only on the head it was
 			// made for. The token tells, or the same write is made again.
 			continue
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, store.ErrConflict):
 			continue
 		}
 		return 0, err
 	}
-	return 0, errors.Wrap(platform.ErrUnknown, "the edit could not be confirmed; apply it again with the same token")
+	return 0, errors.Wrap(store.ErrUnknown, "the edit could not be confirmed; apply it again with the same token")
 }
 
 // applied returns the version of an edit that is already in force.
 func (s *Store) applied(ctx context.Context, token string) (uint64, bool, error) {
 	rec, err := s.platform.Get(ctx, prefixToken+token)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return 0, false, nil
 	}
 	if err != nil {
@@ -300,8 +300,8 @@
 
 // transaction builds the one write that puts an edit in force: changed rows,
 // head, history and token.
-func (s *Store) transaction(e Edit, version, headVersion uint64, changes []Change) (platform.Txn, error) {
-	txn := platform.Txn{Conds: []platform.Cond{
+func (s *Store) transaction(e Edit, version, headVersion uint64, changes []Change) (store.Txn, error) {
+	txn := store.Txn{Conds: []store.Cond{
 		{Key: keyHead, Version: headVersion},
 		{Key: prefixToken + e.Token, Version: 0},
 	}}
@@ -339,12 +339,12 @@
 // historyKey sorts by version.
 func historyKey(version uint64) string { return fmt.Sprintf("%s%016x", prefixHistory, version) }
 
-func putJSON(txn *platform.Txn, key string, value any) error {
+func putJSON(txn *store.Txn, key string, value any) error {
 	data, err := json.Marshal(value)
 	if err != nil {
 		return errors.Wrapf(err, "encode %s", key)
 	}
-	txn.Puts = append(txn.Puts, platform.Put{Key: key, Value: data})
+	txn.Puts = append(txn.Puts, store.Put{Key: key, Value: data})
 	return nil
 }
 
--- a/internal/table/store_test.go
+++ b/internal/table/store_test.go
@@ -12,10 +12,10 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/matryer/is"
 
-	"garnethoist.org/garnethoist/internal/platform"
+	"garnethoist.org/garnethoist/internal/store"
 )
 
-func seeded(t *testing.T, p platform.Table) (*Store, Table) {
+func seeded(t *testing.T, p store.Table) (*Store, Table) {
 	t.Helper()
 	s := NewStore(p, time.Now)
 	v, err := s.Apply(t.Context(), Edit{Token: "seed", Who: "test", Table: Table{Rows: []Row{hintsRow(), renewalsRow()}}})
@@ -42,7 +42,7 @@
 
 func TestTwoOperators(t *testing.T) {
 	is := is.New(t)
-	s, base := seeded(t, platform.NewMemory())
+	s, base := seeded(t, store.NewMemory())
 	_, err := s.Apply(t.Context(), Edit{Token: "a", Base: base.Version, Table: withWeight(base, "hints", 5)})
 	is.NoErr(err)
 
@@ -64,7 +64,7 @@
 
 func TestEngineGivenTwiceByTwoOperators(t *testing.T) {
 	is := is.New(t)
-	s, base := seeded(t, platform.NewMemory())
+	s, base := seeded(t, store.NewMemory())
 	add := func(name string) Table {
 		out := withWeight(base, "", 0)
 		r := hintsRow()
@@ -81,7 +81,7 @@
 
 func TestRemovalAgainstEdit(t *testing.T) {
 	is := is.New(t)
-	s, base := seeded(t, platform.NewMemory())
+	s, base := seeded(t, store.NewMemory())
 	removed := Table{Rows: []Row{base.Rows[1]}}
 	_, err := s.Apply(t.Context(), Edit{Token: "a", Base: base.Version, Table: removed})
 	is.NoErr(err)
@@ -92,19 +92,19 @@
 
 // faulty lets the first n commits go wrong in one way.
 type faulty struct {
-	*platform.Memory
+	*store.Memory
 	mu    sync.Mutex
 	left  int
-	fault platform.Fault
+	fault store.Fault
 }
 
-func (f *faulty) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+func (f *faulty) Commit(ctx context.Context, txn store.Txn) (uint64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.left > 0 {
 		f.left--
 		f.SetFault(f.fault)
-		defer f.SetFault(platform.FaultNone)
+		defer f.SetFault(store.FaultNone)
 	}
 	return f.Memory.Commit(ctx, txn)
 }
@@ -112,15 +112,15 @@
 func TestUnknownWrites(t *testing.T) {
 	cases := []struct {
 		name  string
-		fault platform.Fault
+		fault store.Fault
 	}{
-		{"effect without an answer", platform.FaultLostAnswers},
-		{"no effect and no answer", platform.FaultLostWrites},
+		{"effect without an answer", store.FaultLostAnswers},
+		{"no effect and no answer", store.FaultLostWrites},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			p := &faulty{Memory: platform.NewMemory()}
+			p := &faulty{Memory: store.NewMemory()}
 			s, base := seeded(t, p)
 			p.left, p.fault = 1, c.fault
 			v, err := s.Apply(t.Context(), Edit{Token: "a", Base: base.Version, Table: withWeight(base, "hints", 5)})
@@ -138,12 +138,12 @@
 
 func TestPlatformDown(t *testing.T) {
 	is := is.New(t)
-	p := platform.NewMemory()
+	p := store.NewMemory()
 	s, base := seeded(t, p)
-	p.SetFault(platform.FaultDown)
+	p.SetFault(store.FaultDown)
 	_, err := s.Apply(t.Context(), Edit{Token: "a", Base: base.Version, Table: withWeight(base, "hints", 5)})
-	is.True(errors.Is(err, platform.ErrUnavailable))
-	p.SetFault(platform.FaultNone)
+	is.True(errors.Is(err, store.ErrUnavailable))
+	p.SetFault(store.FaultNone)
 	v, err := s.Version(t.Context())
 	is.NoErr(err)
 	is.Equal(v, uint64(1))
@@ -181,9 +181,9 @@
 // Concurrent operators, some writes without an answer: every accepted edit
 // replaced the value that it was based on, and none was lost.
 func TestConcurrentOperatorsHistory(t *testing.T) {
-	p := &faulty{Memory: platform.NewMemory()}
+	p := &faulty{Memory: store.NewMemory()}
 	s, _ := seeded(t, p)
-	p.left, p.fault = 8, platform.FaultLostAnswers
+	p.left, p.fault = 8, store.FaultLostAnswers
 	var mu sync.Mutex
 	var history []porcupine.Operation
 	start := time.Now()
@@ -242,7 +242,7 @@
 // the later edit.
 func TestRepeatedApplyAfterALaterEdit(t *testing.T) {
 	is := is.New(t)
-	s, base := seeded(t, platform.NewMemory())
+	s, base := seeded(t, store.NewMemory())
 	edit := Edit{Token: "a", Base: base.Version, Table: withWeight(base, "hints", 5)}
 	v, err := s.Apply(t.Context(), edit)
 	is.NoErr(err)
