--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -77,7 +77,7 @@
 		fmt.Fprintf(stdout, "%s: ok\n", opts.Settings)
 		return ExitOK
 	}
-	if err := d.run(stderr); err != nil {
+	if err := d.run(stdout); err != nil {
 		fmt.Fprintf(stderr, "%s: %v\n", d.Name, err)
 		return ExitFailed
 	}
--- /dev/null
+++ b/internal/gateway/exchange.go
@@ -0,0 +1,268 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"garnethoist.org/garnethoist/internal/errkind"
+	"garnethoist.org/garnethoist/internal/fleet"
+	"garnethoist.org/garnethoist/internal/httpsend"
+	"garnethoist.org/garnethoist/internal/place"
+	"garnethoist.org/garnethoist/internal/telemetry"
+)
+
+// exchange is one caller's request and its answer.
+type exchange struct {
+	g       *Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	arrived time.Time
+	view    *fleet.View
+
+	meta     Meta
+	route    *fleet.Route
+	service  string
+	body     []byte
+	deadline time.Time
+
+	// tried holds the targets that are not to be chosen again.
+	tried place.Tried
+	// arrivals counts the targets that the request reached, prefills excepted.
+	arrivals int
+	// prefills counts the prefill calls that reached a target.
+	prefills int
+	// ran is set once a target may have run the request.
+	ran bool
+	// began is set once the caller has a part of the answer; status is that of
+	// a complete one.
+	began  bool
+	status int
+	// first is when the first byte of the answer went to the caller.
+	first time.Time
+	trail strings.Builder
+}
+
+// run serves the request. An error is an *errkind.Error.
+func (x *exchange) run() error {
+	if !x.view.Usable() {
+		return errkind.New(errkind.NotReady, "configuration and targets are not known yet")
+	}
+	cfg := x.view.Config
+	x.route = cfg.Match(x.r.Host, pathOf(x.r.RequestURI))
+	if x.route == nil {
+		return errkind.New(errkind.UnknownPath, "no route for this host and path")
+	}
+	meta, err := x.g.proto.Meta(x.r.Header)
+	if err != nil {
+		return errkind.Wrap(errkind.BadRequest, err, "%v", err)
+	}
+	x.meta = meta
+	x.service = x.route.Pick(x.g.float())
+	x.setDeadline()
+	if err := x.readBody(cfg.Limits); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
+	defer cancel()
+	x.tried = place.Tried{}
+	x.g.budget(x.service).Request()
+	if x.generates() {
+		return x.generate(ctx)
+	}
+	return x.plain(ctx)
+}
+
+// generates reports whether a model engine serves the request.
+func (x *exchange) generates() bool {
+	s := x.view.Config.Services[x.service]
+	return s != nil && s.Engine != nil && x.meta.Prompt != nil
+}
+
+func (x *exchange) setDeadline() {
+	x.deadline = x.arrived.Add(x.route.Timeout)
+	if x.meta.Timeout > 0 && x.meta.Timeout < x.route.Timeout {
+		x.deadline = x.arrived.Add(x.meta.Timeout)
+	}
+}
+
+// reload takes the newest view, so that nothing is sent to a target that has
+// begun to leave meanwhile.
+func (x *exchange) reload() { x.view = x.g.keeper.View() }
+
+// mayTryAgain reports whether another target may be asked, and draws on the
+// budget.
+func (x *exchange) mayTryAgain(ctx context.Context) bool {
+	if ctx.Err() != nil || x.arrivals >= x.route.MaxAttempts {
+		return false
+	}
+	return x.g.budget(x.service).Retry()
+}
+
+// outcome is how one send ended.
+type outcome int
+
+const (
+	// sentNothing: the target was not reached.
+	sentNothing outcome = iota + 1
+	// refused: the target states that it did not run the request.
+	refused
+	// unknown: the request was sent; whether it ran is not known.
+	unknown
+	// answered: the head of the target's answer is there.
+	answered
+)
+
+// send sends the request to t once. resp is set when it was answered.
+func (x *exchange) send(ctx context.Context, t *fleet.Target, d Directive, ticket *place.Ticket) (*httpsend.Response, outcome, error) {
+	d.TargetID = t.ID
+	d.Remaining = time.Until(x.deadline)
+	req := &httpsend.Request{
+		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host,
+		Header: x.g.proto.Outgoing(x.r.Header, d), Body: x.body,
+	}
+	ours := func(status int, h http.Header) bool { return x.g.proto.Ours(x.meta.ID, status, h) }
+	fresh := x.route.Kind == fleet.NonIdempotent
+	resp, err := x.g.client.Send(ctx, x.g.destination(x.view, t, fresh), req, ours)
+	if err != nil {
+		return nil, x.sendFailed(ctx, t, ticket, err), err
+	}
+	switch x.g.proto.Verdict(resp.Status, resp.Header, d.PrefillOnly) {
+	case Refused:
+		x.note(t, "refused", nil)
+		drain(resp)
+		ticket.End(place.Neutral, time.Now())
+		return nil, refused, errors.Errorf("status %d", resp.Status)
+	case Invalid:
+		x.note(t, "invalid", nil)
+		resp.Close()
+		ticket.End(place.Bad, time.Now())
+		return nil, unknown, errors.Errorf("status %d without a signature", resp.Status)
+	}
+	return resp, answered, nil
+}
+
+func (x *exchange) sendFailed(ctx context.Context, t *fleet.Target, ticket *place.Ticket, err error) outcome {
+	now := time.Now()
+	var failed *httpsend.Error
+	notSent := errors.As(err, &failed) && failed.Phase == httpsend.NotSent
+	x.note(t, "failed", err)
+	switch {
+	case x.r.Context().Err() != nil || errors.Is(err, httpsend.ErrNoConn):
+		ticket.End(place.Neutral, now)
+	case notSent:
+		ticket.End(place.Unreachable, now)
+	default:
+		ticket.End(place.Bad, now)
+	}
+	if notSent {
+		return sentNothing
+	}
+	return unknown
+}
+
+// drain reads a short answer to its end, so that the connection can be kept.
+func drain(resp *httpsend.Response) {
+	defer resp.Close()
+	// What cannot be read closes the connection; the status is known already.
+	_, _ = io.CopyN(io.Discard, resp, maxRefusalBody)
+}
+
+// maxRefusalBody bounds what is read of a refusal.
+const maxRefusalBody = 4 << 10
+
+// note adds a send to the request's log line.
+func (x *exchange) note(t *fleet.Target, what string, err error) {
+	if x.trail.Len() > 0 {
+		x.trail.WriteByte(' ')
+	}
+	x.trail.WriteString(t.ID)
+	x.trail.WriteByte('=')
+	x.trail.WriteString(what)
+	x.trail.WriteByte('@')
+	x.trail.WriteString(strconv.FormatInt(time.Since(x.arrived).Milliseconds(), 10))
+	if err != nil {
+		x.trail.WriteByte('(')
+		x.trail.WriteString(err.Error())
+		x.trail.WriteByte(')')
+	}
+}
+
+// giveUp returns the error for a request that no further target is asked for.
+func (x *exchange) giveUp(ctx context.Context, cause error) error {
+	switch {
+	case x.r.Context().Err() != nil:
+		return errkind.Wrap(errkind.ClientGone, cause, "the caller has gone")
+	case !x.ran:
+		return x.refusal(errkind.NoTarget, cause, "no target could take the request")
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return errkind.Wrap(errkind.DeadlineExceeded, cause, "no answer in time")
+	}
+	return errkind.Wrap(errkind.OutcomeUnknown, cause, "the target did not answer; the request may have run")
+}
+
+// refusalWait is when a refused caller is told to come back.
+const refusalWait = 100 * time.Millisecond
+
+func (x *exchange) refusal(kind errkind.Kind, cause error, detail string) error {
+	e := errkind.Wrap(kind, cause, "%s", detail)
+	e.RetryAfter = refusalWait
+	return e
+}
+
+// fail answers with an error of this system's own.
+func (x *exchange) fail(e *errkind.Error) {
+	x.began = true
+	a := e.Answer()
+	x.status = a.Status
+	if e.Kind == errkind.ClientGone {
+		return
+	}
+	h := x.w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(errkind.HeaderOutcome, string(a.Outcome))
+	if a.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', -1, 64))
+	}
+	x.w.WriteHeader(a.Status)
+	// A failed write means that the caller has gone.
+	_, _ = x.w.Write(errkind.Body(e))
+}
+
+// report logs and counts the request once.
+func (x *exchange) report(err error) {
+	took := time.Since(x.arrived)
+	fields := []telemetry.Field{
+		telemetry.F("request", x.meta.ID), telemetry.F("ms", took.Milliseconds()), telemetry.F("status", x.status),
+		telemetry.F("sends", x.trail.String()),
+	}
+	if x.view.Config != nil {
+		fields = append(fields, telemetry.F("config", x.view.Config.Version), telemetry.F("targets", x.view.TargetsRevision))
+	}
+	name := ""
+	if x.route != nil {
+		name = x.route.Name
+		fields = append(fields, telemetry.F("route", name), telemetry.F("service", x.service))
+	}
+	if !x.first.IsZero() {
+		fields = append(fields, telemetry.F("first_ms", x.first.Sub(x.arrived).Milliseconds()))
+	}
+	if err == nil {
+		x.g.stats.Request(name, x.status, "", took)
+		x.g.log.Info(telemetry.EventRequestServed, fields...)
+		return
+	}
+	e := errkind.From(err)
+	x.g.stats.Request(name, x.status, e.Kind, took)
+	event := telemetry.EventRequestFailed
+	if e.Answer().Outcome == errkind.NotRun {
+		event = telemetry.EventRequestRefused
+	}
+	fields = append(fields, telemetry.F("kind", e.Kind), telemetry.F("cause", e.Error()))
+	x.g.log.Warn(event, fields...)
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,280 @@
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"io"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/pkg/errors"
+
+	"garnethoist.org/garnethoist/internal/errkind"
+	"garnethoist.org/garnethoist/internal/fleet"
+	"garnethoist.org/garnethoist/internal/httpsend"
+	"garnethoist.org/garnethoist/internal/kernel"
+	"garnethoist.org/garnethoist/internal/place"
+	"garnethoist.org/garnethoist/internal/retry"
+	"garnethoist.org/garnethoist/internal/telemetry"
+)
+
+const (
+	// maxHeaderBytes bounds a caller's head before the configuration is known.
+	maxHeaderBytes = 64 << 10
+	// defaultHeaderTimeout bounds the time that a caller takes for its head
+	// before the configuration is known.
+	defaultHeaderTimeout = 10 * time.Second
+	// idleTimeout closes a caller's idle connection. It is above any that the
+	// users' configurations hold, so that a caller never finds its connection
+	// closed too early.
+	idleTimeout = time.Minute
+	// pruneInterval is how often idle connections and forgotten targets are
+	// looked through.
+	pruneInterval = time.Second
+	// connShareDivisor leaves room in a target's connections for VMs that are
+	// not known yet.
+	spareVMs = 3
+)
+
+// Config is the gateway's settings.
+type Config struct {
+	// Listen is the callers' address.
+	Listen string
+	// Grace is how long after SIGTERM the process may go on.
+	Grace time.Duration
+	// RetryRatio and RetryBurst bound the sends to further targets, as a share
+	// of the requests and at once, for all VMs together.
+	RetryRatio float64
+	RetryBurst float64
+}
+
+// Group says how many VMs share the targets.
+type Group interface {
+	// Size counts the live VMs, this one included.
+	Size() int
+}
+
+// Gateway is the callers' HTTP edge.
+type Gateway struct {
+	cfg    Config
+	keeper *fleet.Keeper
+	placer *place.Placer
+	proto  Protocol
+	group  Group
+	client *httpsend.Client
+	log    *telemetry.Logger
+	stats  *Stats
+
+	server   *http.Server
+	served   sync.WaitGroup
+	bg       kernel.Background
+	stopping atomic.Bool
+	inFlight atomic.Int64
+
+	mu      sync.Mutex
+	budgets map[string]*retry.Budget
+	random  *mathrand.Rand
+}
+
+// New returns a gateway that does not listen yet.
+func New(cfg Config, keeper *fleet.Keeper, placer *place.Placer, proto Protocol, group Group, client *httpsend.Client, log *telemetry.Logger, stats *Stats) *Gateway {
+	return &Gateway{
+		cfg: cfg, keeper: keeper, placer: placer, proto: proto, group: group, client: client,
+		log: log, stats: stats, budgets: make(map[string]*retry.Budget), random: newRandom(),
+	}
+}
+
+func newRandom() *mathrand.Rand {
+	var seed [32]byte
+	// crypto/rand.Read never fails.
+	_, _ = rand.Read(seed[:])
+	return mathrand.New(mathrand.NewPCG(binary.LittleEndian.Uint64(seed[:]), binary.LittleEndian.Uint64(seed[8:])))
+}
+
+// Start listens for callers.
+func (g *Gateway) Start(context.Context) error {
+	l, err := net.Listen("tcp", g.cfg.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	handler := gin.New()
+	handler.NoRoute(func(c *gin.Context) { g.serve(c.Writer, c.Request) })
+	g.server = &http.Server{
+		Handler: handler, MaxHeaderBytes: maxHeaderBytes,
+		ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: idleTimeout,
+		ErrorLog: telemetry.StdLogger(g.log),
+	}
+	g.served.Go(func() {
+		if err := g.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			g.log.Warn(telemetry.EventStopped, telemetry.F("cause", err))
+		}
+	})
+	g.bg.Run(func(ctx context.Context) {
+		kernel.Every(ctx, pruneInterval, func(context.Context) { g.prune() })
+	})
+	return nil
+}
+
+// prune closes connections to targets that are not listed any more.
+func (g *Gateway) prune() {
+	v := g.keeper.View()
+	listed := make(map[string]bool)
+	for _, ts := range v.Targets {
+		for _, t := range ts {
+			listed[t.ID] = true
+		}
+	}
+	has := func(id string) bool { return listed[id] }
+	g.client.Prune(has)
+	g.placer.Forget(has)
+}
+
+// How long a stopping gateway stays open. The balancer takes a VM out after two
+// misses, a second apart; kept connections live on until their next answer
+// closes them.
+const (
+	// quietFor is how long no request must have come before the end.
+	quietFor = 1500 * time.Millisecond
+	// leastDrain is the shortest time between the signal and the end.
+	leastDrain = 2500 * time.Millisecond
+	// graceMargin is kept free at the end of the grace.
+	graceMargin = 400 * time.Millisecond
+	drainPoll   = 50 * time.Millisecond
+)
+
+// Drain makes the gateway not ready and waits until the callers have gone or
+// the grace is nearly over.
+func (g *Gateway) Drain(ctx context.Context) {
+	g.stopping.Store(true)
+	g.server.SetKeepAlivesEnabled(true)
+	g.log.Info(telemetry.EventStopping, telemetry.F("in_flight", g.inFlight.Load()))
+	began := time.Now()
+	quietSince := began
+	for time.Since(began) < g.cfg.Grace-graceMargin && ctx.Err() == nil {
+		kernel.Sleep(ctx, drainPoll)
+		if g.inFlight.Load() > 0 {
+			quietSince = time.Now()
+		}
+		if time.Since(began) > leastDrain && time.Since(quietSince) > quietFor {
+			return
+		}
+	}
+}
+
+// Stop drains and closes.
+func (g *Gateway) Stop(ctx context.Context) error {
+	g.Drain(ctx)
+	err := g.server.Close()
+	g.served.Wait()
+	return errors.Wrap(errors.WithStack(firstOf(err, g.bg.Stop(ctx))), "close gateway")
+}
+
+func firstOf(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Ready says why no new callers should come, or "".
+func (g *Gateway) Ready() string {
+	switch {
+	case g.stopping.Load():
+		return "stopping"
+	case !g.keeper.View().Usable():
+		return "configuration or targets not known yet"
+	}
+	return ""
+}
+
+// serve takes one request through its whole path.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	x := &exchange{g: g, w: w, r: r, arrived: time.Now(), view: g.keeper.View()}
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	err := x.run()
+	if err != nil && !x.began {
+		x.fail(errkind.From(err))
+	}
+	x.report(err)
+	if err != nil && x.began && x.status == 0 {
+		// The answer is cut short; the caller must not take it for complete.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (g *Gateway) float() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.random.Float64()
+}
+
+// budget returns the retry budget of a service.
+func (g *Gateway) budget(service string) *retry.Budget {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b, ok := g.budgets[service]
+	if !ok {
+		burst := g.cfg.RetryBurst / float64(g.group.Size()+spareVMs)
+		b = retry.NewBudget(g.cfg.RetryRatio, burst)
+		g.budgets[service] = b
+	}
+	return b
+}
+
+// destination bounds a target's connections to this VM's share.
+func (g *Gateway) destination(v *fleet.View, t *fleet.Target, fresh bool) httpsend.Destination {
+	d := httpsend.Destination{ID: t.ID, Address: t.Address, Fresh: fresh}
+	if s := v.Config.Services[t.Service]; s != nil && s.MaxConns > 0 {
+		d.MaxConns = max(s.MaxConns/(g.group.Size()+spareVMs), 1)
+	}
+	return d
+}
+
+// readBody reads the caller's body within the configuration's limits.
+func (x *exchange) readBody(limits fleet.Limits) error {
+	if x.r.ContentLength > limits.BodyBytes {
+		return errkind.New(errkind.BodyTooLarge, "the body is larger than %d bytes", limits.BodyBytes)
+	}
+	if x.r.ContentLength == 0 {
+		return nil
+	}
+	var body []byte
+	var err error
+	if n := x.r.ContentLength; n > 0 {
+		body = make([]byte, n)
+		_, err = io.ReadFull(x.r.Body, body)
+	} else {
+		body, err = io.ReadAll(io.LimitReader(x.r.Body, limits.BodyBytes+1))
+	}
+	if err != nil {
+		e := errkind.Wrap(errkind.ClientGone, err, "the body broke off")
+		e.Outcome = errkind.NotRun
+		return e
+	}
+	if int64(len(body)) > limits.BodyBytes {
+		return errkind.New(errkind.BodyTooLarge, "the body is larger than %d bytes", limits.BodyBytes)
+	}
+	x.body = body
+	return nil
+}
+
+// pathOf returns the path that routes are matched on, as the caller sent it.
+func pathOf(uri string) string {
+	if i := strings.IndexByte(uri, '?'); i >= 0 {
+		uri = uri[:i]
+	}
+	return uri
+}
--- /dev/null
+++ b/internal/gateway/generate.go
@@ -0,0 +1,181 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"garnethoist.org/garnethoist/internal/errkind"
+	"garnethoist.org/garnethoist/internal/fleet"
+	"garnethoist.org/garnethoist/internal/httpsend"
+	"garnethoist.org/garnethoist/internal/place"
+)
+
+// freeTimeout bounds the call that frees a handle.
+const freeTimeout = time.Second
+
+// generate serves a request to a model engine: the prompt is prefilled, at a
+// prefill target or in place, and the decode target's events are relayed.
+func (x *exchange) generate(ctx context.Context) error {
+	s := &stream{x: x}
+	var last error
+	for unreached := 0; unreached < maxUnreached; {
+		x.reload()
+		out, target, err := x.generateOnce(ctx, s)
+		if err == nil {
+			return nil
+		}
+		last = err
+		if target == nil {
+			break
+		}
+		x.tried[target.ID] = true
+		if out == sentNothing {
+			unreached++
+			continue
+		}
+		x.ran = x.ran || out == unknown
+		if x.ran && !x.route.Resumable {
+			break
+		}
+		if !x.mayTryAgain(ctx) {
+			break
+		}
+	}
+	if s.relaying {
+		return errkind.Wrap(errkind.StreamLost, last, "the target broke off the stream")
+	}
+	return x.giveUp(ctx, last)
+}
+
+// generateOnce asks one decode target, after a prefill elsewhere where that is
+// the better way. target is nil when there is none to ask.
+func (x *exchange) generateOnce(ctx context.Context, s *stream) (outcome, *fleet.Target, error) {
+	targets := x.view.Targets[x.service]
+	choice, ok := x.g.placer.Read(targets, x.meta.Prompt, x.tried, time.Now())
+	if !ok {
+		return refused, nil, errkind.New(errkind.NoTarget, "no engine can take the request")
+	}
+	if choice.InPlace {
+		x.note(choice.Target, "inplace~"+strconv.FormatInt(choice.Expected.Milliseconds(), 10), nil)
+		out, err := x.decode(ctx, s, choice, nil)
+		return out, choice.Target, err
+	}
+	x.note(choice.Target, "prefill~"+strconv.FormatInt(choice.Expected.Milliseconds(), 10), nil)
+	handle, out, err := x.prefill(ctx, choice)
+	if err != nil {
+		return out, choice.Target, err
+	}
+	x.reload()
+	next, ok := x.g.placer.Decode(x.view.Targets[x.service], choice.Target.DataCentre, x.tried, time.Now())
+	if !ok {
+		x.free(choice.Target, handle)
+		return refused, nil, errkind.New(errkind.NoTarget, "no decode engine can take the request")
+	}
+	out, err = x.decode(ctx, s, next, handle)
+	if err != nil && out != unknown {
+		x.free(choice.Target, handle)
+	}
+	return out, next.Target, err
+}
+
+// prefill has the prompt read and returns the handle of its KV cache. Nothing
+// has run after it, whatever its outcome.
+func (x *exchange) prefill(ctx context.Context, c place.Choice) (*Handle, outcome, error) {
+	resp, out, err := x.send(ctx, c.Target, Directive{Engine: true, PrefillOnly: true, Priority: x.route.Priority}, c.Ticket)
+	if err != nil {
+		if out == unknown {
+			out = refused
+		}
+		if out == refused {
+			x.prefills++
+			x.arrivals++
+		}
+		return nil, out, err
+	}
+	defer resp.Close()
+	x.prefills++
+	body, err := readWhole(resp)
+	if err == nil && resp.Status != http.StatusOK {
+		err = errkind.New(errkind.TargetFailed, "prefill status %d", resp.Status)
+	}
+	var handle Handle
+	if err == nil {
+		handle, err = x.g.proto.Handle(c.Target.Address, body)
+	}
+	if err != nil {
+		x.note(c.Target, "prefill_failed", err)
+		c.Ticket.End(place.Bad, time.Now())
+		x.arrivals++
+		return nil, refused, err
+	}
+	c.Ticket.End(place.Good, time.Now())
+	x.note(c.Target, "prefilled", nil)
+	return &handle, answered, nil
+}
+
+// decode sends the request to a decode target and relays its events.
+func (x *exchange) decode(ctx context.Context, s *stream, c place.Choice, h *Handle) (outcome, error) {
+	d := Directive{Engine: true, Handle: h, Priority: x.route.Priority, ResumeAfter: s.lastID}
+	resp, out, err := x.send(ctx, c.Target, d, c.Ticket)
+	if out != sentNothing {
+		x.arrivals++
+	}
+	if err != nil {
+		return out, err
+	}
+	defer resp.Close()
+	c.Ticket.First(time.Now())
+	if resp.Status != http.StatusOK {
+		return x.relayFailure(s, c, resp)
+	}
+	err = s.relay(resp)
+	switch {
+	case err == nil:
+		x.note(c.Target, strconv.Itoa(resp.Status), nil)
+		c.Ticket.End(place.Good, time.Now())
+		return answered, nil
+	case x.r.Context().Err() != nil:
+		c.Ticket.End(place.Neutral, time.Now())
+	default:
+		x.note(c.Target, "cut", err)
+		c.Ticket.End(place.Bad, time.Now())
+	}
+	return unknown, err
+}
+
+// relayFailure gives the caller an engine's own failure, unless the stream has
+// begun.
+func (x *exchange) relayFailure(s *stream, c place.Choice, resp *httpsend.Response) (outcome, error) {
+	body, err := readWhole(resp)
+	c.Ticket.End(place.Bad, time.Now())
+	x.note(c.Target, strconv.Itoa(resp.Status), err)
+	if err != nil || s.relaying {
+		return unknown, errkind.New(errkind.TargetFailed, "the engine failed with status %d", resp.Status)
+	}
+	if x.route.Resumable && x.arrivals < x.route.MaxAttempts {
+		return unknown, errkind.New(errkind.TargetFailed, "the engine failed with status %d", resp.Status)
+	}
+	return answered, x.deliver(&answer{status: resp.Status, header: resp.Header, body: body})
+}
+
+// free gives up a handle that nobody will take. It does not hold the request
+// up; a handle that stays is freed by the target in the end.
+func (x *exchange) free(t *fleet.Target, h *Handle) {
+	method, uri := x.g.proto.FreeHandle(h.ID)
+	d := x.g.destination(x.view, t, false)
+	host := x.r.Host
+	g := x.g
+	g.served.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+		defer cancel()
+		resp, err := g.client.Send(ctx, d, &httpsend.Request{Method: method, URI: uri, Host: host}, func(int, http.Header) bool { return true })
+		if err != nil {
+			g.stats.HandleLost()
+			return
+		}
+		drain(resp)
+	})
+}
+
--- /dev/null
+++ b/internal/gateway/stats.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"garnethoist.org/garnethoist/internal/errkind"
+)
+
+// Stats counts requests by route and outcome.
+type Stats struct {
+	requests metric.Int64Counter
+	seconds  metric.Float64Histogram
+	handles  metric.Int64Counter
+}
+
+// NewStats returns the gateway's instruments.
+func NewStats(m metric.Meter) (*Stats, error) {
+	requests, err := m.Int64Counter("garnet_requests", metric.WithDescription("requests answered, by status and kind of failure"))
+	if err != nil {
+		return nil, errors.Wrap(err, "requests counter")
+	}
+	seconds, err := m.Float64Histogram("garnet_request_duration", metric.WithUnit("s"), metric.WithDescription("time from a request's arrival to its answer's end"))
+	if err != nil {
+		return nil, errors.Wrap(err, "duration histogram")
+	}
+	handles, err := m.Int64Counter("garnet_handles_not_freed", metric.WithDescription("KV cache handles whose freeing call failed"))
+	return &Stats{requests: requests, seconds: seconds, handles: handles}, errors.Wrap(err, "handles counter")
+}
+
+// Request counts one request; kind is empty for an answer of a target.
+func (s *Stats) Request(_ string, status int, kind errkind.Kind, took time.Duration) {
+	set := metric.WithAttributeSet(attribute.NewSet(attribute.String("status", strconv.Itoa(status)), attribute.String("kind", string(kind))))
+	s.requests.Add(context.Background(), 1, set)
+	s.seconds.Record(context.Background(), took.Seconds(), set)
+}
+
+// HandleLost counts a handle that could not be freed.
+func (s *Stats) HandleLost() { s.handles.Add(context.Background(), 1) }
--- /dev/null
+++ b/internal/httpsend/client.go
@@ -0,0 +1,232 @@
+// Package httpsend sends one HTTP/1.1 request on one connection, once. Unlike
+// net/http's Transport it never sends a request again by itself, and it says
+// of each failure whether the target may have run the request.
+package httpsend
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Phase says how far a failed send got.
+type Phase int
+
+// The phases of a failed send.
+const (
+	// NotSent: no byte of the request reached the target.
+	NotSent Phase = iota + 1
+	// Unanswered: the request was sent, at least in part, and has no answer. It
+	// may have run.
+	Unanswered
+	// Cut: the answer began and broke off. The request may have run.
+	Cut
+)
+
+// String returns the phase as it appears in logs.
+func (p Phase) String() string {
+	switch p {
+	case NotSent:
+		return "not_sent"
+	case Unanswered:
+		return "unanswered"
+	case Cut:
+		return "cut"
+	}
+	return "unknown"
+}
+
+// Error is a failed send.
+type Error struct {
+	Phase Phase
+	Cause error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Phase.String() + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+func failed(p Phase, cause error) *Error { return &Error{Phase: p, Cause: cause} }
+
+// ErrNoConn: the destination's share of connections is in use.
+var ErrNoConn = errors.New("httpsend: all connections to the target are in use")
+
+// Config bounds the client's connections.
+type Config struct {
+	// DialTimeout bounds opening a connection.
+	DialTimeout time.Duration
+	// MaxIdle is the longest time that a connection is kept unused.
+	MaxIdle time.Duration
+}
+
+// Destination names a target and bounds its connections.
+type Destination struct {
+	// ID keys the pool; connections of one ID are not used for another.
+	ID      string
+	Address string
+	// MaxConns bounds the connections open at once; 0 is no bound.
+	MaxConns int
+	// Fresh asks for a new connection, for requests whose loss on a
+	// connection that the target has just closed could not be made good.
+	Fresh bool
+}
+
+// Client sends requests over connections that it keeps for reuse. It is safe
+// for concurrent use.
+type Client struct {
+	cfg Config
+
+	mu    sync.Mutex
+	pools map[string]*pool
+}
+
+// pool holds the connections to one destination; Client.mu guards it.
+type pool struct {
+	// idle is in order of last use.
+	idle []*conn
+	open int
+}
+
+// New returns a client without connections.
+func New(cfg Config) *Client {
+	return &Client{cfg: cfg, pools: make(map[string]*pool)}
+}
+
+// take returns an idle connection that is still good, or a new one.
+func (c *Client) take(ctx context.Context, d Destination) (*conn, error) {
+	if !d.Fresh {
+		for cn := c.popIdle(d.ID); cn != nil; cn = c.popIdle(d.ID) {
+			if time.Since(cn.idleSince) < c.cfg.MaxIdle && cn.quiet() {
+				cn.reused = true
+				return cn, nil
+			}
+			c.discard(cn)
+		}
+	}
+	if !c.reserve(d) {
+		return nil, ErrNoConn
+	}
+	dialer := net.Dialer{Timeout: c.cfg.DialTimeout}
+	nc, err := dialer.DialContext(ctx, "tcp", d.Address)
+	if err != nil {
+		c.release(d.ID)
+		return nil, err
+	}
+	return newConn(nc, d.ID), nil
+}
+
+func (c *Client) popIdle(id string) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[id]
+	if p == nil || len(p.idle) == 0 {
+		return nil
+	}
+	last := len(p.idle) - 1
+	cn := p.idle[last]
+	p.idle = p.idle[:last]
+	return cn
+}
+
+// reserve counts a new connection, closing the oldest idle one where the
+// destination's share is in use.
+func (c *Client) reserve(d Destination) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[d.ID]
+	if p == nil {
+		p = &pool{}
+		c.pools[d.ID] = p
+	}
+	if d.MaxConns > 0 && p.open >= d.MaxConns {
+		if len(p.idle) == 0 {
+			return false
+		}
+		// The connection's close is not awaited: its place is this one's.
+		_ = p.idle[0].nc.Close()
+		p.idle = p.idle[1:]
+		p.open--
+	}
+	p.open++
+	return true
+}
+
+func (c *Client) release(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[id]
+	p.open--
+	if p.open == 0 {
+		delete(c.pools, id)
+	}
+}
+
+// discard closes a connection and gives up its place. An error of Close means
+// that the connection was closed already.
+func (c *Client) discard(cn *conn) {
+	_ = cn.nc.Close()
+	c.release(cn.id)
+}
+
+// keep returns a connection to its pool.
+func (c *Client) keep(cn *conn) {
+	cn.idleSince = time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[cn.id]
+	p.idle = append(p.idle, cn)
+}
+
+// Prune closes idle connections that are too old, and all idle ones of
+// destinations that keep refuses.
+func (c *Client) Prune(keep func(id string) bool) {
+	c.mu.Lock()
+	var closing []*conn
+	for id, p := range c.pools {
+		n := 0
+		if keep(id) {
+			for n < len(p.idle) && time.Since(p.idle[n].idleSince) >= c.cfg.MaxIdle {
+				n++
+			}
+		} else {
+			n = len(p.idle)
+		}
+		closing = append(closing, p.idle[:n]...)
+		p.idle = p.idle[n:]
+	}
+	c.mu.Unlock()
+	for _, cn := range closing {
+		c.discard(cn)
+	}
+}
+
+// quiet reports whether an idle connection is open and nothing unread waits
+// on it. A target that closed it, or sent bytes that answer no request, makes
+// it unusable.
+func (cn *conn) quiet() bool {
+	if cn.br.Buffered() > 0 {
+		return false
+	}
+	sc, ok := cn.nc.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,167 @@
+// Package node composes the one program that runs on each VM: the callers'
+// gateway, the followers of the store, the exchange with other VMs and the
+// control of the engines' stages.
+package node
+
+import (
+	"io"
+	"time"
+
+	"garnethoist.org/garnethoist/internal/fleet"
+	"garnethoist.org/garnethoist/internal/gateway"
+	"garnethoist.org/garnethoist/internal/httpsend"
+	"garnethoist.org/garnethoist/internal/kernel"
+	"garnethoist.org/garnethoist/internal/peers"
+	"garnethoist.org/garnethoist/internal/place"
+	"garnethoist.org/garnethoist/internal/settings"
+	"garnethoist.org/garnethoist/internal/store"
+	"garnethoist.org/garnethoist/internal/telemetry"
+	"garnethoist.org/garnethoist/internal/watch"
+)
+
+// Names of the node's modules.
+const (
+	ModuleLog     = "telemetry.log"
+	ModuleMetrics = "telemetry.metrics"
+	ModuleAdmin   = "telemetry.admin"
+	ModuleStore   = "store.client"
+	ModuleLink    = "watch.link"
+	ModuleKeeper  = "fleet.keeper"
+	ModuleFleet   = "watch.fleet"
+	ModuleConfig  = "watch.config"
+	ModuleTargets = "watch.targets"
+	ModuleMembers = "watch.members"
+	ModulePeers   = "peers"
+	ModulePlacer  = "place.placer"
+	ModuleStats   = "gateway.stats"
+	ModuleReady   = "gateway.ready"
+	ModuleGateway = "gateway"
+)
+
+// Roots names the modules that the program is there for.
+var Roots = []string{ModuleAdmin, ModuleReady, ModuleConfig, ModuleTargets, ModuleMembers, ModulePeers, ModuleGateway}
+
+// Store is what the node needs of the platform's store.
+type Store interface {
+	store.Table
+	store.Feed
+}
+
+// Adapter is the platform as the node meets it.
+type Adapter struct {
+	// Store returns the client of the store.
+	Store func(cfg settings.Platform) Store
+	// Protocol is spoken with callers and targets.
+	Protocol gateway.Protocol
+	Decoder  watch.Decoder
+	// ReadyPath is what the balancer asks for.
+	ReadyPath string
+	// The store's tables.
+	ConfigTable  string
+	TargetsTable string
+	OwnTable     string
+}
+
+const (
+	dialTimeout = 250 * time.Millisecond
+	maxIdle     = 3 * time.Second
+)
+
+// Register adds the node's modules to k. Logs go to logs.
+func Register(k *kernel.Kernel, cfg *settings.Node, a Adapter, logs io.Writer) {
+	k.Register(ModuleLog, func(*kernel.Kernel) (any, error) {
+		return telemetry.NewLogger(telemetry.NewBoundedWriter(logs, int(cfg.LogLinesPerS)), "garnet-node", cfg.VM), nil
+	})
+	k.Register(ModuleMetrics, func(*kernel.Kernel) (any, error) { return telemetry.NewMetrics("garnet-node") })
+	k.Register(ModuleAdmin, func(k *kernel.Kernel) (any, error) {
+		m, err := kernel.Get[*telemetry.Metrics](k, ModuleMetrics)
+		if err != nil {
+			return nil, err
+		}
+		return telemetry.NewAdmin(string(cfg.MetricsListen), m), nil
+	})
+	k.Register(ModuleStore, func(*kernel.Kernel) (any, error) { return a.Store(cfg.Store), nil })
+	k.Register(ModuleKeeper, func(*kernel.Kernel) (any, error) { return fleet.NewKeeper(), nil })
+	k.Register(ModuleLink, func(k *kernel.Kernel) (any, error) {
+		log, err := kernel.Get[*telemetry.Logger](k, ModuleLog)
+		return watch.NewLink(log), err
+	})
+	k.Register(ModuleFleet, func(k *kernel.Kernel) (any, error) {
+		g := &kernel.Getter{Kernel: k}
+		f := watch.NewFleet(kernel.Need[*fleet.Keeper](g, ModuleKeeper), a.Decoder,
+			kernel.Need[*watch.Link](g, ModuleLink), kernel.Need[*telemetry.Logger](g, ModuleLog))
+		return f, g.Err
+	})
+	registerFollowers(k, a)
+	k.Register(ModulePeers, func(k *kernel.Kernel) (any, error) {
+		g := &kernel.Getter{Kernel: k}
+		self := peers.Member{VM: cfg.VM, Address: string(cfg.PeerAddress)}
+		return peers.New(self, time.Now().UnixNano(), kernel.Need[Store](g, ModuleStore), kernel.Need[*telemetry.Logger](g, ModuleLog)), g.Err
+	})
+	k.Register(ModulePlacer, func(k *kernel.Kernel) (any, error) { return providePlacer(k, cfg) })
+	k.Register(ModuleStats, func(k *kernel.Kernel) (any, error) {
+		m, err := kernel.Get[*telemetry.Metrics](k, ModuleMetrics)
+		if err != nil {
+			return nil, err
+		}
+		return gateway.NewStats(m.Meter)
+	})
+	k.Register(ModuleReady, func(*kernel.Kernel) (any, error) {
+		return gateway.NewReadyServer(string(cfg.ReadyListen), a.ReadyPath), nil
+	})
+	k.Register(ModuleGateway, func(k *kernel.Kernel) (any, error) { return provideGateway(k, cfg, a) })
+}
+
+func registerFollowers(k *kernel.Kernel, a Adapter) {
+	follow := func(name, table string, apply func(g *kernel.Getter) watch.Apply) {
+		k.Register(name, func(k *kernel.Kernel) (any, error) {
+			g := &kernel.Getter{Kernel: k}
+			t := watch.NewTable(kernel.Need[Store](g, ModuleStore), table, kernel.Need[*watch.Link](g, ModuleLink),
+				apply(g), kernel.Need[*telemetry.Logger](g, ModuleLog))
+			return t, g.Err
+		})
+	}
+	follow(ModuleConfig, a.ConfigTable, func(g *kernel.Getter) watch.Apply {
+		return kernel.Need[*watch.Fleet](g, ModuleFleet).ApplyConfig
+	})
+	follow(ModuleTargets, a.TargetsTable, func(g *kernel.Getter) watch.Apply {
+		return kernel.Need[*watch.Fleet](g, ModuleFleet).ApplyTargets
+	})
+	follow(ModuleMembers, a.OwnTable, func(g *kernel.Getter) watch.Apply {
+		return kernel.Need[*peers.Peers](g, ModulePeers).Apply
+	})
+}
+
+func providePlacer(k *kernel.Kernel, cfg *settings.Node) (any, error) {
+	g := &kernel.Getter{Kernel: k}
+	group := kernel.Need[*peers.Peers](g, ModulePeers)
+	if g.Err != nil {
+		return nil, g.Err
+	}
+	pc := place.DefaultConfig(cfg.DataCentre)
+	pc.PrefillRate = cfg.PrefillTokensPerMS
+	pc.InPlaceRate = cfg.PrefillTokensPerMS / 2
+	pc.SeenFor = cfg.CacheTTL.D()
+	placer := place.New(pc, group)
+	group.SetSource(placer.Own)
+	return placer, nil
+}
+
+func provideGateway(k *kernel.Kernel, cfg *settings.Node, a Adapter) (any, error) {
+	g := &kernel.Getter{Kernel: k}
+	group := kernel.Need[*peers.Peers](g, ModulePeers)
+	gc := gateway.Config{
+		Listen: string(cfg.Listen), Grace: cfg.Grace.D(),
+		RetryRatio: cfg.RetryRatio, RetryBurst: cfg.RetryBurst,
+	}
+	client := httpsend.New(httpsend.Config{DialTimeout: dialTimeout, MaxIdle: maxIdle})
+	gw := gateway.New(gc, kernel.Need[*fleet.Keeper](g, ModuleKeeper), kernel.Need[*place.Placer](g, ModulePlacer), a.Protocol,
+		group, client, kernel.Need[*telemetry.Logger](g, ModuleLog), kernel.Need[*gateway.Stats](g, ModuleStats))
+	if g.Err != nil {
+		return nil, g.Err
+	}
+	kernel.Need[*gateway.ReadyServer](g, ModuleReady).SetReady(gw.Ready)
+	kernel.Need[*telemetry.Admin](g, ModuleAdmin).SetReady(gw.Ready)
+	return gw, g.Err
+}
+
--- /dev/null
+++ b/internal/settings/node.go
@@ -0,0 +1,83 @@
+package settings
+
+import "time"
+
+// Node is the settings of garnet-node.
+type Node struct {
+	// VM is this VM's name, unique in the organisation.
+	VM string `json:"vm"`
+	// DataCentre is this VM's data centre.
+	DataCentre string `json:"data_centre"`
+	// Listen is the callers' address.
+	Listen Addr `json:"listen"`
+	// ReadyListen is where the balancer asks whether the VM takes callers.
+	ReadyListen Addr `json:"ready_listen"`
+	// MetricsListen serves /healthz, /readyz and /metrics.
+	MetricsListen Addr `json:"metrics_listen"`
+	// PeerAddress is where other VMs send what they have in hand (UDP).
+	PeerAddress Addr `json:"peer_address"`
+	// Store is the platform's store.
+	Store Platform `json:"store"`
+	// MemoryMB is the memory that the process may use.
+	MemoryMB int64 `json:"memory_mb"`
+	// Grace is the time from SIGTERM to SIGKILL.
+	Grace Duration `json:"grace"`
+	// LeaseGap is how long after one holder's last order another may give one.
+	LeaseGap Duration `json:"lease_gap"`
+	// RetryRatio bounds sends to a further target, as a share of the requests.
+	RetryRatio float64 `json:"retry_ratio"`
+	// RetryBurst bounds such sends at once, for all VMs together.
+	RetryBurst float64 `json:"retry_burst"`
+	// LogLinesPerS bounds the log; what is above is dropped and counted.
+	LogLinesPerS int64 `json:"log_lines_per_s"`
+	// PrefillShare is the share of a service's engines that prefill.
+	PrefillShare float64 `json:"prefill_share"`
+	// PrefillTokensPerMS is how fast a prefill engine reads a prompt.
+	PrefillTokensPerMS float64 `json:"prefill_tokens_per_ms"`
+	// CacheTTL is how long a prompt part is taken to stay cached.
+	CacheTTL Duration `json:"cache_ttl"`
+}
+
+// DefaultNode returns the node's defaults.
+func DefaultNode() *Node {
+	return &Node{
+		Store:              Platform{Timeout: Duration(700 * time.Millisecond)},
+		MemoryMB:           256,
+		Grace:              Duration(8 * time.Second),
+		LeaseGap:           Duration(3 * time.Second),
+		RetryRatio:         0.15,
+		RetryBurst:         40,
+		LogLinesPerS:       400,
+		PrefillShare:       0.67,
+		PrefillTokensPerMS: 300,
+		CacheTTL:           Duration(3 * time.Second),
+	}
+}
+
+func (s *Node) check(r *report) {
+	r.needString("vm", s.VM)
+	r.needString("data_centre", s.DataCentre)
+	r.needAddr("listen", s.Listen)
+	r.needAddr("ready_listen", s.ReadyListen)
+	r.needAddr("metrics_listen", s.MetricsListen)
+	r.needAddr("peer_address", s.PeerAddress)
+	r.needAddr("store.address", s.Store.Address)
+	r.needPositive("store.timeout", int64(s.Store.Timeout))
+	r.needPositive("memory_mb", s.MemoryMB)
+	r.needPositive("grace", int64(s.Grace))
+	r.needPositive("lease_gap", int64(s.LeaseGap))
+	r.needPositive("log_lines_per_s", s.LogLinesPerS)
+	r.needPositive("cache_ttl", int64(s.CacheTTL))
+	if s.RetryRatio < 0 || s.RetryRatio > 1 {
+		r.add("retry_ratio", "must be from 0 to 1")
+	}
+	if s.RetryBurst < 0 {
+		r.add("retry_burst", "must not be below zero")
+	}
+	if s.PrefillShare < 0 || s.PrefillShare >= 1 {
+		r.add("prefill_share", "must be at least 0 and below 1")
+	}
+	if !(s.PrefillTokensPerMS > 0) {
+		r.add("prefill_tokens_per_ms", "must be above zero")
+	}
+}
