--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -178,4 +178,3 @@
 		drain(resp)
 	})
 }
-
--- a/internal/httpsend/send.go
+++ b/internal/httpsend/send.go
@@ -45,8 +45,17 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Before is asked once the connection is open, right before the first byte
+	// is written; nothing is sent when it says no. It may be nil.
+	Before func() bool
+	// ResetOnFailure drops bytes that are still under way when the send fails,
+	// so that they do not arrive later.
+	ResetOnFailure bool
 }
 
+// ErrWithheld: Before said no.
+var ErrWithheld = errors.New("httpsend: withheld")
+
 // Match says whose answer an answer's head is.
 type Match func(status int, h http.Header) bool
 
@@ -75,6 +84,16 @@
 	if err != nil {
 		return nil, failed(NotSent, err)
 	}
+	if r.Before != nil && !r.Before() {
+		c.discard(cn)
+		return nil, failed(NotSent, ErrWithheld)
+	}
+	if tcp, ok := cn.nc.(*net.TCPConn); ok && r.ResetOnFailure {
+		if err := tcp.SetLinger(0); err != nil {
+			c.discard(cn)
+			return nil, failed(NotSent, err)
+		}
+	}
 	unbind := context.AfterFunc(ctx, func() { _ = cn.nc.Close() })
 	resp, err := c.exchange(ctx, cn, r, ours)
 	if err != nil {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -105,6 +105,12 @@
 // one if contend is set. An error means that the platform could not be asked
 // or that a write's outcome is still unknown; the next Step resolves it.
 func (l *Lease) Step(ctx context.Context, contend bool) error {
+	if _, ok := l.Held(); ok {
+		// The renewal's condition tells whether the record is as known.
+		if err := l.renew(ctx); !errors.Is(err, store.ErrConflict) {
+			return err
+		}
+	}
 	if err := l.observe(ctx); err != nil {
 		return err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,9 +11,11 @@
 	"garnethoist.org/garnethoist/internal/gateway"
 	"garnethoist.org/garnethoist/internal/httpsend"
 	"garnethoist.org/garnethoist/internal/kernel"
+	"garnethoist.org/garnethoist/internal/lease"
 	"garnethoist.org/garnethoist/internal/peers"
 	"garnethoist.org/garnethoist/internal/place"
 	"garnethoist.org/garnethoist/internal/settings"
+	"garnethoist.org/garnethoist/internal/stages"
 	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/telemetry"
 	"garnethoist.org/garnethoist/internal/watch"
@@ -35,11 +37,13 @@
 	ModulePlacer  = "place.placer"
 	ModuleStats   = "gateway.stats"
 	ModuleReady   = "gateway.ready"
+	ModuleSender  = "httpsend.client"
+	ModuleStages  = "stages"
 	ModuleGateway = "gateway"
 )
 
 // Roots names the modules that the program is there for.
-var Roots = []string{ModuleAdmin, ModuleReady, ModuleConfig, ModuleTargets, ModuleMembers, ModulePeers, ModuleGateway}
+var Roots = []string{ModuleAdmin, ModuleReady, ModuleConfig, ModuleTargets, ModuleMembers, ModulePeers, ModuleStages, ModuleGateway}
 
 // Store is what the node needs of the platform's store.
 type Store interface {
@@ -54,6 +58,8 @@
 	// Protocol is spoken with callers and targets.
 	Protocol gateway.Protocol
 	Decoder  watch.Decoder
+	// Engines returns the carrier of orders to engines.
+	Engines func(c *httpsend.Client) stages.Engines
 	// ReadyPath is what the balancer asks for.
 	ReadyPath string
 	// The store's tables.
@@ -109,6 +115,10 @@
 	k.Register(ModuleReady, func(*kernel.Kernel) (any, error) {
 		return gateway.NewReadyServer(string(cfg.ReadyListen), a.ReadyPath), nil
 	})
+	k.Register(ModuleSender, func(*kernel.Kernel) (any, error) {
+		return httpsend.New(httpsend.Config{DialTimeout: dialTimeout, MaxIdle: maxIdle}), nil
+	})
+	k.Register(ModuleStages, func(k *kernel.Kernel) (any, error) { return provideStages(k, cfg, a) })
 	k.Register(ModuleGateway, func(k *kernel.Kernel) (any, error) { return provideGateway(k, cfg, a) })
 }
 
@@ -128,7 +138,11 @@
 		return kernel.Need[*watch.Fleet](g, ModuleFleet).ApplyTargets
 	})
 	follow(ModuleMembers, a.OwnTable, func(g *kernel.Getter) watch.Apply {
-		return kernel.Need[*peers.Peers](g, ModulePeers).Apply
+		members, journal := kernel.Need[*peers.Peers](g, ModulePeers), kernel.Need[*stages.Controller](g, ModuleStages)
+		return func(rows store.Rows, full bool) {
+			members.Apply(rows, full)
+			journal.Apply(rows, full)
+		}
 	})
 }
 
@@ -142,11 +156,23 @@
 	pc.PrefillRate = cfg.PrefillTokensPerMS
 	pc.InPlaceRate = cfg.PrefillTokensPerMS / 2
 	pc.SeenFor = cfg.CacheTTL.D()
-	placer := place.New(pc, group)
+	placer := place.New(pc, group, kernel.Need[*stages.Controller](g, ModuleStages).Changing)
 	group.SetSource(placer.Own)
 	return placer, nil
 }
 
+func provideStages(k *kernel.Kernel, cfg *settings.Node, a Adapter) (any, error) {
+	g := &kernel.Getter{Kernel: k}
+	sc := stages.Config{VM: cfg.VM, Share: cfg.PrefillShare, Gap: cfg.LeaseGap.D()}
+	client := kernel.Need[*httpsend.Client](g, ModuleSender)
+	if g.Err != nil {
+		return nil, g.Err
+	}
+	c := stages.New(sc, kernel.Need[*fleet.Keeper](g, ModuleKeeper), kernel.Need[Store](g, ModuleStore), a.Engines(client),
+		lease.BootClock, uint64(time.Now().UnixNano()), kernel.Need[*telemetry.Logger](g, ModuleLog))
+	return c, g.Err
+}
+
 func provideGateway(k *kernel.Kernel, cfg *settings.Node, a Adapter) (any, error) {
 	g := &kernel.Getter{Kernel: k}
 	group := kernel.Need[*peers.Peers](g, ModulePeers)
@@ -154,7 +180,7 @@
 		Listen: string(cfg.Listen), Grace: cfg.Grace.D(),
 		RetryRatio: cfg.RetryRatio, RetryBurst: cfg.RetryBurst,
 	}
-	client := httpsend.New(httpsend.Config{DialTimeout: dialTimeout, MaxIdle: maxIdle})
+	client := kernel.Need[*httpsend.Client](g, ModuleSender)
 	gw := gateway.New(gc, kernel.Need[*fleet.Keeper](g, ModuleKeeper), kernel.Need[*place.Placer](g, ModulePlacer), a.Protocol,
 		group, client, kernel.Need[*telemetry.Logger](g, ModuleLog), kernel.Need[*gateway.Stats](g, ModuleStats))
 	if g.Err != nil {
@@ -164,4 +190,3 @@
 	kernel.Need[*telemetry.Admin](g, ModuleAdmin).SetReady(gw.Ready)
 	return gw, g.Err
 }
-
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -86,7 +86,7 @@
 	var best Choice
 	var least time.Duration
 	for _, t := range targets {
-		if t.Leaving || tried[t.ID] {
+		if t.Leaving || tried[t.ID] || p.changing(t) {
 			continue
 		}
 		w := p.weigh(t, q, t.ID == home, now)
@@ -168,7 +168,7 @@
 	var best *fleet.Target
 	var least time.Duration
 	for _, t := range targets {
-		if t.Leaving || tried[t.ID] || t.Stage == fleet.Prefill {
+		if t.Leaving || tried[t.ID] || t.Stage == fleet.Prefill || p.changing(t) {
 			continue
 		}
 		s := p.state(t.ID)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"garnethoist.org/garnethoist/internal/fleet"
 )
 
 // Part is one part of a prompt that other prompts may share.
@@ -92,6 +93,8 @@
 type Placer struct {
 	cfg    Config
 	others Others
+	// changing says whether an engine changes its stage.
+	changing func(*fleet.Target) bool
 
 	mu     sync.Mutex
 	states map[string]*state
@@ -99,8 +102,8 @@
 }
 
 // New returns a placer without any work in hand.
-func New(cfg Config, others Others) *Placer {
-	return &Placer{cfg: cfg, others: others, states: make(map[string]*state), seen: newSeen(cfg.SeenFor)}
+func New(cfg Config, others Others, changing func(*fleet.Target) bool) *Placer {
+	return &Placer{cfg: cfg, others: others, changing: changing, states: make(map[string]*state), seen: newSeen(cfg.SeenFor)}
 }
 
 func (p *Placer) state(id string) *state {
@@ -256,4 +259,3 @@
 	h *= 0xc4ceb9fe1a85ec53
 	return h ^ h>>33
 }
-
--- /dev/null
+++ b/internal/stages/controller.go
@@ -0,0 +1,381 @@
+package stages
+
+import (
+	"context"
+	"encoding/json"
+	"hash/fnv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"garnethoist.org/garnethoist/internal/fleet"
+	"garnethoist.org/garnethoist/internal/kernel"
+	"garnethoist.org/garnethoist/internal/lease"
+	"garnethoist.org/garnethoist/internal/store"
+	"garnethoist.org/garnethoist/internal/telemetry"
+)
+
+const (
+	// tick is the time between looks at the plan.
+	tick = 200 * time.Millisecond
+	// candidateStep is how much longer each further candidate waits before it
+	// contends, so that they do not all ask the store at once.
+	candidateStep = 600 * time.Millisecond
+	// candidates is the number of steps.
+	candidates = 8
+	// leaseTTL is how long an unrenewed lease stays in force.
+	leaseTTL = 4 * time.Second
+	// renewEvery is the time between renewals.
+	renewEvery = time.Second
+	// settle is the time between the journal's row and the order, in which
+	// every VM hears of it and prompts in hand are finished.
+	settle = 300 * time.Millisecond
+	// callTimeout bounds a call to the store or to an engine.
+	callTimeout = 700 * time.Millisecond
+	// doneWithin is how long an order that was answered may take; one without
+	// an answer may be carried out seconds later.
+	doneWithin    = 8 * time.Second
+	unknownWithin = 15 * time.Second
+	// KeyPrefix is where orders are journalled in the store.
+	KeyPrefix = "order/"
+)
+
+// Order is an order to an engine.
+type Order struct {
+	Stage fleet.Stage
+	// Holder names the VM that orders, and Fence its tenure.
+	Holder string
+	Fence  uint64
+	// Sequence is the number of orders that the engine must have accepted.
+	Sequence uint64
+}
+
+// Report is what an engine says of itself.
+type Report struct {
+	Stage    fleet.Stage
+	Busy     bool
+	Sequence uint64
+}
+
+// The errors of an order.
+var (
+	// ErrRefused: the engine did not take the order and never will.
+	ErrRefused = errors.New("stages: order refused")
+	// ErrWithheld: the lease had lapsed; nothing was sent.
+	ErrWithheld = errors.New("stages: order withheld")
+	// ErrUnknown: the order may be carried out, now or later.
+	ErrUnknown = errors.New("stages: order's outcome unknown")
+)
+
+// Engines carries reports and orders.
+type Engines interface {
+	Report(ctx context.Context, t *fleet.Target) (Report, error)
+	// Order sends o at most once, unless still, asked right before the first
+	// byte, says no. It fails with one of this package's errors.
+	Order(ctx context.Context, t *fleet.Target, o Order, still func() bool) error
+}
+
+// row is the journal's row of an engine.
+type row struct {
+	Holder string      `json:"holder"`
+	Fence  uint64      `json:"fence"`
+	Stage  fleet.Stage `json:"stage"`
+}
+
+// Config is the controller's settings.
+type Config struct {
+	VM string
+	// Share is the share of engines that prefill.
+	Share float64
+	// Gap is how long after one holder's last order another may give one.
+	Gap time.Duration
+}
+
+// Controller plans and orders.
+type Controller struct {
+	kernel.Background
+	cfg     Config
+	keeper  *fleet.Keeper
+	table   store.Table
+	engines Engines
+	lease   *lease.Lease
+	clock   lease.Clock
+	log     *telemetry.Logger
+
+	mu sync.Mutex
+	// open holds the journal's rows, by engine.
+	open map[string]*openOrder
+
+	// wantedSince is when the plan first held changes; owned by run.
+	wantedSince time.Duration
+	renewedAt   time.Duration
+	heldFence   uint64
+}
+
+// openOrder is a row of the journal as this VM sees it.
+type openOrder struct {
+	row  row
+	seen time.Duration
+	// unknown orders of this VM had no answer.
+	unknown bool
+}
+
+// New returns a controller that does nothing until Start.
+func New(cfg Config, keeper *fleet.Keeper, table store.Table, engines Engines, clock lease.Clock, incarnation uint64, log *telemetry.Logger) *Controller {
+	lc := lease.Config{DataCentre: "all", Service: "stages", Holder: cfg.VM, Incarnation: incarnation, TTL: leaseTTL}
+	return &Controller{
+		cfg: cfg, keeper: keeper, table: table, engines: engines, clock: clock, log: log,
+		lease: lease.New(lc, table, clock), open: make(map[string]*openOrder),
+	}
+}
+
+// Start begins to plan.
+func (c *Controller) Start(context.Context) error {
+	c.Run(func(ctx context.Context) { kernel.Every(ctx, tick, c.step) })
+	return nil
+}
+
+// Changing reports whether an engine is about to change its stage or is doing
+// so; nothing new is to be sent to it.
+func (c *Controller) Changing(t *fleet.Target) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := c.open[t.ID]
+	return o != nil && o.row.Stage != t.Stage && c.clock()-o.seen < unknownWithin
+}
+
+// Apply takes in rows of the table that holds the journal.
+func (c *Controller) Apply(rows store.Rows, full bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if full {
+		c.open = make(map[string]*openOrder)
+	}
+	for _, r := range rows.Rows {
+		engine, ok := strings.CutPrefix(r.Key, KeyPrefix)
+		if !ok {
+			continue
+		}
+		if r.Removed {
+			delete(c.open, engine)
+			continue
+		}
+		var v row
+		if err := json.Unmarshal(r.Value, &v); err != nil {
+			c.log.Warn(telemetry.EventBadRow, telemetry.F("key", r.Key), telemetry.F("cause", err))
+			continue
+		}
+		if o := c.open[engine]; o != nil && o.row == v {
+			continue
+		}
+		c.open[engine] = &openOrder{row: v, seen: c.clock()}
+	}
+}
+
+// step looks at the plan once.
+func (c *Controller) step(ctx context.Context) {
+	v := c.keeper.View()
+	changes := c.wanted(v)
+	now := c.clock()
+	if len(changes) == 0 && !c.finishing(v) {
+		c.wantedSince = 0
+		c.release(ctx)
+		return
+	}
+	if c.wantedSince == 0 {
+		c.wantedSince = now
+	}
+	if now-c.wantedSince < c.patience() {
+		return
+	}
+	t, ok := c.hold(ctx)
+	if !ok {
+		return
+	}
+	c.finish(ctx, t, v)
+	if t.Fence > 1 && c.clock()-t.Since < c.cfg.Gap+settle {
+		// The holder before may have ordered until just before.
+		return
+	}
+	c.order(ctx, t, changes)
+}
+
+// wanted returns the planned changes of engines that no order stands open for.
+func (c *Controller) wanted(v *fleet.View) []Change {
+	var out []Change
+	for _, ch := range Plan(v, c.cfg.Share) {
+		c.mu.Lock()
+		busy := c.open[ch.Target.ID] != nil
+		c.mu.Unlock()
+		if !busy {
+			out = append(out, ch)
+		}
+	}
+	return out
+}
+
+// finishing reports whether rows of the journal can be removed.
+func (c *Controller) finishing(v *fleet.View) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, o := range c.open {
+		if c.finished(v, id, o) {
+			return true
+		}
+	}
+	return false
+}
+
+// finished reports whether an order stands open no more: the engine shows the
+// stage or is gone, or its time is over. The caller holds c.mu.
+func (c *Controller) finished(v *fleet.View, id string, o *openOrder) bool {
+	limit := doneWithin
+	if o.unknown || o.row.Holder != c.cfg.VM {
+		limit = unknownWithin
+	}
+	if c.clock()-o.seen > limit {
+		return true
+	}
+	for _, ts := range v.Targets {
+		for _, t := range ts {
+			if t.ID == id {
+				return t.Stage == o.row.Stage
+			}
+		}
+	}
+	return true
+}
+
+// patience is this VM's wait before it contends: a different one on each VM.
+func (c *Controller) patience() time.Duration {
+	h := fnv.New32a()
+	// A hash's Write returns no error.
+	_, _ = h.Write([]byte(c.cfg.VM))
+	return time.Duration(h.Sum32()%candidates) * candidateStep
+}
+
+// hold acquires or renews the lease and returns its tenure.
+func (c *Controller) hold(ctx context.Context) (lease.Tenure, bool) {
+	if t, ok := c.lease.Held(); ok && c.clock()-c.renewedAt < renewEvery {
+		return t, true
+	}
+	c.renewedAt = c.clock()
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := c.lease.Step(call, true)
+	t, ok := c.lease.Held()
+	if ok && t.Fence != c.heldFence {
+		c.heldFence = t.Fence
+		c.log.Info(telemetry.EventLeaseAcquired, telemetry.F("fence", t.Fence))
+	}
+	if err != nil && !ok && c.heldFence != 0 {
+		c.log.Warn(telemetry.EventLeaseLost, telemetry.F("fence", c.heldFence), telemetry.F("cause", err))
+		c.heldFence = 0
+	}
+	if !ok {
+		// Another one holds it, or the store is away: look again later.
+		c.wantedSince = c.clock() - c.patience() + renewEvery
+	}
+	return t, ok
+}
+
+func (c *Controller) release(ctx context.Context) {
+	if _, ok := c.lease.Held(); !ok {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := c.lease.Release(call); err != nil {
+		c.log.Warn(telemetry.EventLeaseLost, telemetry.F("cause", err))
+	}
+	c.heldFence = 0
+}
+
+// finish removes the journal's rows that stand open no more.
+func (c *Controller) finish(ctx context.Context, t lease.Tenure, v *fleet.View) {
+	var keys []string
+	c.mu.Lock()
+	for id, o := range c.open {
+		if c.finished(v, id, o) {
+			keys = append(keys, KeyPrefix+id)
+			c.log.Info(telemetry.EventOrderDone, telemetry.F("engine", id), telemetry.F("stage", string(o.row.Stage)), telemetry.F("fence", o.row.Fence))
+		}
+	}
+	c.mu.Unlock()
+	if len(keys) == 0 {
+		return
+	}
+	if err := c.commit(ctx, t, store.Txn{Deletes: keys}); err != nil {
+		c.log.Warn(telemetry.EventOrderRefused, telemetry.F("journal", "remove"), telemetry.F("cause", err))
+	}
+}
+
+// commit writes to the journal within the tenure.
+func (c *Controller) commit(ctx context.Context, t lease.Tenure, txn store.Txn) error {
+	txn.Conds = append(txn.Conds, store.Cond{Key: lease.FenceKey("all", "stages"), Version: t.FenceVersion})
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := c.table.Commit(call, txn)
+	return err
+}
+
+// order journals all changes in one transaction and then gives the orders.
+func (c *Controller) order(ctx context.Context, t lease.Tenure, changes []Change) {
+	if len(changes) == 0 {
+		return
+	}
+	var txn store.Txn
+	for _, ch := range changes {
+		value, err := json.Marshal(row{Holder: c.cfg.VM, Fence: t.Fence, Stage: ch.Stage})
+		if err != nil {
+			panic("stages: encode row: " + err.Error())
+		}
+		txn.Puts = append(txn.Puts, store.Put{Key: KeyPrefix + ch.Target.ID, Value: value})
+	}
+	if err := c.commit(ctx, t, txn); err != nil {
+		c.log.Warn(telemetry.EventOrderRefused, telemetry.F("journal", "write"), telemetry.F("cause", err))
+		return
+	}
+	c.mu.Lock()
+	for _, ch := range changes {
+		c.open[ch.Target.ID] = &openOrder{row: row{Holder: c.cfg.VM, Fence: t.Fence, Stage: ch.Stage}, seen: c.clock()}
+	}
+	c.mu.Unlock()
+	kernel.Sleep(ctx, settle)
+	for _, ch := range changes {
+		c.give(ctx, t, ch)
+	}
+}
+
+// give sends one order.
+func (c *Controller) give(ctx context.Context, t lease.Tenure, ch Change) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	report, err := c.engines.Report(call, ch.Target)
+	if err != nil || report.Busy {
+		c.log.Warn(telemetry.EventOrderRefused, telemetry.F("engine", ch.Target.ID), telemetry.F("busy", report.Busy), telemetry.F("cause", err))
+		return
+	}
+	o := Order{Stage: ch.Stage, Holder: c.cfg.VM, Fence: t.Fence, Sequence: report.Sequence}
+	still := func() bool {
+		now, ok := c.lease.Held()
+		return ok && now.Fence == t.Fence
+	}
+	err = c.engines.Order(call, ch.Target, o, still)
+	c.mu.Lock()
+	if open := c.open[ch.Target.ID]; open != nil {
+		open.unknown = errors.Is(err, ErrUnknown)
+	}
+	c.mu.Unlock()
+	fields := []telemetry.Field{
+		telemetry.F("engine", ch.Target.ID), telemetry.F("stage", string(ch.Stage)), telemetry.F("fence", t.Fence),
+		telemetry.F("sequence", report.Sequence),
+	}
+	if err != nil {
+		c.log.Warn(telemetry.EventOrderRefused, append(fields, telemetry.F("cause", err))...)
+		return
+	}
+	c.log.Info(telemetry.EventOrderSent, fields...)
+}
