Slots and work in hand are priced; what cannot be on time is refused at the door

Cause: hints ran with 88 events of 59 tokens and filled one decode engine's slots while others were free; long prompts queued past their caller's patience. Ruled out: transfers (5 ms at the median, 13 ms at most). Change: seats in a batch are priced by slots, short prompts are read in place, a request whose reckoned begin is above 0.75 of its objective gets 503 at once.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -249,6 +249,9 @@
 		name = x.route.Name
 		fields = append(fields, telemetry.F("route", name), telemetry.F("service", x.service))
 	}
+	if p := x.meta.Prompt; p != nil {
+		fields = append(fields, telemetry.F("prompt", p.Tokens), telemetry.F("output", p.Output), telemetry.F("max_output", p.MaxOutput))
+	}
 	if !x.first.IsZero() {
 		fields = append(fields, telemetry.F("first_ms", x.first.Sub(x.arrived).Milliseconds()))
 	}
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -43,6 +43,9 @@
 			break
 		}
 	}
+	if errkind.Is(last, errkind.CannotFinish) && !x.ran {
+		return last
+	}
 	if s.relaying {
 		return errkind.Wrap(errkind.StreamLost, last, "the target broke off the stream")
 	}
@@ -57,6 +60,10 @@
 	if !ok {
 		return refused, nil, errkind.New(errkind.NoTarget, "no engine can take the request")
 	}
+	if err := x.admit(choice); err != nil {
+		choice.Ticket.End(place.Neutral, time.Now())
+		return refused, nil, err
+	}
 	if choice.InPlace {
 		x.note(choice.Target, "inplace~"+strconv.FormatInt(choice.Expected.Milliseconds(), 10), nil)
 		out, err := x.decode(ctx, s, choice, nil)
@@ -80,6 +87,40 @@
 	return out, next.Target, err
 }
 
+// admit refuses a request that would not be answered on time, at once, so that
+// those in hand are. One that has been sent somewhere goes on.
+func (x *exchange) admit(c place.Choice) error {
+	if x.arrivals > 0 || x.ran {
+		return nil
+	}
+	left := x.route.Objective - time.Since(x.arrived)
+	if c.Expected <= time.Duration(admitShare*float64(left)) {
+		return nil
+	}
+	x.note(c.Target, "full~"+strconv.FormatInt(c.Expected.Milliseconds(), 10), nil)
+	e := errkind.New(errkind.CannotFinish, "the engines are full; the answer would begin in %d ms", c.Expected.Milliseconds())
+	e.RetryAfter = x.comeBack()
+	return e
+}
+
+// admitShare is the part of the time to a stream's first event that its
+// reckoned begin may take; the rest is for what the reckoning misses.
+const admitShare = 0.75
+
+// Bounds of the wait that a refused caller is told, in objectives. Callers
+// heed at most a third of the time that they have left.
+const (
+	minComeBack = 1.2
+	maxComeBack = 3.0
+)
+
+// comeBack spreads the returns of refused callers.
+func (x *exchange) comeBack() time.Duration {
+	objectives := minComeBack + (maxComeBack-minComeBack)*x.g.float()
+	wait := time.Duration(objectives * float64(x.route.Objective))
+	return min(wait, time.Until(x.deadline)/3).Round(time.Millisecond)
+}
+
 // prefill has the prompt read and returns the handle of its KV cache. Nothing
 // has run after it, whatever its outcome.
 func (x *exchange) prefill(ctx context.Context, c place.Choice) (*Handle, outcome, error) {
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -14,8 +14,20 @@
 	// transferTime is what moving a prompt's KV cache and the first step of
 	// the decode target take, from the users' sheets.
 	transferTime = 8 * time.Millisecond
-	// runningPrice is the price of one more request in a decode batch.
-	runningPrice = 200 * time.Microsecond
+	// batchPrice is the price of joining a batch whose slots are all taken.
+	batchPrice = 20 * time.Millisecond
+	// spareSlots of each decode target are kept for the short runs of prompts
+	// prefilled elsewhere.
+	spareSlots = 4
+	// slotWait is the reckoned wait for each request that is ahead in the
+	// queue for a slot: a long answer takes about four seconds, and 48 slots
+	// end one every 80 ms (users' sheets).
+	slotWait = 80 * time.Millisecond
+	// shortPrompt is the length in tokens below which a second hop never pays.
+	shortPrompt = 1024
+	// maxInPlace bounds the prefills in hand at a decode target that runs
+	// streams: their tokens wait for the chunks read between them.
+	maxInPlace = 60 * time.Millisecond
 	// homeCached is the part of a session's tokens that its home is reckoned
 	// to hold when this VM has not sent it there lately.
 	homeCached = 0.5
@@ -83,27 +95,38 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	home := homeOf(targets, q.Session())
+	next, apart := p.bestDecode(targets, "", tried, now)
 	var best Choice
-	var least time.Duration
+	var chosen weighed
 	for _, t := range targets {
-		if t.Leaving || tried[t.ID] || p.changing(t) {
+		if !p.usable(t, tried) || (t.Stage == fleet.Prefill && (!apart || q.Tokens < shortPrompt)) {
+			continue
+		}
+		w, ok := p.weigh(t, q, t.ID == home, now)
+		if !ok {
 			continue
 		}
-		w := p.weigh(t, q, t.ID == home, now)
-		if best.Target == nil || w.price < least {
+		if t.Stage == fleet.Prefill {
+			w.expected += next.wait + transferTime
+			w.price += next.price + transferTime
+		}
+		if best.Target == nil || w.price < chosen.price {
 			best = Choice{Target: t, Expected: w.expected, InPlace: t.Stage != fleet.Prefill}
-			best.Ticket = &Ticket{work: w.work}
-			least = w.price
+			chosen = w
 		}
 	}
 	if best.Target == nil {
 		return Choice{}, false
 	}
-	best.Ticket = p.begin(best.Target.ID, best.Ticket.work, best.Expected, now)
+	best.Ticket = p.begin(best.Target.ID, chosen.work, chosen.alone, now)
 	p.seen.note(q.Session(), best.Target.ID, now)
 	return best, true
 }
 
+func (p *Placer) usable(t *fleet.Target, tried Tried) bool {
+	return !t.Leaving && !tried[t.ID] && !p.changing(t)
+}
+
 // homeOf is the prefill target that a session's parts are kept at, by
 // rendezvous hash.
 func homeOf(targets []*fleet.Target, session uint64) string {
@@ -121,27 +144,27 @@
 
 // weighed is one way to prefill a prompt.
 type weighed struct {
-	work     Work
+	work Work
+	// expected is the time to the answer's begin, alone the part of it that
+	// the target itself takes.
 	expected time.Duration
+	alone    time.Duration
 	price    time.Duration
 }
 
-func (p *Placer) weigh(t *fleet.Target, q *Prompt, home bool, now time.Time) weighed {
+// weigh reckons what prefilling q at t takes. It returns false where t must
+// not read it.
+func (p *Placer) weigh(t *fleet.Target, q *Prompt, home bool, now time.Time) (weighed, bool) {
 	s := p.state(t.ID)
 	load := p.total(t.ID)
 	rate := p.cfg.PrefillRate
 	w := weighed{work: Work{Prefills: 1}}
-	extra := p.remote(t)
-	if t.Stage == fleet.Prefill {
-		extra += transferTime
-	} else {
+	inPlace := t.Stage != fleet.Prefill
+	if inPlace {
 		rate = p.cfg.InPlaceRate
 		w.work.Running = 1
-		extra += time.Duration(load.Running) * runningPrice
 	}
-	common, session, own := q.shared()
-	_ = common
-	missing := float64(own)
+	_, session, own := q.shared()
 	miss := 0.0
 	switch {
 	case p.seen.has(q.Session(), t.ID, now):
@@ -150,42 +173,82 @@
 	default:
 		miss = float64(session)
 	}
-	missing += miss
-	w.work.Prefill = time.Duration(missing / rate * float64(time.Millisecond))
-	w.expected = time.Duration(float64(load.Prefill+w.work.Prefill)*s.slowdown) + extra
-	w.price = w.expected + time.Duration(missPrice*miss/rate*float64(time.Millisecond)) + time.Duration(s.failures*float64(failurePrice))
+	w.work.Prefill = time.Duration((float64(own) + miss) / rate * float64(time.Millisecond))
+	if inPlace && q.Tokens >= shortPrompt && load.Running > 0 && load.Prefill+w.work.Prefill > maxInPlace {
+		return weighed{}, false
+	}
+	w.alone = time.Duration(float64(load.Prefill+w.work.Prefill) * s.slowdown)
+	w.expected = w.alone + p.remote(t)
+	w.price = w.expected + time.Duration(missPrice*miss/rate*float64(time.Millisecond)) + p.unsound(s, now)
+	if inPlace {
+		b := batch(t, load)
+		w.expected += b.wait
+		w.price += b.price
+	}
+	return w, true
+}
+
+// unsound is the price of a target that fails or cannot be reached.
+func (p *Placer) unsound(s *state, now time.Time) time.Duration {
+	price := time.Duration(s.failures * float64(failurePrice))
 	if !s.reachable(now) {
-		w.price += failurePrice
+		price += failurePrice
 	}
-	return w
+	return price
 }
 
-// Decode chooses the decode target that goes on with a prefilled prompt; near
-// is the data centre of the target that keeps it.
-func (p *Placer) Decode(targets []*fleet.Target, near string, tried Tried, now time.Time) (Choice, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// seat is what joining a decode target's batch costs.
+type seat struct {
+	wait  time.Duration
+	price time.Duration
+}
+
+// batch reckons the seat of one more request at t.
+func batch(t *fleet.Target, load Work) seat {
+	slots := max(t.Slots, 1)
+	used := float64(load.Running) / float64(slots)
+	s := seat{price: time.Duration(used * used * float64(batchPrice))}
+	if over := load.Running - (slots - spareSlots); over >= 0 {
+		s.wait = time.Duration(over+1) * slotWait
+		s.price += s.wait
+	}
+	return s
+}
+
+// bestDecode returns the least price of a seat, or false where no target can
+// go on with a prefilled prompt.
+func (p *Placer) bestDecode(targets []*fleet.Target, near string, tried Tried, now time.Time) (seat, bool) {
+	t, s := p.pickDecode(targets, near, tried, now)
+	return s, t != nil
+}
+
+func (p *Placer) pickDecode(targets []*fleet.Target, near string, tried Tried, now time.Time) (*fleet.Target, seat) {
 	var best *fleet.Target
-	var least time.Duration
+	var least seat
 	for _, t := range targets {
-		if t.Leaving || tried[t.ID] || t.Stage == fleet.Prefill || p.changing(t) {
+		if t.Stage == fleet.Prefill || !p.usable(t, tried) {
 			continue
 		}
-		s := p.state(t.ID)
-		load := p.total(t.ID)
-		price := time.Duration(load.Running)*runningPrice + p.remote(t) + time.Duration(s.failures*float64(failurePrice))
-		if t.DataCentre != near {
-			price += p.cfg.RemotePenalty
-		}
-		if !s.reachable(now) {
-			price += failurePrice
+		s := batch(t, p.total(t.ID))
+		s.price += p.remote(t) + p.unsound(p.state(t.ID), now)
+		if near != "" && t.DataCentre != near {
+			s.price += p.cfg.RemotePenalty
 		}
-		if best == nil || price < least {
-			best, least = t, price
+		if best == nil || s.price < least.price {
+			best, least = t, s
 		}
 	}
-	if best == nil {
+	return best, least
+}
+
+// Decode chooses the decode target that goes on with a prefilled prompt; near
+// is the data centre of the target that keeps it.
+func (p *Placer) Decode(targets []*fleet.Target, near string, tried Tried, now time.Time) (Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, s := p.pickDecode(targets, near, tried, now)
+	if t == nil {
 		return Choice{}, false
 	}
-	return Choice{Target: best, Ticket: p.begin(best.ID, Work{Running: 1}, 0, now)}, true
+	return Choice{Target: t, Expected: s.wait, Ticket: p.begin(t.ID, Work{Running: 1}, 0, now)}, true
 }
