Each VM reckons what every engine has cached

Cause: half of the prompts admitted under load were late: the slowdown was learned against an expectation that held it already, so only its square root was found; a session's cache was guessed from a hash and 3 s of own sends. Change: prompts given to engines are told to all VMs; a part is held while fewer tokens than the cache's size have come in since; reading time has a part for attending pairs; the slowdown is learned against the plain reckoning.

--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -56,7 +56,11 @@
 // the better way. target is nil when there is none to ask.
 func (x *exchange) generateOnce(ctx context.Context, s *stream) (outcome, *fleet.Target, error) {
 	targets := x.view.Targets[x.service]
-	choice, ok := x.g.placer.Read(targets, x.meta.Prompt, x.tried, time.Now())
+	if !x.generates() {
+		// The configuration has changed meanwhile.
+		return refused, nil, errkind.New(errkind.NoTarget, "the service is not a model's any more")
+	}
+	choice, ok := x.g.placer.Read(targets, x.view.Config.Services[x.service].Engine, x.meta.Prompt, x.tried, time.Now())
 	if !ok {
 		return refused, nil, errkind.New(errkind.NoTarget, "no engine can take the request")
 	}
@@ -65,17 +69,17 @@
 		return refused, nil, err
 	}
 	if choice.InPlace {
-		x.note(choice.Target, "inplace~"+strconv.FormatInt(choice.Expected.Milliseconds(), 10), nil)
+		x.note(choice.Target, describe(choice, "inplace"), nil)
 		out, err := x.decode(ctx, s, choice, nil)
 		return out, choice.Target, err
 	}
-	x.note(choice.Target, "prefill~"+strconv.FormatInt(choice.Expected.Milliseconds(), 10), nil)
+	x.note(choice.Target, describe(choice, "prefill"), nil)
 	handle, out, err := x.prefill(ctx, choice)
 	if err != nil {
 		return out, choice.Target, err
 	}
 	x.reload()
-	next, ok := x.g.placer.Decode(x.view.Targets[x.service], choice.Target.DataCentre, x.tried, time.Now())
+	next, ok := x.g.placer.Decode(x.view.Targets[x.service], x.meta.Prompt, choice.Target.DataCentre, x.tried, time.Now())
 	if !ok {
 		x.free(choice.Target, handle)
 		return refused, nil, errkind.New(errkind.NoTarget, "no decode engine can take the request")
@@ -87,6 +91,12 @@
 	return out, next.Target, err
 }
 
+// describe formats a choice and the figures that it rests on for the log line:
+// the reckoned time to the first event in ms and the tokens held.
+func describe(c place.Choice, what string) string {
+	return what + "~" + strconv.FormatInt(c.Expected.Milliseconds(), 10) + "c" + strconv.Itoa(c.Cached)
+}
+
 // admit refuses a request that would not be answered on time, at once, so that
 // those in hand are. One that has been sent somewhere goes on.
 func (x *exchange) admit(c place.Choice) error {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -155,9 +155,8 @@
 	pc := place.DefaultConfig(cfg.DataCentre)
 	pc.PrefillRate = cfg.PrefillTokensPerMS
 	pc.InPlaceRate = cfg.PrefillTokensPerMS / 2
-	pc.SeenFor = cfg.CacheTTL.D()
 	placer := place.New(pc, group, kernel.Need[*stages.Controller](g, ModuleStages).Changing)
-	group.SetSource(placer.Own)
+	group.SetPlacer(placer)
 	return placer, nil
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -48,6 +48,14 @@
 	Incarnation int64  `json:"inc"`
 	Number      uint64 `json:"n"`
 	Work        []item `json:"w"`
+	// Uses are the prompts given to targets since the last report.
+	Uses []use `json:"u,omitempty"`
+}
+
+type use struct {
+	Target  string   `json:"t"`
+	Parts   []uint64 `json:"h"`
+	Missing int      `json:"m"`
 }
 
 type item struct {
@@ -55,10 +63,15 @@
 	PrefillUS int64  `json:"p"`
 	Prefills  int    `json:"q"`
 	Running   int    `json:"r"`
+	Tokens    int    `json:"k"`
 }
 
-// Source returns this VM's own work in hand.
-type Source func() map[string]place.Work
+// Placer is where this VM's own state is read and others' uses are told.
+type Placer interface {
+	Own() map[string]place.Work
+	TakeUses() []place.Use
+	Observe([]place.Use)
+}
 
 // Peers exchanges reports with the other VMs.
 type Peers struct {
@@ -67,7 +80,7 @@
 	incarnation int64
 	table       store.Table
 	log         *telemetry.Logger
-	source      Source
+	placer      Placer
 	conn        *net.UDPConn
 
 	mu      sync.Mutex
@@ -90,8 +103,8 @@
 	}
 }
 
-// SetSource sets where this VM's own work is read; it is called before Start.
-func (p *Peers) SetSource(s Source) { p.source = s }
+// SetPlacer sets the placer that reports are about; it is called before Start.
+func (p *Peers) SetPlacer(placer Placer) { p.placer = placer }
 
 // Start listens, registers this VM in the store and begins to report.
 func (p *Peers) Start(context.Context) error {
@@ -194,6 +207,7 @@
 		sum.Prefill += w.Prefill
 		sum.Prefills += w.Prefills
 		sum.Running += w.Running
+		sum.Tokens += w.Tokens
 	}
 	return sum
 }
@@ -203,28 +217,37 @@
 	var lastAt time.Time
 	number := uint64(0)
 	kernel.Every(ctx, interval, func(context.Context) {
-		items := itemsOf(p.source())
+		items := itemsOf(p.placer.Own())
 		body, err := json.Marshal(items)
 		if err != nil {
 			panic("peers: encode report: " + err.Error())
 		}
-		if string(body) == string(last) && time.Since(lastAt) < quietInterval {
+		uses := usesOf(p.placer.TakeUses())
+		if len(uses) == 0 && string(body) == string(last) && time.Since(lastAt) < quietInterval {
 			return
 		}
 		last, lastAt = body, time.Now()
 		number++
-		p.broadcast(report{VM: p.self.VM, Incarnation: p.incarnation, Number: number, Work: items})
+		p.broadcast(report{VM: p.self.VM, Incarnation: p.incarnation, Number: number, Work: items, Uses: uses})
 	})
 }
 
 func itemsOf(work map[string]place.Work) []item {
 	items := make([]item, 0, len(work))
 	for id, w := range work {
-		items = append(items, item{Target: id, PrefillUS: w.Prefill.Microseconds(), Prefills: w.Prefills, Running: w.Running})
+		items = append(items, item{Target: id, PrefillUS: w.Prefill.Microseconds(), Prefills: w.Prefills, Running: w.Running, Tokens: w.Tokens})
 	}
 	return items
 }
 
+func usesOf(uses []place.Use) []use {
+	out := make([]use, 0, len(uses))
+	for _, u := range uses {
+		out = append(out, use(u))
+	}
+	return out
+}
+
 func (p *Peers) broadcast(r report) {
 	data, err := json.Marshal(r)
 	if err != nil {
@@ -258,22 +281,34 @@
 		if err := json.Unmarshal(buf[:n], &r); err != nil || r.VM == p.self.VM {
 			continue
 		}
-		p.take(r)
+		if p.take(r) {
+			p.observe(r.Uses)
+		}
 	}
 }
 
-func (p *Peers) take(r report) {
+// take takes in a report unless a newer one of the same VM is known.
+func (p *Peers) take(r report) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.heard[r.VM]
 	if s != nil && time.Since(s.at) <= maxAge && (r.Incarnation < s.incarnation || (r.Incarnation == s.incarnation && r.Number <= s.number)) {
-		return
+		return false
 	}
 	work := make(map[string]place.Work, len(r.Work))
 	for _, i := range r.Work {
-		work[i.Target] = place.Work{Prefill: time.Duration(i.PrefillUS) * time.Microsecond, Prefills: i.Prefills, Running: i.Running}
+		work[i.Target] = place.Work{Prefill: time.Duration(i.PrefillUS) * time.Microsecond, Prefills: i.Prefills, Running: i.Running, Tokens: i.Tokens}
 	}
 	p.heard[r.VM] = &peerState{incarnation: r.Incarnation, number: r.Number, at: time.Now(), work: work}
+	return true
+}
+
+func (p *Peers) observe(uses []use) {
+	out := make([]place.Use, 0, len(uses))
+	for _, u := range uses {
+		out = append(out, place.Use(u))
+	}
+	p.placer.Observe(out)
 }
 
 var _ place.Others = (*Peers)(nil)
--- a/internal/place/config.go
+++ b/internal/place/config.go
@@ -11,8 +11,9 @@
 	PrefillRate float64
 	// InPlaceRate is the same for a decode engine, between its other work.
 	InPlaceRate float64
-	// SeenFor is how long a prompt part is taken to stay in a target's cache.
-	SeenFor time.Duration
+	// PairsMS is the time that a million pairs of tokens that attend to each
+	// other add, in milliseconds.
+	PairsMS float64
 	// RemotePenalty is added to the price of targets in other data centres.
 	RemotePenalty time.Duration
 }
@@ -23,7 +24,7 @@
 		DataCentre:    dataCentre,
 		PrefillRate:   300,
 		InPlaceRate:   150,
-		SeenFor:       3 * time.Second,
+		PairsMS:       0.13,
 		RemotePenalty: 4 * time.Millisecond,
 	}
 }
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -28,12 +28,12 @@
 	// maxInPlace bounds the prefills in hand at a decode target that runs
 	// streams: their tokens wait for the chunks read between them.
 	maxInPlace = 60 * time.Millisecond
-	// homeCached is the part of a session's tokens that its home is reckoned
-	// to hold when this VM has not sent it there lately.
-	homeCached = 0.5
-	// missPrice weighs the time that a target spends on tokens which another
-	// one has cached; it delays whoever comes next.
-	missPrice = 1.0
+	// workPrice weighs the time that a prefill takes the target: it delays
+	// whoever comes next.
+	workPrice = 1.0
+	// cacheShare is the part of a target's free KV cache that parts are
+	// reckoned to be held in.
+	cacheShare = 0.9
 )
 
 // Choice is a target with the request on its account.
@@ -42,6 +42,8 @@
 	Ticket *Ticket
 	// Expected is the reckoned time to the answer's begin.
 	Expected time.Duration
+	// Cached is the prompt's tokens that the target is reckoned to hold.
+	Cached int
 	// InPlace says that the decode target reads the prompt itself.
 	InPlace bool
 }
@@ -91,10 +93,9 @@
 
 // Read chooses where a prompt is prefilled: at a prefill target, or in place
 // at the decode target that then goes on.
-func (p *Placer) Read(targets []*fleet.Target, q *Prompt, tried Tried, now time.Time) (Choice, bool) {
+func (p *Placer) Read(targets []*fleet.Target, spec *fleet.EngineSpec, q *Prompt, tried Tried, now time.Time) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	home := homeOf(targets, q.Session())
 	next, apart := p.bestDecode(targets, "", tried, now)
 	var best Choice
 	var chosen weighed
@@ -102,7 +103,7 @@
 		if !p.usable(t, tried) || (t.Stage == fleet.Prefill && (!apart || q.Tokens < shortPrompt)) {
 			continue
 		}
-		w, ok := p.weigh(t, q, t.ID == home, now)
+		w, ok := p.weigh(t, spec, q, now)
 		if !ok {
 			continue
 		}
@@ -111,15 +112,15 @@
 			w.price += next.price + transferTime
 		}
 		if best.Target == nil || w.price < chosen.price {
-			best = Choice{Target: t, Expected: w.expected, InPlace: t.Stage != fleet.Prefill}
+			best = Choice{Target: t, Expected: w.expected, Cached: w.cached, InPlace: t.Stage != fleet.Prefill}
 			chosen = w
 		}
 	}
 	if best.Target == nil {
 		return Choice{}, false
 	}
-	best.Ticket = p.begin(best.Target.ID, chosen.work, chosen.alone, now)
-	p.seen.note(q.Session(), best.Target.ID, now)
+	best.Ticket = p.begin(best.Target.ID, chosen.work, chosen.reckoned, now)
+	p.noteUse(best.Target.ID, q, q.Tokens-chosen.cached)
 	return best, true
 }
 
@@ -127,59 +128,39 @@
 	return !t.Leaving && !tried[t.ID] && !p.changing(t)
 }
 
-// homeOf is the prefill target that a session's parts are kept at, by
-// rendezvous hash.
-func homeOf(targets []*fleet.Target, session uint64) string {
-	best, most := "", uint64(0)
-	for _, t := range targets {
-		if t.Leaving || t.Stage != fleet.Prefill {
-			continue
-		}
-		if w := rendezvous(session, t.ID); best == "" || w > most {
-			best, most = t.ID, w
-		}
-	}
-	return best
-}
-
 // weighed is one way to prefill a prompt.
 type weighed struct {
 	work Work
-	// expected is the time to the answer's begin, alone the part of it that
-	// the target itself takes.
+	// cached is the prompt's tokens that the target holds.
+	cached int
+	// reckoned is the target's time for the prefill and what is before it, at
+	// the speed of the settings; expected is the time to the answer's begin.
+	reckoned time.Duration
 	expected time.Duration
-	alone    time.Duration
 	price    time.Duration
 }
 
 // weigh reckons what prefilling q at t takes. It returns false where t must
 // not read it.
-func (p *Placer) weigh(t *fleet.Target, q *Prompt, home bool, now time.Time) (weighed, bool) {
+func (p *Placer) weigh(t *fleet.Target, spec *fleet.EngineSpec, q *Prompt, now time.Time) (weighed, bool) {
 	s := p.state(t.ID)
 	load := p.total(t.ID)
 	rate := p.cfg.PrefillRate
-	w := weighed{work: Work{Prefills: 1}}
+	w := weighed{work: Work{Prefills: 1, Tokens: q.Tokens}}
 	inPlace := t.Stage != fleet.Prefill
 	if inPlace {
 		rate = p.cfg.InPlaceRate
 		w.work.Running = 1
+		w.work.Tokens += q.Output / 2
 	}
-	_, session, own := q.shared()
-	miss := 0.0
-	switch {
-	case p.seen.has(q.Session(), t.ID, now):
-	case home:
-		miss = float64(session) * (1 - homeCached)
-	default:
-		miss = float64(session)
-	}
-	w.work.Prefill = time.Duration((float64(own) + miss) / rate * float64(time.Millisecond))
+	w.cached = s.cache.held(q, cacheShare*float64(spec.KVTokens-load.Tokens))
+	w.work.Prefill = p.readTime(q.Tokens, w.cached, rate)
 	if inPlace && q.Tokens >= shortPrompt && load.Running > 0 && load.Prefill+w.work.Prefill > maxInPlace {
 		return weighed{}, false
 	}
-	w.alone = time.Duration(float64(load.Prefill+w.work.Prefill) * s.slowdown)
-	w.expected = w.alone + p.remote(t)
-	w.price = w.expected + time.Duration(missPrice*miss/rate*float64(time.Millisecond)) + p.unsound(s, now)
+	w.reckoned = load.Prefill + w.work.Prefill
+	w.expected = time.Duration(float64(w.reckoned)*s.slowdown) + p.remote(t)
+	w.price = w.expected + time.Duration(workPrice*float64(w.work.Prefill)) + p.unsound(s, now)
 	if inPlace {
 		b := batch(t, load)
 		w.expected += b.wait
@@ -188,6 +169,16 @@
 	return w, true
 }
 
+// readTime is the time to read the tokens behind the cached ones: a part that
+// grows with their number and one with the pairs of tokens that attend to each
+// other.
+func (p *Placer) readTime(tokens, cached int, rate float64) time.Duration {
+	missing := float64(tokens - cached)
+	pairs := missing * float64(tokens+cached) / 2
+	ms := missing/rate + pairs*p.cfg.PairsMS/1e6
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
 // unsound is the price of a target that fails or cannot be reached.
 func (p *Placer) unsound(s *state, now time.Time) time.Duration {
 	price := time.Duration(s.failures * float64(failurePrice))
@@ -243,12 +234,13 @@
 
 // Decode chooses the decode target that goes on with a prefilled prompt; near
 // is the data centre of the target that keeps it.
-func (p *Placer) Decode(targets []*fleet.Target, near string, tried Tried, now time.Time) (Choice, bool) {
+func (p *Placer) Decode(targets []*fleet.Target, q *Prompt, near string, tried Tried, now time.Time) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t, s := p.pickDecode(targets, near, tried, now)
 	if t == nil {
 		return Choice{}, false
 	}
-	return Choice{Target: t, Expected: s.wait, Ticket: p.begin(t.ID, Work{Running: 1}, 0, now)}, true
+	p.noteUse(t.ID, q, q.Tokens)
+	return Choice{Target: t, Expected: s.wait, Ticket: p.begin(t.ID, Work{Running: 1, Tokens: q.Tokens + q.Output/2}, 0, now)}, true
 }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -34,8 +34,6 @@
 	PrefillShare float64 `json:"prefill_share"`
 	// PrefillTokensPerMS is how fast a prefill engine reads a prompt.
 	PrefillTokensPerMS float64 `json:"prefill_tokens_per_ms"`
-	// CacheTTL is how long a prompt part is taken to stay cached.
-	CacheTTL Duration `json:"cache_ttl"`
 }
 
 // DefaultNode returns the node's defaults.
@@ -48,9 +46,8 @@
 		RetryRatio:         0.15,
 		RetryBurst:         40,
 		LogLinesPerS:       400,
-		PrefillShare:       0.67,
+		PrefillShare:       0.5,
 		PrefillTokensPerMS: 300,
-		CacheTTL:           Duration(3 * time.Second),
 	}
 }
 
@@ -67,7 +64,6 @@
 	r.needPositive("grace", int64(s.Grace))
 	r.needPositive("lease_gap", int64(s.LeaseGap))
 	r.needPositive("log_lines_per_s", s.LogLinesPerS)
-	r.needPositive("cache_ttl", int64(s.CacheTTL))
 	if s.RetryRatio < 0 || s.RetryRatio > 1 {
 		r.add("retry_ratio", "must be from 0 to 1")
 	}
