Streams gather at few decode engines; reports every 10 ms

Cause: hints were late by pauses, as prompts were read in place beside them on every decode engine; VMs that decided within one report's interval met at one engine. Change: a first stream on an engine is priced, so is reading beside streams; the report interval is 10 ms; the door's share is 0.65.

--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -115,7 +115,7 @@
 
 // admitShare is the part of the time to a stream's first event that its
 // reckoned begin may take; the rest is for what the reckoning misses.
-const admitShare = 0.75
+const admitShare = 0.65
 
 // Bounds of the wait that a refused caller is told, in objectives. Callers
 // heed at most a third of the time that they have left.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -21,7 +21,7 @@
 
 const (
 	// interval is the time between reports while they change.
-	interval = 40 * time.Millisecond
+	interval = 10 * time.Millisecond
 	// quietInterval is the time between reports that say the same.
 	quietInterval = 480 * time.Millisecond
 	// maxAge is when a report does not count any more.
@@ -63,6 +63,7 @@
 	PrefillUS int64  `json:"p"`
 	Prefills  int    `json:"q"`
 	Running   int    `json:"r"`
+	Streams   int    `json:"s"`
 	Tokens    int    `json:"k"`
 }
 
@@ -207,6 +208,7 @@
 		sum.Prefill += w.Prefill
 		sum.Prefills += w.Prefills
 		sum.Running += w.Running
+		sum.Streams += w.Streams
 		sum.Tokens += w.Tokens
 	}
 	return sum
@@ -235,7 +237,7 @@
 func itemsOf(work map[string]place.Work) []item {
 	items := make([]item, 0, len(work))
 	for id, w := range work {
-		items = append(items, item{Target: id, PrefillUS: w.Prefill.Microseconds(), Prefills: w.Prefills, Running: w.Running, Tokens: w.Tokens})
+		items = append(items, item{Target: id, PrefillUS: w.Prefill.Microseconds(), Prefills: w.Prefills, Running: w.Running, Streams: w.Streams, Tokens: w.Tokens})
 	}
 	return items
 }
@@ -297,7 +299,7 @@
 	}
 	work := make(map[string]place.Work, len(r.Work))
 	for _, i := range r.Work {
-		work[i.Target] = place.Work{Prefill: time.Duration(i.PrefillUS) * time.Microsecond, Prefills: i.Prefills, Running: i.Running, Tokens: i.Tokens}
+		work[i.Target] = place.Work{Prefill: time.Duration(i.PrefillUS) * time.Microsecond, Prefills: i.Prefills, Running: i.Running, Streams: i.Streams, Tokens: i.Tokens}
 	}
 	p.heard[r.VM] = &peerState{incarnation: r.Incarnation, number: r.Number, at: time.Now(), work: work}
 	return true
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -23,6 +23,12 @@
 	// queue for a slot: a long answer takes about four seconds, and 48 slots
 	// end one every 80 ms (users' sheets).
 	slotWait = 80 * time.Millisecond
+	// streamPrice is the price of reading a long prompt beside one stream.
+	streamPrice = 2 * time.Millisecond
+	// openPrice is the price of the first stream at a target.
+	openPrice = 20 * time.Millisecond
+	// pausePrice weighs the prefills in hand where a stream joins.
+	pausePrice = 1
 	// shortPrompt is the length in tokens below which a second hop never pays.
 	shortPrompt = 1024
 	// maxInPlace bounds the prefills in hand at a decode target that runs
@@ -151,11 +157,13 @@
 	if inPlace {
 		rate = p.cfg.InPlaceRate
 		w.work.Running = 1
+		w.work.Streams = q.streams()
 		w.work.Tokens += q.Output / 2
 	}
 	w.cached = s.cache.held(q, cacheShare*float64(spec.KVTokens-load.Tokens))
 	w.work.Prefill = p.readTime(q.Tokens, w.cached, rate)
-	if inPlace && q.Tokens >= shortPrompt && load.Running > 0 && load.Prefill+w.work.Prefill > maxInPlace {
+	long := q.Tokens >= shortPrompt
+	if inPlace && long && load.Streams > 0 && load.Prefill+w.work.Prefill > maxInPlace {
 		return weighed{}, false
 	}
 	w.reckoned = load.Prefill + w.work.Prefill
@@ -164,11 +172,24 @@
 	if inPlace {
 		b := batch(t, load)
 		w.expected += b.wait
-		w.price += b.price
+		w.price += b.price + gather(load, long)
 	}
 	return w, true
 }
 
+// gather is the price that keeps long answers and long prompts read in place
+// apart: the tokens of a stream wait while a prompt is read beside it, so
+// streams gather at few targets and prompts go to the others.
+func gather(load Work, longPrompt bool) time.Duration {
+	switch {
+	case longPrompt:
+		return time.Duration(load.Streams) * streamPrice
+	case load.Streams == 0:
+		return openPrice + pausePrice*load.Prefill
+	}
+	return pausePrice * load.Prefill
+}
+
 // readTime is the time to read the tokens behind the cached ones: a part that
 // grows with their number and one with the pairs of tokens that attend to each
 // other.
@@ -242,5 +263,5 @@
 		return Choice{}, false
 	}
 	p.noteUse(t.ID, q, q.Tokens)
-	return Choice{Target: t, Expected: s.wait, Ticket: p.begin(t.ID, Work{Running: 1, Tokens: q.Tokens + q.Output/2}, 0, now)}, true
+	return Choice{Target: t, Expected: s.wait, Ticket: p.begin(t.ID, Work{Running: 1, Streams: q.streams(), Tokens: q.Tokens + q.Output/2}, 0, now)}, true
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -36,6 +36,17 @@
 	return p.Parts[:len(p.Parts)-1]
 }
 
+// longOutput is the answer's length in tokens from which a request counts as a
+// stream: it holds its slot for a good part of a second.
+const longOutput = 600
+
+func (p *Prompt) streams() int {
+	if p.Output >= longOutput {
+		return 1
+	}
+	return 0
+}
+
 // Work is what a target has in hand.
 type Work struct {
 	// Prefill is the time that its prefills in hand will take.
@@ -43,6 +54,8 @@
 	// Running is the requests being run, and Prefills those being prefilled.
 	Running  int
 	Prefills int
+	// Streams is the running requests whose answers are long.
+	Streams int
 	// Tokens is the KV cache that they take up.
 	Tokens int
 }
@@ -50,14 +63,14 @@
 func (w Work) plus(o Work) Work {
 	return Work{
 		Prefill: w.Prefill + o.Prefill, Running: w.Running + o.Running,
-		Prefills: w.Prefills + o.Prefills, Tokens: w.Tokens + o.Tokens,
+		Prefills: w.Prefills + o.Prefills, Streams: w.Streams + o.Streams, Tokens: w.Tokens + o.Tokens,
 	}
 }
 
 func (w Work) minus(o Work) Work {
 	return Work{
 		Prefill: w.Prefill - o.Prefill, Running: w.Running - o.Running,
-		Prefills: w.Prefills - o.Prefills, Tokens: w.Tokens - o.Tokens,
+		Prefills: w.Prefills - o.Prefills, Streams: w.Streams - o.Streams, Tokens: w.Tokens - o.Tokens,
 	}
 }
 
