--- a/cmd/garnet-node/main.go
+++ b/cmd/garnet-node/main.go
@@ -21,12 +21,16 @@
 
 func main() {
 	cfg := settings.DefaultNode()
+	file := ""
 	d := daemon.Daemon{
 		Name: "garnet-node",
-		Read: func(path string) error { return settings.ReadFile(path, cfg) },
+		Read: func(path string) error {
+			file = path
+			return settings.ReadFile(path, cfg)
+		},
 		Register: func(k *kernel.Kernel, logs io.Writer) {
 			debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB<<20)))
-			node.Register(k, cfg, platform.Adapter(), logs)
+			node.Register(k, file, cfg, platform.Adapter(), logs)
 		},
 		Roots:       node.Roots,
 		StopTimeout: func() time.Duration { return cfg.Grace.D() },
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -126,6 +126,11 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	// A program that reads its settings again listens for SIGHUP itself; here
+	// the signal is only kept from ending the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	k := kernel.New()
 	d.Register(k, logs)
 	app, err := k.App(kernel.Timeouts{Start: startTimeout, Stop: d.StopTimeout()}, d.Roots...)
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -20,6 +20,7 @@
 const (
 	BadRequest       Kind = "bad_request"
 	BodyTooLarge     Kind = "body_too_large"
+	HeaderTooLarge   Kind = "header_too_large"
 	SlowBody         Kind = "slow_body"
 	UnknownService   Kind = "unknown_service"
 	UnknownPath      Kind = "unknown_path"
@@ -77,6 +78,7 @@
 var answers = map[Kind]Answer{
 	BadRequest:       {Status: http.StatusBadRequest, Outcome: NotRun, CallerFault: true},
 	BodyTooLarge:     {Status: http.StatusRequestEntityTooLarge, Outcome: NotRun, CallerFault: true},
+	HeaderTooLarge:   {Status: http.StatusRequestHeaderFieldsTooLarge, Outcome: NotRun, CallerFault: true},
 	SlowBody:         {Status: http.StatusRequestTimeout, Outcome: NotRun, CallerFault: true},
 	UnknownService:   {Status: http.StatusNotFound, Outcome: NotRun, CallerFault: true},
 	UnknownPath:      {Status: http.StatusNotFound, Outcome: NotRun, CallerFault: true},
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -54,6 +54,9 @@
 		return errkind.New(errkind.NotReady, "configuration and targets are not known yet")
 	}
 	cfg := x.view.Config
+	if limit := cfg.Limits.HeaderBytes; limit > 0 && headerBytes(x.r) > limit {
+		return errkind.New(errkind.HeaderTooLarge, "the head is larger than %d bytes", limit)
+	}
 	x.route = cfg.Match(x.r.Host, pathOf(x.r.RequestURI))
 	if x.route == nil {
 		return errkind.New(errkind.UnknownPath, "no route for this host and path")
@@ -78,6 +81,20 @@
 	return x.plain(ctx)
 }
 
+// headerOverhead is what a header line holds beside its name and value.
+const headerOverhead = len(": \r\n")
+
+// headerBytes returns the size of a request's head as it was sent, nearly.
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host) + 2*headerOverhead
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + headerOverhead
+		}
+	}
+	return n
+}
+
 // generates reports whether a model engine serves the request.
 func (x *exchange) generates() bool {
 	s := x.view.Config.Services[x.service]
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,15 +38,13 @@
 	// pruneInterval is how often idle connections and forgotten targets are
 	// looked through.
 	pruneInterval = time.Second
-	// connShareDivisor leaves room in a target's connections for VMs that are
+	// spareVMs leaves room in a target's connections for VMs that are
 	// not known yet.
 	spareVMs = 3
 )
 
-// Config is the gateway's settings.
-type Config struct {
-	// Listen is the callers' address.
-	Listen string
+// Limits are the gateway's settings that may change while it runs.
+type Limits struct {
 	// Grace is how long after SIGTERM the process may go on.
 	Grace time.Duration
 	// RetryRatio and RetryBurst bound the sends to further targets, as a share
@@ -63,7 +61,8 @@
 
 // Gateway is the callers' HTTP edge.
 type Gateway struct {
-	cfg    Config
+	listen string
+	limits atomic.Pointer[Limits]
 	keeper *fleet.Keeper
 	placer *place.Placer
 	proto  Protocol
@@ -83,12 +82,28 @@
 	random  *mathrand.Rand
 }
 
-// New returns a gateway that does not listen yet.
-func New(cfg Config, keeper *fleet.Keeper, placer *place.Placer, proto Protocol, group Group, client *httpsend.Client, log *telemetry.Logger, stats *Stats) *Gateway {
-	return &Gateway{
-		cfg: cfg, keeper: keeper, placer: placer, proto: proto, group: group, client: client,
+// New returns a gateway for callers at the address listen; it does not listen
+// yet.
+func New(listen string, limits Limits, keeper *fleet.Keeper, placer *place.Placer, proto Protocol, group Group, client *httpsend.Client, log *telemetry.Logger, stats *Stats) *Gateway {
+	g := &Gateway{
+		listen: listen, keeper: keeper, placer: placer, proto: proto, group: group, client: client,
 		log: log, stats: stats, budgets: make(map[string]*retry.Budget), random: newRandom(),
 	}
+	g.limits.Store(&limits)
+	return g
+}
+
+// SetLimits changes the limits of a running gateway. Retry budgets begin anew,
+// empty, so that a change adds nothing to what was drawn already.
+func (g *Gateway) SetLimits(l Limits) {
+	g.limits.Store(&l)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for service := range g.budgets {
+		b := g.newBudget()
+		b.Empty()
+		g.budgets[service] = b
+	}
 }
 
 func newRandom() *mathrand.Rand {
@@ -100,7 +115,7 @@
 
 // Start listens for callers.
 func (g *Gateway) Start(context.Context) error {
-	l, err := net.Listen("tcp", g.cfg.Listen)
+	l, err := net.Listen("tcp", g.listen)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
@@ -153,11 +168,10 @@
 // the grace is nearly over.
 func (g *Gateway) Drain(ctx context.Context) {
 	g.stopping.Store(true)
-	g.server.SetKeepAlivesEnabled(true)
 	g.log.Info(telemetry.EventStopping, telemetry.F("in_flight", g.inFlight.Load()))
 	began := time.Now()
 	quietSince := began
-	for time.Since(began) < g.cfg.Grace-graceMargin && ctx.Err() == nil {
+	for time.Since(began) < g.limits.Load().Grace-graceMargin && ctx.Err() == nil {
 		kernel.Sleep(ctx, drainPoll)
 		if g.inFlight.Load() > 0 {
 			quietSince = time.Now()
@@ -227,13 +241,18 @@
 	defer g.mu.Unlock()
 	b, ok := g.budgets[service]
 	if !ok {
-		burst := g.cfg.RetryBurst / float64(g.group.Size()+spareVMs)
-		b = retry.NewBudget(g.cfg.RetryRatio, burst)
+		b = g.newBudget()
 		g.budgets[service] = b
 	}
 	return b
 }
 
+// newBudget returns a budget of this VM's share.
+func (g *Gateway) newBudget() *retry.Budget {
+	l := g.limits.Load()
+	return retry.NewBudget(l.RetryRatio, l.RetryBurst/float64(g.group.Size()+spareVMs))
+}
+
 // destination bounds a target's connections to this VM's share.
 func (g *Gateway) destination(v *fleet.View, t *fleet.Target, fresh bool) httpsend.Destination {
 	d := httpsend.Destination{ID: t.ID, Address: t.Address, Fresh: fresh}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -31,9 +31,11 @@
 	body   []byte
 }
 
-// plain serves a request whose answer is one body.
+// plain serves a request whose answer is one body. A failure that a target
+// answers is held while another target may do better.
 func (x *exchange) plain(ctx context.Context) error {
 	var last error
+	var held *answer
 	for unreached := 0; unreached < maxUnreached; {
 		x.reload()
 		choice, ok := x.g.placer.Plain(x.view.Targets[x.service], x.tried, rand.Uint64(), time.Now())
@@ -41,9 +43,12 @@
 			break
 		}
 		a, out, err := x.callPlain(ctx, choice)
-		if err == nil && !x.worthRetry(ctx, a) {
+		if err == nil && !(a.status >= http.StatusInternalServerError && x.route.Kind == fleet.Idempotent) {
 			return x.deliver(a)
 		}
+		if err == nil {
+			held = a
+		}
 		last = err
 		x.tried[choice.Target.ID] = true
 		if out == sentNothing {
@@ -51,7 +56,7 @@
 			continue
 		}
 		x.arrivals++
-		x.ran = x.ran || out == unknown
+		x.ran = x.ran || out != refused
 		if x.ran && !x.route.Repeatable() {
 			break
 		}
@@ -59,19 +64,10 @@
 			break
 		}
 	}
-	return x.giveUp(ctx, last)
-}
-
-// worthRetry reports whether a target's answer is a failure that another
-// target may do better. The budget has been drawn on when it says yes.
-func (x *exchange) worthRetry(ctx context.Context, a *answer) bool {
-	if a.status < http.StatusInternalServerError || x.route.Kind != fleet.Idempotent {
-		return false
-	}
-	if x.arrivals+1 >= x.route.MaxAttempts {
-		return false
+	if held != nil {
+		return x.deliver(held)
 	}
-	return false
+	return x.giveUp(ctx, last)
 }
 
 // callPlain sends the request to one target and reads its whole answer.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 
 // Names of the node's modules.
 const (
+	ModuleWriter  = "telemetry.writer"
 	ModuleLog     = "telemetry.log"
 	ModuleMetrics = "telemetry.metrics"
 	ModuleAdmin   = "telemetry.admin"
@@ -40,10 +41,11 @@
 	ModuleSender  = "httpsend.client"
 	ModuleStages  = "stages"
 	ModuleGateway = "gateway"
+	ModuleReload  = "node.reload"
 )
 
 // Roots names the modules that the program is there for.
-var Roots = []string{ModuleAdmin, ModuleReady, ModuleConfig, ModuleTargets, ModuleMembers, ModulePeers, ModuleStages, ModuleGateway}
+var Roots = []string{ModuleAdmin, ModuleReady, ModuleConfig, ModuleTargets, ModuleMembers, ModulePeers, ModuleStages, ModuleReload, ModuleGateway}
 
 // Store is what the node needs of the platform's store.
 type Store interface {
@@ -73,10 +75,16 @@
 	maxIdle     = 3 * time.Second
 )
 
-// Register adds the node's modules to k. Logs go to logs.
-func Register(k *kernel.Kernel, cfg *settings.Node, a Adapter, logs io.Writer) {
-	k.Register(ModuleLog, func(*kernel.Kernel) (any, error) {
-		return telemetry.NewLogger(telemetry.NewBoundedWriter(logs, int(cfg.LogLinesPerS)), "garnet-node", cfg.VM), nil
+// Register adds the node's modules to k. path is the settings file that cfg was
+// read from; logs go to logs.
+func Register(k *kernel.Kernel, path string, cfg *settings.Node, a Adapter, logs io.Writer) {
+	k.Register(ModuleWriter, func(*kernel.Kernel) (any, error) { return telemetry.NewBoundedWriter(logs, int(cfg.LogLinesPerS)), nil })
+	k.Register(ModuleLog, func(k *kernel.Kernel) (any, error) {
+		w, err := kernel.Get[*telemetry.BoundedWriter](k, ModuleWriter)
+		if err != nil {
+			return nil, err
+		}
+		return telemetry.NewLogger(w, "garnet-node", cfg.VM), nil
 	})
 	k.Register(ModuleMetrics, func(*kernel.Kernel) (any, error) { return telemetry.NewMetrics("garnet-node") })
 	k.Register(ModuleAdmin, func(k *kernel.Kernel) (any, error) {
@@ -120,6 +128,13 @@
 	})
 	k.Register(ModuleStages, func(k *kernel.Kernel) (any, error) { return provideStages(k, cfg, a) })
 	k.Register(ModuleGateway, func(k *kernel.Kernel) (any, error) { return provideGateway(k, cfg, a) })
+	k.Register(ModuleReload, func(k *kernel.Kernel) (any, error) {
+		g := &kernel.Getter{Kernel: k}
+		return &reloader{
+			path: path, running: *cfg, gateway: kernel.Need[*gateway.Gateway](g, ModuleGateway),
+			writer: kernel.Need[*telemetry.BoundedWriter](g, ModuleWriter), log: kernel.Need[*telemetry.Logger](g, ModuleLog),
+		}, g.Err
+	})
 }
 
 func registerFollowers(k *kernel.Kernel, a Adapter) {
@@ -175,12 +190,9 @@
 func provideGateway(k *kernel.Kernel, cfg *settings.Node, a Adapter) (any, error) {
 	g := &kernel.Getter{Kernel: k}
 	group := kernel.Need[*peers.Peers](g, ModulePeers)
-	gc := gateway.Config{
-		Listen: string(cfg.Listen), Grace: cfg.Grace.D(),
-		RetryRatio: cfg.RetryRatio, RetryBurst: cfg.RetryBurst,
-	}
+	limits := gateway.Limits{Grace: cfg.Grace.D(), RetryRatio: cfg.RetryRatio, RetryBurst: cfg.RetryBurst}
 	client := kernel.Need[*httpsend.Client](g, ModuleSender)
-	gw := gateway.New(gc, kernel.Need[*fleet.Keeper](g, ModuleKeeper), kernel.Need[*place.Placer](g, ModulePlacer), a.Protocol,
+	gw := gateway.New(string(cfg.Listen), limits, kernel.Need[*fleet.Keeper](g, ModuleKeeper), kernel.Need[*place.Placer](g, ModulePlacer), a.Protocol,
 		group, client, kernel.Need[*telemetry.Logger](g, ModuleLog), kernel.Need[*gateway.Stats](g, ModuleStats))
 	if g.Err != nil {
 		return nil, g.Err
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -43,3 +43,10 @@
 	b.tokens--
 	return true
 }
+
+// Empty takes all retries from the budget.
+func (b *Budget) Empty() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = 0
+}
--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -18,7 +18,7 @@
 // is written once a second while there are any.
 type BoundedWriter struct {
 	out     io.Writer
-	perS    int64
+	perS    atomic.Int64
 	queue   chan []byte
 	second  atomic.Int64
 	inThis  atomic.Int64
@@ -30,11 +30,15 @@
 // NewBoundedWriter returns a writer to out of at most perSecond lines a second.
 func NewBoundedWriter(out io.Writer, perSecond int) *BoundedWriter {
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &BoundedWriter{out: out, perS: int64(perSecond), queue: make(chan []byte, logQueue), cancel: cancel}
+	w := &BoundedWriter{out: out, queue: make(chan []byte, logQueue), cancel: cancel}
+	w.SetRate(perSecond)
 	w.done.Go(func() { w.run(ctx) })
 	return w
 }
 
+// SetRate changes the bound on lines a second.
+func (w *BoundedWriter) SetRate(perSecond int) { w.perS.Store(int64(perSecond)) }
+
 // Write takes one line; it never fails and never waits.
 func (w *BoundedWriter) Write(line []byte) (int, error) {
 	if !w.admit() {
@@ -55,7 +59,7 @@
 	if w.second.Swap(now) != now {
 		w.inThis.Store(0)
 	}
-	return w.inThis.Add(1) <= w.perS
+	return w.inThis.Add(1) <= w.perS.Load()
 }
 
 func (w *BoundedWriter) run(ctx context.Context) {
@@ -95,8 +99,8 @@
 	}
 }
 
-// Close writes what waits and ends.
-func (w *BoundedWriter) Close() error {
+// Stop writes what waits and ends.
+func (w *BoundedWriter) Stop(context.Context) error {
 	w.cancel()
 	w.done.Wait()
 	return nil
