--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,77 @@
+package fleet_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"garnethoist.org/garnethoist/internal/fleet"
+)
+
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	c := fleet.NewConfig(1, []*fleet.Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/"},
+	}, nil, fleet.Limits{})
+	cases := []struct{ host, path, want string }{
+		{"a.example", "/x/y/z", "long"},
+		{"A.Example:80", "/x/y/", "long"},
+		{"a.example", "/x/y", "short"},
+		{"a.example", "/xy", ""},
+		{"a.example", "/", ""},
+		{"b.example", "/x/y/z", "other"},
+		{"c.example", "/x/", ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.host+tc.path, func(t *testing.T) {
+			is := is.New(t)
+			name := ""
+			if r := c.Match(tc.host, tc.path); r != nil {
+				name = r.Name
+			}
+			is.Equal(name, tc.want)
+		})
+	}
+}
+
+func TestPickFollowsTheWeights(t *testing.T) {
+	is := is.New(t)
+	r := fleet.Route{Shares: []fleet.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	is.Equal(r.Pick(0), "a")
+	is.Equal(r.Pick(0.899), "a")
+	is.Equal(r.Pick(0.901), "b")
+	is.Equal(r.Pick(1), "b")
+	zero := fleet.Route{Shares: []fleet.Share{{Service: "a"}, {Service: "b"}}}
+	is.Equal(zero.Pick(0.5), "b")
+}
+
+func TestKeeperNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	k := fleet.NewKeeper()
+	is.True(!k.View().Usable())
+	is.True(k.SetConfig(fleet.NewConfig(7, nil, nil, fleet.Limits{})))
+	is.True(!k.SetConfig(fleet.NewConfig(6, nil, nil, fleet.Limits{})))
+	is.True(!k.SetConfig(fleet.NewConfig(7, nil, nil, fleet.Limits{})))
+	is.Equal(k.View().Config.Version, uint64(7))
+}
+
+func TestViewIsNotChangedByLaterNews(t *testing.T) {
+	is := is.New(t)
+	k := fleet.NewKeeper()
+	a := &fleet.Target{ID: "i-a", Service: "s"}
+	k.ApplyTargets([]fleet.TargetChange{{ID: a.ID, Target: a}}, 3)
+	before := k.View()
+	k.ApplyTargets([]fleet.TargetChange{{ID: a.ID}}, 4)
+	is.True(before.Has(a))
+	is.True(!k.View().Has(a))
+	is.Equal(k.View().TargetsRevision, uint64(4))
+}
+
+func TestLeavingTargetIsNotHad(t *testing.T) {
+	is := is.New(t)
+	k := fleet.NewKeeper()
+	a := &fleet.Target{ID: "i-a", Service: "s", Leaving: true}
+	k.ApplyTargets([]fleet.TargetChange{{ID: a.ID, Target: a}}, 1)
+	is.True(!k.View().Has(a))
+}
--- /dev/null
+++ b/internal/watch/watch_test.go
@@ -0,0 +1,193 @@
+package watch_test
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"garnethoist.org/garnethoist/internal/fleet"
+	"garnethoist.org/garnethoist/internal/store"
+	"garnethoist.org/garnethoist/internal/telemetry"
+	"garnethoist.org/garnethoist/internal/watch"
+)
+
+// feed is a scripted store: each call takes the next step; the last one stays.
+type feed struct {
+	mu    sync.Mutex
+	steps []step
+	calls []string
+}
+
+type step struct {
+	rows store.Rows
+	err  error
+}
+
+func (f *feed) next(call string) (store.Rows, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls = append(f.calls, call)
+	if len(f.steps) == 0 {
+		time.Sleep(time.Millisecond)
+		return store.Rows{}, store.ErrUnavailable
+	}
+	s := f.steps[0]
+	f.steps = f.steps[1:]
+	return s.rows, s.err
+}
+
+func (f *feed) ListRows(context.Context, string) (store.Rows, error) { return f.next("list") }
+
+func (f *feed) Changes(_ context.Context, _ string, _ uint64, _ time.Duration) (store.Rows, error) {
+	return f.next("changes")
+}
+
+func (f *feed) left() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.steps)
+}
+
+func eventually(t *testing.T, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatal("not within 5 s")
+}
+
+func row(key string) store.Row { return store.Row{Key: key, Value: []byte(`{}`)} }
+
+// follow plays the steps and returns what was applied.
+func follow(t *testing.T, steps []step) (applied []store.Rows, full []bool, calls []string) {
+	t.Helper()
+	f := &feed{steps: steps}
+	var mu sync.Mutex
+	link := watch.NewLink(telemetry.Discard())
+	w := watch.NewTable(f, "t", link, func(rows store.Rows, whole bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		applied, full = append(applied, rows), append(full, whole)
+	}, telemetry.Discard())
+	if err := w.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, func() bool { return f.left() == 0 })
+	if err := w.Stop(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	return applied, full, f.calls
+}
+
+func TestFollowerListsOnceAndThenTakesChanges(t *testing.T) {
+	is := is.New(t)
+	applied, full, calls := follow(t, []step{
+		{rows: store.Rows{Rows: []store.Row{row("a")}, Revision: 5}},
+		{rows: store.Rows{Revision: 6}},
+		{rows: store.Rows{Rows: []store.Row{row("b")}, Revision: 8}},
+	})
+	is.Equal(full, []bool{true, false}) // the change without rows is not applied
+	is.Equal(applied[1].Revision, uint64(8))
+	is.Equal(calls[:3], []string{"list", "changes", "changes"})
+}
+
+func TestFailuresKeepThePlace(t *testing.T) {
+	is := is.New(t)
+	_, _, calls := follow(t, []step{
+		{rows: store.Rows{Revision: 5}},
+		{err: store.ErrUnavailable},
+		{err: errors.Wrap(store.ErrUnavailable, "429")},
+		{rows: store.Rows{Rows: []store.Row{row("b")}, Revision: 8}},
+	})
+	is.Equal(calls[:4], []string{"list", "changes", "changes", "changes"})
+}
+
+func TestLostHistoryIsListedAgainButNeverOlder(t *testing.T) {
+	is := is.New(t)
+	applied, full, _ := follow(t, []step{
+		{rows: store.Rows{Rows: []store.Row{row("a")}, Revision: 9}},
+		{err: store.ErrHistoryGone},
+		{rows: store.Rows{Rows: []store.Row{row("old")}, Revision: 4}}, // a stale read
+		{rows: store.Rows{Rows: []store.Row{row("new")}, Revision: 12}},
+	})
+	is.Equal(full, []bool{true, true})
+	is.Equal(applied[1].Rows[0].Key, "new")
+}
+
+// lapseWorld is a fleet behind a link.
+type lapseWorld struct {
+	keeper *fleet.Keeper
+	link   *watch.Link
+	fleet  *watch.Fleet
+}
+
+func newLapseWorld() *lapseWorld {
+	w := &lapseWorld{keeper: fleet.NewKeeper(), link: watch.NewLink(telemetry.Discard())}
+	d := watch.Decoder{
+		ConfigKey: "config",
+		Config: func(value []byte) (*fleet.Config, error) {
+			var c struct{ Version uint64 }
+			err := json.Unmarshal(value, &c)
+			return fleet.NewConfig(c.Version, nil, nil, fleet.Limits{}), err
+		},
+		Target: func(id string, _ []byte) (*fleet.Target, error) { return &fleet.Target{ID: id, Service: "s"}, nil },
+	}
+	w.fleet = watch.NewFleet(w.keeper, d, w.link, telemetry.Discard())
+	w.fleet.ApplyTargets(store.Rows{Rows: []store.Row{row("i-a"), row("i-b")}, Revision: 1}, true)
+	return w
+}
+
+func (w *lapseWorld) has(id string) bool {
+	return w.keeper.View().Has(&fleet.Target{ID: id, Service: "s"})
+}
+
+// bounce makes the link go down and come back.
+func (w *lapseWorld) bounce(t *testing.T) {
+	t.Helper()
+	f := &feed{steps: []step{{err: store.ErrUnavailable}, {rows: store.Rows{Revision: 1}}}}
+	table := watch.NewTable(f, "t", w.link, func(store.Rows, bool) {}, telemetry.Discard())
+	if err := table.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, func() bool { return f.left() == 0 })
+	if err := table.Stop(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestRemovedTargetGoesAtOnceWhileTheStoreIsThere(t *testing.T) {
+	is := is.New(t)
+	w := newLapseWorld()
+	w.fleet.ApplyTargets(store.Rows{Rows: []store.Row{{Key: "i-a", Removed: true}}, Revision: 2}, false)
+	is.True(!w.has("i-a"))
+	is.True(w.has("i-b"))
+}
+
+func TestLapsedTargetStaysForAWhileAfterTheStoreCameBack(t *testing.T) {
+	is := is.New(t)
+	w := newLapseWorld()
+	w.bounce(t)
+	w.fleet.ApplyTargets(store.Rows{Rows: []store.Row{row("i-b")}, Revision: 2}, true)
+	is.True(w.has("i-a")) // it may only have lapsed
+	w.fleet.ApplyTargets(store.Rows{Rows: []store.Row{row("i-a")}, Revision: 3}, false)
+	time.Sleep(2 * time.Second)
+	is.True(w.has("i-a")) // it is back
+	w.fleet.ApplyTargets(store.Rows{Rows: []store.Row{{Key: "i-b", Removed: true}}, Revision: 4}, false)
+	is.True(!w.has("i-b")) // the store has been back for long
+}
+
+func TestLapsedTargetThatDoesNotComeBackIsGone(t *testing.T) {
+	is := is.New(t)
+	w := newLapseWorld()
+	w.bounce(t)
+	w.fleet.ApplyTargets(store.Rows{Rows: []store.Row{row("i-b")}, Revision: 2}, true)
+	is.True(w.has("i-a"))
+	eventually(t, func() bool { return !w.has("i-a") })
+}
