Few VMs watch the store closely; long prompts are admitted by their wait

Ruled out: slow links; the refused ones were prompts whose own reading nearly fills the objective on an idle engine. Change: four VMs ask every 2 s, others wait 20 s and are told of news by the reports; members are listed, not followed; open orders ride in the reports. A prompt is admitted where the wait alone is below 0.3 of the objective.

--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -107,6 +107,10 @@
 	if c.Expected <= time.Duration(admitShare*float64(left)) {
 		return nil
 	}
+	if c.Expected-c.Own <= time.Duration(waitShare*float64(left)) {
+		// The prompt itself is long: it would be refused again later.
+		return nil
+	}
 	x.note(c.Target, "full~"+strconv.FormatInt(c.Expected.Milliseconds(), 10), nil)
 	e := errkind.New(errkind.CannotFinish, "the engines are full; the answer would begin in %d ms", c.Expected.Milliseconds())
 	e.RetryAfter = x.comeBack()
@@ -117,6 +121,10 @@
 // reckoned begin may take; the rest is for what the reckoning misses.
 const admitShare = 0.65
 
+// waitShare is the part that the wait alone may take: below it a prompt that
+// is too long for the objective is read all the same, late but whole.
+const waitShare = 0.3
+
 // Bounds of the wait that a refused caller is told, in objectives. Callers
 // heed at most a third of the time that they have left.
 const (
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,7 +33,6 @@
 	ModuleFleet   = "watch.fleet"
 	ModuleConfig  = "watch.config"
 	ModuleTargets = "watch.targets"
-	ModuleMembers = "watch.members"
 	ModulePeers   = "peers"
 	ModulePlacer  = "place.placer"
 	ModuleStats   = "gateway.stats"
@@ -45,7 +44,7 @@
 )
 
 // Roots names the modules that the program is there for.
-var Roots = []string{ModuleAdmin, ModuleReady, ModuleConfig, ModuleTargets, ModuleMembers, ModulePeers, ModuleStages, ModuleReload, ModuleGateway}
+var Roots = []string{ModuleAdmin, ModuleReady, ModulePlacer, ModulePeers, ModuleStages, ModuleReload, ModuleGateway}
 
 // Store is what the node needs of the platform's store.
 type Store interface {
@@ -67,7 +66,6 @@
 	// The store's tables.
 	ConfigTable  string
 	TargetsTable string
-	OwnTable     string
 }
 
 const (
@@ -142,7 +140,7 @@
 		k.Register(name, func(k *kernel.Kernel) (any, error) {
 			g := &kernel.Getter{Kernel: k}
 			t := watch.NewTable(kernel.Need[Store](g, ModuleStore), table, kernel.Need[*watch.Link](g, ModuleLink),
-				apply(g), kernel.Need[*telemetry.Logger](g, ModuleLog))
+				kernel.Need[*peers.Peers](g, ModulePeers).Sentinel, apply(g), kernel.Need[*telemetry.Logger](g, ModuleLog))
 			return t, g.Err
 		})
 	}
@@ -152,13 +150,6 @@
 	follow(ModuleTargets, a.TargetsTable, func(g *kernel.Getter) watch.Apply {
 		return kernel.Need[*watch.Fleet](g, ModuleFleet).ApplyTargets
 	})
-	follow(ModuleMembers, a.OwnTable, func(g *kernel.Getter) watch.Apply {
-		members, journal := kernel.Need[*peers.Peers](g, ModulePeers), kernel.Need[*stages.Controller](g, ModuleStages)
-		return func(rows store.Rows, full bool) {
-			members.Apply(rows, full)
-			journal.Apply(rows, full)
-		}
-	})
 }
 
 func providePlacer(k *kernel.Kernel, cfg *settings.Node) (any, error) {
@@ -170,8 +161,14 @@
 	pc := place.DefaultConfig(cfg.DataCentre)
 	pc.PrefillRate = cfg.PrefillTokensPerMS
 	pc.InPlaceRate = cfg.PrefillTokensPerMS / 2
-	placer := place.New(pc, group, kernel.Need[*stages.Controller](g, ModuleStages).Changing)
+	controller := kernel.Need[*stages.Controller](g, ModuleStages)
+	placer := place.New(pc, group, func(t *fleet.Target) bool {
+		stage, ok := group.Changing(t.ID)
+		return controller.Changing(t) || (ok && stage != t.Stage)
+	})
 	group.SetPlacer(placer)
+	group.SetOrders(controller)
+	group.Follow(kernel.Need[*watch.Table](g, ModuleConfig), kernel.Need[*watch.Table](g, ModuleTargets))
 	return placer, nil
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/kernel"
 	"garnethoist.org/garnethoist/internal/place"
 	"garnethoist.org/garnethoist/internal/store"
@@ -32,11 +33,23 @@
 	maxAge = 1200 * time.Millisecond
 	// maxDatagram bounds a report.
 	maxDatagram = 16 << 10
+	// sentinels is how many VMs of each group watch the store closely.
+	sentinels = 4
+	// newsGrace is how long after another VM's word the own call may bring the
+	// same news.
+	newsGrace = 250 * time.Millisecond
+	// nudgeInterval is the least time between two calls made anew, above what
+	// a call to a slow store takes.
+	nudgeInterval = 1200 * time.Millisecond
 	// KeyPrefix is where members stand in the store.
 	KeyPrefix = "vm/"
 	// registerBackoff is the wait between tries to write one's own record.
 	registerBackoff = 300 * time.Millisecond
 	registerTimeout = 2 * time.Second
+	// How often the members are listed: soon after the start, when others start
+	// too, and seldom later, as a new VM tells all that it has listed.
+	firstList = 3 * time.Second
+	laterList = 30 * time.Second
 )
 
 // Member is a VM's record in the store.
@@ -48,12 +61,18 @@
 // report is one VM's work in hand.
 type report struct {
 	VM string `json:"vm"`
+	// Address is where the VM listens, for those that have not listed it yet.
+	Address string `json:"a"`
 	// Incarnation and Number order the reports of one VM.
 	Incarnation int64  `json:"inc"`
 	Number      uint64 `json:"n"`
 	Work        []item `json:"w"`
 	// Uses are the prompts given to targets since the last report.
 	Uses []use `json:"u,omitempty"`
+	// Newest is the highest row version taken in of each followed table.
+	Newest []uint64 `json:"v"`
+	// Changing is the engines that this VM has ordered to change their stage.
+	Changing map[string]fleet.Stage `json:"c,omitempty"`
 }
 
 type use struct {
@@ -78,6 +97,17 @@
 	Observe([]place.Use)
 }
 
+// Followed is a table of the store that this VM follows.
+type Followed interface {
+	Newest() uint64
+	Newer()
+}
+
+// Orders says which engines this VM has ordered to change their stage.
+type Orders interface {
+	Open() map[string]fleet.Stage
+}
+
 // Peers exchanges reports with the other VMs.
 type Peers struct {
 	kernel.Background
@@ -86,11 +116,15 @@
 	table       store.Table
 	log         *telemetry.Logger
 	placer      Placer
+	followed    []Followed
+	orders      Orders
 	conn        *net.UDPConn
 
 	mu      sync.Mutex
 	members map[string]netip.AddrPort
 	heard   map[string]*peerState
+	// nudged is when each followed table's call was last made anew.
+	nudged map[int]time.Time
 }
 
 type peerState struct {
@@ -98,19 +132,27 @@
 	number      uint64
 	at          time.Time
 	work        map[string]place.Work
+	changing    map[string]fleet.Stage
 }
 
 // New returns peers that know only this VM.
 func New(self Member, incarnation int64, table store.Table, log *telemetry.Logger) *Peers {
 	return &Peers{
 		self: self, incarnation: incarnation, table: table, log: log,
-		members: make(map[string]netip.AddrPort), heard: make(map[string]*peerState),
+		members: make(map[string]netip.AddrPort), heard: make(map[string]*peerState), nudged: make(map[int]time.Time),
 	}
 }
 
 // SetPlacer sets the placer that reports are about; it is called before Start.
 func (p *Peers) SetPlacer(placer Placer) { p.placer = placer }
 
+// Follow sets the tables that reports tell the news of; it is called before
+// Start, with the same tables in the same order on every VM.
+func (p *Peers) Follow(tables ...Followed) { p.followed = tables }
+
+// SetOrders sets whose orders reports tell; it is called before Start.
+func (p *Peers) SetOrders(o Orders) { p.orders = o }
+
 // Start listens, registers this VM in the store and begins to report.
 func (p *Peers) Start(context.Context) error {
 	addr, err := net.ResolveUDPAddr("udp4", p.self.Address)
@@ -138,16 +180,28 @@
 	return b
 }
 
-// register writes this VM's record until it stands.
+// register writes this VM's record until it stands, and then lists the others'.
 func (p *Peers) register(ctx context.Context) {
 	value, err := json.Marshal(p.self)
 	if err != nil {
 		// Only strings are encoded.
 		panic("peers: encode member: " + err.Error())
 	}
+	p.until(ctx, func(call context.Context) error {
+		_, err := p.table.Commit(call, store.Txn{Puts: []store.Put{{Key: KeyPrefix + p.self.VM, Value: value}}})
+		return err
+	})
+	for wait := firstList; ctx.Err() == nil; wait = laterList {
+		p.until(ctx, p.list)
+		kernel.Sleep(ctx, wait)
+	}
+}
+
+// until calls f until it succeeds.
+func (p *Peers) until(ctx context.Context, f func(context.Context) error) {
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, registerTimeout)
-		_, err := p.table.Commit(call, store.Txn{Puts: []store.Put{{Key: KeyPrefix + p.self.VM, Value: value}}})
+		err := f(call)
 		cancel()
 		if err == nil {
 			return
@@ -156,34 +210,63 @@
 	}
 }
 
-// Apply takes in rows of the table that holds the members.
-func (p *Peers) Apply(rows store.Rows, full bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if full {
-		p.members = make(map[string]netip.AddrPort)
+// list reads the members' records.
+func (p *Peers) list(ctx context.Context) error {
+	records, err := p.table.List(ctx, KeyPrefix)
+	if err != nil {
+		return err
 	}
-	for _, row := range rows.Rows {
-		if len(row.Key) <= len(KeyPrefix) || row.Key[:len(KeyPrefix)] != KeyPrefix {
-			continue
-		}
-		vm := row.Key[len(KeyPrefix):]
-		if row.Removed {
-			delete(p.members, vm)
-			continue
-		}
+	for _, r := range records {
 		var m Member
-		err := json.Unmarshal(row.Value, &m)
-		addr, perr := netip.ParseAddrPort(m.Address)
-		if err != nil || perr != nil {
-			p.log.Warn(telemetry.EventBadRow, telemetry.F("key", row.Key), telemetry.F("revision", row.Version))
+		if err := json.Unmarshal(r.Value, &m); err != nil {
+			p.log.Warn(telemetry.EventBadRow, telemetry.F("key", r.Key), telemetry.F("revision", r.Version), telemetry.F("cause", err))
 			continue
 		}
-		if _, known := p.members[vm]; !known {
-			p.log.Info(telemetry.EventPeerState, telemetry.F("peer", vm), telemetry.F("address", m.Address), telemetry.F("revision", row.Version))
+		p.learn(m)
+	}
+	return nil
+}
+
+// learn takes in a member.
+func (p *Peers) learn(m Member) {
+	addr, err := netip.ParseAddrPort(m.Address)
+	if err != nil {
+		p.log.Warn(telemetry.EventBadRow, telemetry.F("peer", m.VM), telemetry.F("cause", err))
+		return
+	}
+	p.mu.Lock()
+	before, known := p.members[m.VM]
+	p.members[m.VM] = addr
+	p.mu.Unlock()
+	if !known || before != addr {
+		p.log.Info(telemetry.EventPeerState, telemetry.F("peer", m.VM), telemetry.F("address", m.Address))
+	}
+}
+
+// Sentinel reports whether this VM is one of the few that watch the store
+// closely: the first ones by name of those that are heard.
+func (p *Peers) Sentinel() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := 0
+	for vm, s := range p.heard {
+		if vm < p.self.VM && time.Since(s.at) <= maxAge {
+			before++
 		}
-		p.members[vm] = addr
 	}
+	return before < sentinels
+}
+
+// Changing returns the stage that another VM has ordered an engine to take.
+func (p *Peers) Changing(engine string) (fleet.Stage, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.heard {
+		if stage, ok := s.changing[engine]; ok && time.Since(s.at) <= maxAge {
+			return stage, true
+		}
+	}
+	return fleet.NoStage, false
 }
 
 // Size counts the VMs that the store lists, this one included. It does not
@@ -223,18 +306,22 @@
 	var lastAt time.Time
 	number := uint64(0)
 	for ; ctx.Err() == nil; kernel.Sleep(ctx, p.interval()) {
-		items := itemsOf(p.placer.Own())
-		body, err := json.Marshal(items)
+		r := report{VM: p.self.VM, Address: p.self.Address, Incarnation: p.incarnation, Work: itemsOf(p.placer.Own()), Changing: p.orders.Open()}
+		for _, f := range p.followed {
+			r.Newest = append(r.Newest, f.Newest())
+		}
+		body, err := json.Marshal(r)
 		if err != nil {
 			panic("peers: encode report: " + err.Error())
 		}
-		uses := usesOf(p.placer.TakeUses())
-		if len(uses) == 0 && string(body) == string(last) && time.Since(lastAt) < quietInterval {
+		r.Uses = usesOf(p.placer.TakeUses())
+		if len(r.Uses) == 0 && string(body) == string(last) && time.Since(lastAt) < quietInterval {
 			continue
 		}
 		last, lastAt = body, time.Now()
 		number++
-		p.broadcast(report{VM: p.self.VM, Incarnation: p.incarnation, Number: number, Work: items, Uses: uses})
+		r.Number = number
+		p.broadcast(r)
 	}
 }
 
@@ -294,6 +381,7 @@
 		}
 		if p.take(r) {
 			p.observe(r.Uses)
+			p.learnFrom(r)
 		}
 	}
 }
@@ -310,7 +398,7 @@
 	for _, i := range r.Work {
 		work[i.Target] = place.Work{Prefill: time.Duration(i.PrefillUS) * time.Microsecond, Prefills: i.Prefills, Running: i.Running, Streams: i.Streams, Tokens: i.Tokens}
 	}
-	p.heard[r.VM] = &peerState{incarnation: r.Incarnation, number: r.Number, at: time.Now(), work: work}
+	p.heard[r.VM] = &peerState{incarnation: r.Incarnation, number: r.Number, at: time.Now(), work: work, changing: r.Changing}
 	return true
 }
 
@@ -323,3 +411,35 @@
 }
 
 var _ place.Others = (*Peers)(nil)
+
+// learnFrom takes in a reporter that is not listed yet and its news of the
+// store.
+func (p *Peers) learnFrom(r report) {
+	p.mu.Lock()
+	addr, known := p.members[r.VM]
+	p.mu.Unlock()
+	if !known || addr.String() != r.Address {
+		p.learn(Member{VM: r.VM, Address: r.Address})
+	}
+	for i, f := range p.followed {
+		if i < len(r.Newest) && r.Newest[i] > f.Newest() && p.mayNudge(i) {
+			version := r.Newest[i]
+			time.AfterFunc(newsGrace, func() {
+				if f.Newest() < version {
+					f.Newer()
+				}
+			})
+		}
+	}
+}
+
+// mayNudge bounds how often a followed table's call is made anew.
+func (p *Peers) mayNudge(i int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if time.Since(p.nudged[i]) < nudgeInterval {
+		return false
+	}
+	p.nudged[i] = time.Now()
+	return true
+}
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -48,6 +48,8 @@
 	Ticket *Ticket
 	// Expected is the reckoned time to the answer's begin.
 	Expected time.Duration
+	// Own is the part of Expected that the request's own prefill takes.
+	Own time.Duration
 	// Cached is the prompt's tokens that the target is reckoned to hold.
 	Cached int
 	// InPlace says that the decode target reads the prompt itself.
@@ -118,7 +120,7 @@
 			w.price += next.price + transferTime
 		}
 		if best.Target == nil || w.price < chosen.price {
-			best = Choice{Target: t, Expected: w.expected, Cached: w.cached, InPlace: t.Stage != fleet.Prefill}
+			best = Choice{Target: t, Expected: w.expected, Own: w.own, Cached: w.cached, InPlace: t.Stage != fleet.Prefill}
 			chosen = w
 		}
 	}
@@ -143,6 +145,7 @@
 	// the speed of the settings; expected is the time to the answer's begin.
 	reckoned time.Duration
 	expected time.Duration
+	own      time.Duration
 	price    time.Duration
 }
 
@@ -168,6 +171,7 @@
 	}
 	w.reckoned = load.Prefill + w.work.Prefill
 	w.expected = time.Duration(float64(w.reckoned)*s.slowdown) + p.remote(t)
+	w.own = time.Duration(float64(w.work.Prefill) * s.slowdown)
 	w.price = w.expected + time.Duration(workPrice*float64(w.work.Prefill)) + p.unsound(s, now)
 	if inPlace {
 		b := batch(t, load)
--- a/internal/stages/controller.go
+++ b/internal/stages/controller.go
@@ -112,6 +112,8 @@
 	wantedSince time.Duration
 	renewedAt   time.Duration
 	heldFence   uint64
+	// loadedFence is the tenure that the journal was read in.
+	loadedFence uint64
 }
 
 // openOrder is a row of the journal as this VM sees it.
@@ -137,8 +139,8 @@
 	return nil
 }
 
-// Changing reports whether an engine is about to change its stage or is doing
-// so; nothing new is to be sent to it.
+// Changing reports whether this VM has ordered an engine to change its stage
+// and the engine has not done so yet; nothing new is to be sent to it.
 func (c *Controller) Changing(t *fleet.Target) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -146,32 +148,41 @@
 	return o != nil && o.row.Stage != t.Stage && c.clock()-o.seen < unknownWithin
 }
 
-// Apply takes in rows of the table that holds the journal.
-func (c *Controller) Apply(rows store.Rows, full bool) {
+// Open returns the engines that this VM has ordered to change, with the stage.
+func (c *Controller) Open() map[string]fleet.Stage {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if full {
-		c.open = make(map[string]*openOrder)
+	if len(c.open) == 0 {
+		return nil
 	}
-	for _, r := range rows.Rows {
-		engine, ok := strings.CutPrefix(r.Key, KeyPrefix)
-		if !ok {
-			continue
-		}
-		if r.Removed {
-			delete(c.open, engine)
-			continue
-		}
+	out := make(map[string]fleet.Stage, len(c.open))
+	for id, o := range c.open {
+		out[id] = o.row.Stage
+	}
+	return out
+}
+
+// load reads the journal at the start of a tenure.
+func (c *Controller) load(ctx context.Context) error {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	records, err := c.table.List(call, KeyPrefix)
+	if err != nil {
+		return errors.Wrap(err, "read journal")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open = make(map[string]*openOrder)
+	for _, r := range records {
+		engine := strings.TrimPrefix(r.Key, KeyPrefix)
 		var v row
 		if err := json.Unmarshal(r.Value, &v); err != nil {
-			c.log.Warn(telemetry.EventBadRow, telemetry.F("key", r.Key), telemetry.F("cause", err))
-			continue
-		}
-		if o := c.open[engine]; o != nil && o.row == v {
-			continue
+			return errors.Wrapf(err, "decode %s", r.Key)
 		}
 		c.open[engine] = &openOrder{row: v, seen: c.clock()}
+		c.log.Info(telemetry.EventOrderAdopted, telemetry.F("engine", engine), telemetry.F("stage", string(v.Stage)), telemetry.F("holder", v.Holder), telemetry.F("fence", v.Fence))
 	}
+	return nil
 }
 
 // step looks at the plan once.
@@ -194,6 +205,14 @@
 	if !ok {
 		return
 	}
+	if c.loadedFence != t.Fence {
+		if err := c.load(ctx); err != nil {
+			c.log.Warn(telemetry.EventOrderRefused, telemetry.F("journal", "read"), telemetry.F("cause", err))
+			return
+		}
+		c.loadedFence = t.Fence
+	}
+	changes = c.wanted(v)
 	c.finish(ctx, t, v)
 	if t.Fence > 1 && c.clock()-t.Since < c.cfg.Gap+settle {
 		// The holder before may have ordered until just before.
@@ -309,6 +328,12 @@
 	}
 	if err := c.commit(ctx, t, store.Txn{Deletes: keys}); err != nil {
 		c.log.Warn(telemetry.EventOrderRefused, telemetry.F("journal", "remove"), telemetry.F("cause", err))
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, key := range keys {
+		delete(c.open, strings.TrimPrefix(key, KeyPrefix))
 	}
 }
 
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -16,10 +18,15 @@
 )
 
 const (
-	// changesWait is how long one call waits for changes. A call on a dead
-	// connection is given up a call's timeout later, so this bounds how long
-	// a healed cut can go unnoticed.
-	changesWait = 2 * time.Second
+	// shortWait is how long one call of a sentinel waits for changes. A call on
+	// a dead connection is given up a call's timeout later, so this bounds how
+	// long a healed cut can go unnoticed.
+	shortWait = 2 * time.Second
+	// longWait is the same for the others, whom the sentinels tell of news.
+	longWait = 20 * time.Second
+	// callGap is the least time between two calls; changes that come together
+	// are taken in one call.
+	callGap = 60 * time.Millisecond
 	// Waits between calls that fail; a process that has just lost the store
 	// asks soon, one that waits for long asks seldom.
 	firstBackoff = 50 * time.Millisecond
@@ -27,8 +34,7 @@
 )
 
 // Apply takes in rows. full says that rows is the whole table, else its
-// changes. sinceRegained is the time since the store came back, or a very long
-// time where it was not away.
+// changes.
 type Apply func(rows store.Rows, full bool)
 
 // Table follows one table.
@@ -39,16 +45,72 @@
 	apply Apply
 	log   *telemetry.Logger
 	link  *Link
+	// sentinel says whether this VM is to watch closely.
+	sentinel func() bool
 
-	// revision is the newest one taken in.
+	// revision is the newest one taken in; only follow uses it.
 	revision uint64
 	listed   bool
+	// newest is the highest version of a row taken in.
+	newest atomic.Uint64
+
+	mu sync.Mutex
+	// cancel ends the call under way, and renewed says that Newer did.
+	cancel  context.CancelFunc
+	renewed bool
 }
 
 // NewTable returns a follower of the table called name. link is shared by all
-// followers of one store.
-func NewTable(feed store.Feed, name string, link *Link, apply Apply, log *telemetry.Logger) *Table {
-	return &Table{feed: feed, name: name, apply: apply, log: log, link: link}
+// followers of one store. A VM for which sentinel is true asks again every few
+// seconds; others wait longer and are told of news by Newer.
+func NewTable(feed store.Feed, name string, link *Link, sentinel func() bool, apply Apply, log *telemetry.Logger) *Table {
+	return &Table{feed: feed, name: name, apply: apply, log: log, link: link, sentinel: sentinel}
+}
+
+// Newest returns the highest version of a row taken in.
+func (t *Table) Newest() uint64 { return t.newest.Load() }
+
+// Newer tells that another VM has taken in a row of a version that this one has
+// not: its call under way may be on a dead connection and is made anew.
+func (t *Table) Newer() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.cancel != nil {
+		t.renewed = true
+		t.cancel()
+	}
+}
+
+// call makes one call that Newer can end.
+func (t *Table) call(ctx context.Context, f func(ctx context.Context) (store.Rows, error)) (store.Rows, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t.mu.Lock()
+	t.cancel = cancel
+	t.mu.Unlock()
+	defer func() {
+		t.mu.Lock()
+		t.cancel = nil
+		t.mu.Unlock()
+	}()
+	return f(ctx)
+}
+
+func (t *Table) takeRenewed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	was := t.renewed
+	t.renewed = false
+	return was
+}
+
+// note raises newest to the rows' versions.
+func (t *Table) note(rows store.Rows) {
+	for _, r := range rows.Rows {
+		if r.Version > t.newest.Load() {
+			t.newest.Store(r.Version)
+		}
+	}
 }
 
 // Start begins to follow.
@@ -68,6 +130,10 @@
 		if err == nil {
 			wait.Reset()
 			t.link.up(t.name)
+			kernel.Sleep(ctx, callGap)
+			continue
+		}
+		if t.takeRenewed() {
 			continue
 		}
 		t.link.down(t.name, err)
@@ -82,7 +148,13 @@
 	if !t.listed {
 		return t.list(ctx)
 	}
-	rows, err := t.feed.Changes(ctx, t.name, t.revision, changesWait)
+	wait := longWait
+	if t.sentinel() {
+		wait = shortWait
+	}
+	rows, err := t.call(ctx, func(ctx context.Context) (store.Rows, error) {
+		return t.feed.Changes(ctx, t.name, t.revision, wait)
+	})
 	if errors.Is(err, store.ErrHistoryGone) {
 		t.log.Warn(telemetry.EventHistoryGone, telemetry.F("table", t.name), telemetry.F("revision", t.revision))
 		t.listed = false
@@ -95,6 +167,7 @@
 		return errStale
 	}
 	t.revision = rows.Revision
+	t.note(rows)
 	if len(rows.Rows) > 0 {
 		t.apply(rows, false)
 	}
@@ -110,6 +183,7 @@
 		return errStale
 	}
 	t.listed, t.revision = true, rows.Revision
+	t.note(rows)
 	t.apply(rows, true)
 	return nil
 }
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -63,6 +63,8 @@
 	t.Fatal("not within 5 s")
 }
 
+func always() bool { return true }
+
 func row(key string) store.Row { return store.Row{Key: key, Value: []byte(`{}`)} }
 
 // follow plays the steps and returns what was applied.
@@ -71,7 +73,7 @@
 	f := &feed{steps: steps}
 	var mu sync.Mutex
 	link := watch.NewLink(telemetry.Discard())
-	w := watch.NewTable(f, "t", link, func(rows store.Rows, whole bool) {
+	w := watch.NewTable(f, "t", link, always, func(rows store.Rows, whole bool) {
 		mu.Lock()
 		defer mu.Unlock()
 		applied, full = append(applied, rows), append(full, whole)
@@ -152,7 +154,7 @@
 func (w *lapseWorld) bounce(t *testing.T) {
 	t.Helper()
 	f := &feed{steps: []step{{err: store.ErrUnavailable}, {rows: store.Rows{Revision: 1}}}}
-	table := watch.NewTable(f, "t", w.link, func(store.Rows, bool) {}, telemetry.Discard())
+	table := watch.NewTable(f, "t", w.link, always, func(store.Rows, bool) {}, telemetry.Discard())
 	if err := table.Start(context.Background()); err != nil {
 		t.Fatal(err)
 	}
