Seats bounded by the longest answer's time; the second send priced by the link

Cause: full batches of 96 made long glaze replies outlast their 15 s; the VMs to come have 10 Mbit/s links, which a prompt sent twice fills. Change: streams may take as many seats as let the longest answer end within 0.8 of its limit by reckoning; sending once more costs what the link needs.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -71,6 +71,10 @@
 	}
 	x.service = x.route.Pick(x.g.float())
 	x.setDeadline()
+	if meta.Prompt != nil {
+		meta.Prompt.Limit = time.Until(x.deadline)
+		meta.Prompt.BodyBytes = int(max(x.r.ContentLength, 0))
+	}
 	if err := x.readBody(cfg.Limits); err != nil {
 		return err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -160,6 +160,7 @@
 	}
 	pc := place.DefaultConfig(cfg.DataCentre)
 	pc.PrefillRate = cfg.PrefillTokensPerMS
+	pc.LinkMbps = cfg.LinkMbps
 	pc.InPlaceRate = cfg.PrefillTokensPerMS / 2
 	controller := kernel.Need[*stages.Controller](g, ModuleStages)
 	placer := place.New(pc, group, func(t *fleet.Target) bool {
--- a/internal/place/config.go
+++ b/internal/place/config.go
@@ -14,6 +14,12 @@
 	// PairsMS is the time that a million pairs of tokens that attend to each
 	// other add, in milliseconds.
 	PairsMS float64
+	// StepMS is the time of a decode step, in milliseconds, and StepPerRunMS
+	// what each running request adds to it, its context included.
+	StepMS       float64
+	StepPerRunMS float64
+	// LinkMbps is the speed of this VM's network link; 0 is unknown.
+	LinkMbps float64
 	// RemotePenalty is added to the price of targets in other data centres.
 	RemotePenalty time.Duration
 }
@@ -25,6 +31,8 @@
 		PrefillRate:   300,
 		InPlaceRate:   150,
 		PairsMS:       0.13,
+		StepMS:        0.6,
+		StepPerRunMS:  0.0065,
 		RemotePenalty: 4 * time.Millisecond,
 	}
 }
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -19,6 +19,9 @@
 	// spareSlots of each decode target are kept for the short runs of prompts
 	// prefilled elsewhere.
 	spareSlots = 4
+	// streamShare is the part of its time limit that the longest answer may
+	// take by reckoning.
+	streamShare = 0.8
 	// slotWait is the reckoned wait for each request that is ahead in the
 	// queue for a slot: a long answer takes about four seconds, and 48 slots
 	// end one every 80 ms (users' sheets).
@@ -29,6 +32,8 @@
 	openPrice = 20 * time.Millisecond
 	// pausePrice weighs the prefills in hand where a stream joins.
 	pausePrice = 1
+	// linkLoad is how many times longer a send takes beside others.
+	linkLoad = 2.0
 	// shortPrompt is the length in tokens below which a second hop never pays.
 	shortPrompt = 1024
 	// maxInPlace bounds the prefills in hand at a decode target that runs
@@ -117,7 +122,8 @@
 		}
 		if t.Stage == fleet.Prefill {
 			w.expected += next.wait + transferTime
-			w.price += next.price + transferTime
+			w.price += next.price + transferTime + p.linkTime(q)
+			w.expected += p.linkTime(q)
 		}
 		if best.Target == nil || w.price < chosen.price {
 			best = Choice{Target: t, Expected: w.expected, Own: w.own, Cached: w.cached, InPlace: t.Stage != fleet.Prefill}
@@ -132,6 +138,16 @@
 	return best, true
 }
 
+// linkTime is how long sending the request once more takes this VM's link, with
+// room for what else is on it.
+func (p *Placer) linkTime(q *Prompt) time.Duration {
+	if p.cfg.LinkMbps <= 0 {
+		return 0
+	}
+	us := linkLoad * 8 * float64(q.BodyBytes) / p.cfg.LinkMbps
+	return time.Duration(us * float64(time.Microsecond))
+}
+
 func (p *Placer) usable(t *fleet.Target, tried Tried) bool {
 	return !t.Leaving && !tried[t.ID] && !p.changing(t)
 }
@@ -174,7 +190,7 @@
 	w.own = time.Duration(float64(w.work.Prefill) * s.slowdown)
 	w.price = w.expected + time.Duration(workPrice*float64(w.work.Prefill)) + p.unsound(s, now)
 	if inPlace {
-		b := batch(t, load)
+		b := batch(load, p.seats(t, q))
 		w.expected += b.wait
 		w.price += b.price + gather(load, long)
 	}
@@ -219,12 +235,23 @@
 	price time.Duration
 }
 
-// batch reckons the seat of one more request at t.
-func batch(t *fleet.Target, load Work) seat {
-	slots := max(t.Slots, 1)
-	used := float64(load.Running) / float64(slots)
+// seats is how many requests may run at t for q to end in time: a fuller batch
+// makes each step longer.
+func (p *Placer) seats(t *fleet.Target, q *Prompt) int {
+	seats := max(t.Slots-spareSlots, 1)
+	if q.streams() == 0 || q.Limit <= 0 {
+		return seats
+	}
+	step := streamShare * float64(q.Limit.Microseconds()) / 1e3 / float64(max(q.MaxOutput, 1))
+	bound := int((step - p.cfg.StepMS) / p.cfg.StepPerRunMS)
+	return max(min(seats, bound), 1)
+}
+
+// batch reckons the seat of one more request where seats may run.
+func batch(load Work, seats int) seat {
+	used := float64(load.Running) / float64(seats)
 	s := seat{price: time.Duration(used * used * float64(batchPrice))}
-	if over := load.Running - (slots - spareSlots); over >= 0 {
+	if over := load.Running - seats; over >= 0 {
 		s.wait = time.Duration(over+1) * slotWait
 		s.price += s.wait
 	}
@@ -245,7 +272,7 @@
 		if t.Stage == fleet.Prefill || !p.usable(t, tried) {
 			continue
 		}
-		s := batch(t, p.total(t.ID))
+		s := batch(p.total(t.ID), max(t.Slots-spareSlots, 1))
 		s.price += p.remote(t) + p.unsound(p.state(t.ID), now)
 		if near != "" && t.DataCentre != near {
 			s.price += p.cfg.RemotePenalty
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -20,6 +20,8 @@
 	Store Platform `json:"store"`
 	// MemoryMB is the memory that the process may use.
 	MemoryMB int64 `json:"memory_mb"`
+	// LinkMbps is the speed of the VM's network link; 0 is unknown.
+	LinkMbps float64 `json:"link_mbps"`
 	// Grace is the time from SIGTERM to SIGKILL.
 	Grace Duration `json:"grace"`
 	// LeaseGap is how long after one holder's last order another may give one.
