--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -81,7 +81,7 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	x.tried = place.Tried{}
-	x.g.budget(x.service).Request()
+	x.g.budget(x.service).Request(time.Since(x.g.started))
 	if x.generates() {
 		return x.generate(ctx)
 	}
@@ -125,7 +125,7 @@
 	if ctx.Err() != nil || x.arrivals >= x.route.MaxAttempts {
 		return false
 	}
-	return x.g.budget(x.service).Retry()
+	return x.g.budget(x.service).Retry(time.Since(x.g.started))
 }
 
 // outcome is how one send ended.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,6 +51,8 @@
 	// of the requests and at once, for all VMs together.
 	RetryRatio float64
 	RetryBurst float64
+	// RetryWindow is the span that both are counted in.
+	RetryWindow time.Duration
 }
 
 // Group says how many VMs share the targets.
@@ -78,8 +80,11 @@
 	inFlight atomic.Int64
 
 	mu      sync.Mutex
-	budgets map[string]*retry.Budget
+	budgets map[string]*retry.Window
 	random  *mathrand.Rand
+
+	// started is the zero of the retry budgets' clock.
+	started time.Time
 }
 
 // New returns a gateway for callers at the address listen; it does not listen
@@ -87,7 +92,8 @@
 func New(listen string, limits Limits, keeper *fleet.Keeper, placer *place.Placer, proto Protocol, group Group, client *httpsend.Client, log *telemetry.Logger, stats *Stats) *Gateway {
 	g := &Gateway{
 		listen: listen, keeper: keeper, placer: placer, proto: proto, group: group, client: client,
-		log: log, stats: stats, budgets: make(map[string]*retry.Budget), random: newRandom(),
+		log: log, stats: stats, budgets: make(map[string]*retry.Window), random: newRandom(),
+		started: time.Now(),
 	}
 	g.limits.Store(&limits)
 	return g
@@ -205,7 +211,7 @@
 }
 
 // budget returns the retry budget of a service.
-func (g *Gateway) budget(service string) *retry.Budget {
+func (g *Gateway) budget(service string) *retry.Window {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b, ok := g.budgets[service]
@@ -217,9 +223,11 @@
 }
 
 // newBudget returns a budget of this VM's share.
-func (g *Gateway) newBudget() *retry.Budget {
+func (g *Gateway) newBudget() *retry.Window {
 	l := g.limits.Load()
-	return retry.NewBudget(l.RetryRatio, l.RetryBurst/float64(g.group.Size()+spareVMs))
+	return retry.NewWindow(retry.WindowConfig{
+		Ratio: l.RetryRatio, Slack: l.RetryBurst / float64(g.group.Size()+spareVMs), Span: l.RetryWindow,
+	})
 }
 
 // destination bounds a target's connections to this VM's share.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -188,7 +188,7 @@
 func provideGateway(k *kernel.Kernel, cfg *settings.Node, a Adapter) (any, error) {
 	g := &kernel.Getter{Kernel: k}
 	group := kernel.Need[*peers.Peers](g, ModulePeers)
-	limits := gateway.Limits{Grace: cfg.Grace.D(), RetryRatio: cfg.RetryRatio, RetryBurst: cfg.RetryBurst}
+	limits := gateway.Limits{Grace: cfg.Grace.D(), RetryRatio: cfg.RetryRatio, RetryBurst: cfg.RetryBurst, RetryWindow: cfg.RetryWindow.D()}
 	client := kernel.Need[*httpsend.Client](g, ModuleSender)
 	gw := gateway.New(string(cfg.Listen), limits, kernel.Need[*fleet.Keeper](g, ModuleKeeper), kernel.Need[*place.Placer](g, ModulePlacer), a.Protocol,
 		group, client, kernel.Need[*telemetry.Logger](g, ModuleLog), kernel.Need[*gateway.Stats](g, ModuleStats))
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -80,7 +80,9 @@
 		r.log.Warn(telemetry.EventReload, telemetry.F("refused", true), telemetry.F("cause", err))
 		return
 	}
-	r.gateway.SetLimits(gateway.Limits{Grace: next.Grace.D(), RetryRatio: next.RetryRatio, RetryBurst: next.RetryBurst})
+	r.gateway.SetLimits(gateway.Limits{
+		Grace: next.Grace.D(), RetryRatio: next.RetryRatio, RetryBurst: next.RetryBurst, RetryWindow: next.RetryWindow.D(),
+	})
 	r.writer.SetRate(int(next.LogLinesPerS))
 	r.log.Info(telemetry.EventReload, telemetry.F("changed", true), telemetry.F("restart_needed", r.restartNeeded(next)))
 }
@@ -88,6 +90,6 @@
 // restartNeeded reports whether a setting changed that a running process keeps.
 func (r *reloader) restartNeeded(next *settings.Node) bool {
 	a, b := r.running, *next
-	a.Grace, a.RetryRatio, a.RetryBurst, a.LogLinesPerS = b.Grace, b.RetryRatio, b.RetryBurst, b.LogLinesPerS
+	a.Grace, a.RetryRatio, a.RetryBurst, a.RetryWindow, a.LogLinesPerS = b.Grace, b.RetryRatio, b.RetryBurst, b.RetryWindow, b.LogLinesPerS
 	return a != b
 }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -30,6 +30,8 @@
 	RetryRatio float64 `json:"retry_ratio"`
 	// RetryBurst bounds such sends at once, for all VMs together.
 	RetryBurst float64 `json:"retry_burst"`
+	// RetryWindow is the span that both are counted in.
+	RetryWindow Duration `json:"retry_window"`
 	// LogLinesPerS bounds the log; what is above is dropped and counted.
 	LogLinesPerS int64 `json:"log_lines_per_s"`
 	// PrefillShare is the share of a service's engines that prefill.
@@ -45,7 +47,8 @@
 		MemoryMB:           256,
 		Grace:              Duration(8 * time.Second),
 		LeaseGap:           Duration(3 * time.Second),
-		RetryRatio:         0.15,
+		RetryRatio:         0.17,
+		RetryWindow:        Duration(10 * time.Second),
 		RetryBurst:         40,
 		LogLinesPerS:       400,
 		PrefillShare:       0.5,
@@ -65,6 +68,7 @@
 	r.needPositive("memory_mb", s.MemoryMB)
 	r.needPositive("grace", int64(s.Grace))
 	r.needPositive("lease_gap", int64(s.LeaseGap))
+	r.needPositive("retry_window", int64(s.RetryWindow))
 	r.needPositive("log_lines_per_s", s.LogLinesPerS)
 	if s.RetryRatio < 0 || s.RetryRatio > 1 {
 		r.add("retry_ratio", "must be from 0 to 1")
