--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -169,6 +169,10 @@
 	})
 	group.SetPlacer(placer)
 	group.SetOrders(controller)
+	controller.SetView(placer.Streams, func(engine string) bool {
+		_, changing := group.Changing(engine)
+		return changing
+	})
 	group.Follow(kernel.Need[*watch.Table](g, ModuleConfig), kernel.Need[*watch.Table](g, ModuleTargets))
 	return placer, nil
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"garnethoist.org/garnethoist/internal/fleet"
@@ -23,7 +24,7 @@
 const (
 	// intervalPerVM is the time between reports while they change, for each VM
 	// in the group: what one VM receives stays the same as the group grows,
-	// about 800 datagrams a second.
+	// about 800 datagrams of some 200 bytes a second.
 	intervalPerVM = 1250 * time.Microsecond
 	// minInterval is the shortest time between reports.
 	minInterval = 10 * time.Millisecond
@@ -58,36 +59,41 @@
 	Address string `json:"address"`
 }
 
-// report is one VM's work in hand.
+// report is one VM's work in hand. Its keys on the wire are numbers, as reports
+// are sent often and some VMs have narrow links.
 type report struct {
-	VM string `json:"vm"`
+	VM string `cbor:"1,keyasint"`
 	// Address is where the VM listens, for those that have not listed it yet.
-	Address string `json:"a"`
+	Address string `cbor:"2,keyasint"`
 	// Incarnation and Number order the reports of one VM.
-	Incarnation int64  `json:"inc"`
-	Number      uint64 `json:"n"`
-	Work        []item `json:"w"`
+	Incarnation int64  `cbor:"3,keyasint"`
+	Number      uint64 `cbor:"4,keyasint"`
+	Work        []item `cbor:"5,keyasint"`
 	// Uses are the prompts given to targets since the last report.
-	Uses []use `json:"u,omitempty"`
+	Uses []use `cbor:"6,keyasint,omitempty"`
 	// Newest is the highest row version taken in of each followed table.
-	Newest []uint64 `json:"v"`
+	Newest []uint64 `cbor:"7,keyasint"`
 	// Changing is the engines that this VM has ordered to change their stage.
-	Changing map[string]fleet.Stage `json:"c,omitempty"`
+	Changing map[string]fleet.Stage `cbor:"8,keyasint,omitempty"`
 }
 
+// use is a place.Use on the wire.
 type use struct {
-	Target  string   `json:"t"`
-	Parts   []uint64 `json:"h"`
-	Missing int      `json:"m"`
+	_       struct{} `cbor:",toarray"`
+	Target  string
+	Parts   []uint64
+	Missing int
 }
 
+// item is a place.Work on the wire.
 type item struct {
-	Target    string `json:"t"`
-	PrefillUS int64  `json:"p"`
-	Prefills  int    `json:"q"`
-	Running   int    `json:"r"`
-	Streams   int    `json:"s"`
-	Tokens    int    `json:"k"`
+	_         struct{} `cbor:",toarray"`
+	Target    string
+	PrefillUS int64
+	Prefills  int
+	Running   int
+	Streams   int
+	Tokens    int
 }
 
 // Placer is where this VM's own state is read and others' uses are told.
@@ -305,12 +311,12 @@
 	var last []byte
 	var lastAt time.Time
 	number := uint64(0)
-	for ; ctx.Err() == nil; kernel.Sleep(ctx, p.interval()) {
+	for ; ctx.Err() == nil; kernel.Sleep(ctx, p.Interval()) {
 		r := report{VM: p.self.VM, Address: p.self.Address, Incarnation: p.incarnation, Work: itemsOf(p.placer.Own()), Changing: p.orders.Open()}
 		for _, f := range p.followed {
 			r.Newest = append(r.Newest, f.Newest())
 		}
-		body, err := json.Marshal(r)
+		body, err := cbor.Marshal(r)
 		if err != nil {
 			panic("peers: encode report: " + err.Error())
 		}
@@ -325,8 +331,9 @@
 	}
 }
 
-// interval is the time to the next report.
-func (p *Peers) interval() time.Duration {
+// Interval is the time between this VM's reports while they change: what is
+// known of the others' work is half as old on average.
+func (p *Peers) Interval() time.Duration {
 	return max(minInterval, time.Duration(p.Size())*intervalPerVM)
 }
 
@@ -341,13 +348,13 @@
 func usesOf(uses []place.Use) []use {
 	out := make([]use, 0, len(uses))
 	for _, u := range uses {
-		out = append(out, use(u))
+		out = append(out, use{Target: u.Target, Parts: u.Parts, Missing: u.Missing})
 	}
 	return out
 }
 
 func (p *Peers) broadcast(r report) {
-	data, err := json.Marshal(r)
+	data, err := cbor.Marshal(r)
 	if err != nil {
 		panic("peers: encode report: " + err.Error())
 	}
@@ -376,7 +383,7 @@
 			continue
 		}
 		var r report
-		if err := json.Unmarshal(buf[:n], &r); err != nil || r.VM == p.self.VM {
+		if err := cbor.Unmarshal(buf[:n], &r); err != nil || r.VM == p.self.VM {
 			continue
 		}
 		if p.take(r) {
@@ -405,7 +412,7 @@
 func (p *Peers) observe(uses []use) {
 	out := make([]place.Use, 0, len(uses))
 	for _, u := range uses {
-		out = append(out, place.Use(u))
+		out = append(out, place.Use{Target: u.Target, Parts: u.Parts, Missing: u.Missing})
 	}
 	p.placer.Observe(out)
 }
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -188,7 +188,7 @@
 	w.reckoned = load.Prefill + w.work.Prefill
 	w.expected = time.Duration(float64(w.reckoned)*s.slowdown) + p.remote(t)
 	w.own = time.Duration(float64(w.work.Prefill) * s.slowdown)
-	w.price = w.expected + time.Duration(workPrice*float64(w.work.Prefill)) + p.unsound(s, now)
+	w.price = w.expected + time.Duration(workPrice*float64(w.work.Prefill)) + p.unsound(s, now) + p.scatter()
 	if inPlace {
 		b := batch(load, p.seats(t, q))
 		w.expected += b.wait
@@ -273,7 +273,7 @@
 			continue
 		}
 		s := batch(p.total(t.ID), max(t.Slots-spareSlots, 1))
-		s.price += p.remote(t) + p.unsound(p.state(t.ID), now)
+		s.price += p.remote(t) + p.unsound(p.state(t.ID), now) + p.scatter()
 		if near != "" && t.DataCentre != near {
 			s.price += p.cfg.RemotePenalty
 		}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -5,6 +5,7 @@
 package place
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -95,6 +96,8 @@
 // Others says what other VMs have in hand at a target.
 type Others interface {
 	Work(targetID string) Work
+	// Interval is the time between what they say.
+	Interval() time.Duration
 }
 
 // Placer chooses targets. It is safe for concurrent use.
@@ -107,11 +110,15 @@
 	mu     sync.Mutex
 	states map[string]*state
 	uses   []Use
+	random *rand.Rand
 }
 
 // New returns a placer without any work in hand.
 func New(cfg Config, others Others, changing func(*fleet.Target) bool) *Placer {
-	return &Placer{cfg: cfg, others: others, changing: changing, states: make(map[string]*state)}
+	return &Placer{
+		cfg: cfg, others: others, changing: changing, states: make(map[string]*state),
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
 }
 
 func (p *Placer) state(id string) *state {
@@ -148,6 +155,22 @@
 	return out
 }
 
+// Streams counts the long answers that a target runs.
+func (p *Placer) Streams(id string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.total(id).Streams
+}
+
+// scatter is a random price that keeps VMs which all know the same old numbers
+// from all choosing the same target; the caller holds p.mu.
+func (p *Placer) scatter() time.Duration {
+	return time.Duration(p.random.Float64() * scatterShare * float64(p.others.Interval()))
+}
+
+// scatterShare is the part of the reports' interval that scatter reaches.
+const scatterShare = 0.25
+
 // total is a target's whole work in hand; the caller holds p.mu.
 func (p *Placer) total(id string) Work {
 	return p.state(id).own.plus(p.others.Work(id))
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -15,6 +15,8 @@
 
 func (o others) Work(id string) place.Work { return o[id] }
 
+func (o others) Interval() time.Duration { return 0 }
+
 func unchanging(*fleet.Target) bool { return false }
 
 var spec = &fleet.EngineSpec{Slots: 48, KVTokens: 300000}
@@ -47,7 +49,7 @@
 
 func TestSessionGoesBackToItsCache(t *testing.T) {
 	is := is.New(t)
-	p := newPlacer(nil)
+	p := newPlacer(others{})
 	targets := []*fleet.Target{engine("p1", fleet.Prefill), engine("p2", fleet.Prefill), engine("p3", fleet.Prefill), engine("d", fleet.Decode)}
 	now := time.Now()
 	first, ok := p.Read(targets, spec, session(5), nil, now)
@@ -62,7 +64,7 @@
 
 func TestOthersUsesAreReckonedWith(t *testing.T) {
 	is := is.New(t)
-	a, b := newPlacer(nil), newPlacer(nil)
+	a, b := newPlacer(others{}), newPlacer(others{})
 	targets := []*fleet.Target{engine("p1", fleet.Prefill), engine("p2", fleet.Prefill), engine("d", fleet.Decode)}
 	now := time.Now()
 	first, _ := a.Read(targets, spec, session(5), nil, now)
@@ -155,7 +157,7 @@
 
 func TestUnreachableTargetIsTriedAgainLater(t *testing.T) {
 	is := is.New(t)
-	p := newPlacer(nil)
+	p := newPlacer(others{})
 	targets := []*fleet.Target{{ID: "a", Slots: 6, DataCentre: "a"}, {ID: "b", Slots: 6, DataCentre: "b"}}
 	now := time.Now()
 	c, _ := p.Plain(targets, nil, 0, now)
@@ -170,7 +172,7 @@
 
 func TestFailingTargetIsAvoidedAndRecovers(t *testing.T) {
 	is := is.New(t)
-	p := newPlacer(nil)
+	p := newPlacer(others{})
 	targets := []*fleet.Target{{ID: "a", Slots: 6, DataCentre: "a"}, {ID: "b", Slots: 6, DataCentre: "a"}}
 	now := time.Now()
 	for range 5 {
@@ -190,7 +192,7 @@
 // A slow engine's reckoning follows its answers, and a ticket counts once.
 func TestSlowdownIsLearned(t *testing.T) {
 	is := is.New(t)
-	p := newPlacer(nil)
+	p := newPlacer(others{})
 	targets := []*fleet.Target{engine("d", fleet.Decode)}
 	now := time.Now()
 	before, _ := p.Read(targets, spec, session(3), nil, now)
@@ -208,7 +210,7 @@
 
 func TestForgetKeepsWhatIsInHand(t *testing.T) {
 	is := is.New(t)
-	p := newPlacer(nil)
+	p := newPlacer(others{})
 	c, _ := p.Plain([]*fleet.Target{{ID: "a", Slots: 6}}, nil, 0, time.Now())
 	gone := func(string) bool { return false }
 	p.Forget(gone)
--- a/internal/stages/controller.go
+++ b/internal/stages/controller.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"hash/fnv"
+	"math"
 	"strings"
 	"sync"
 	"time"
@@ -108,6 +109,11 @@
 	// open holds the journal's rows, by engine.
 	open map[string]*openOrder
 
+	// load is the streams at each engine.
+	load Load
+	// elsewhere says whether another VM changes an engine.
+	elsewhere func(engine string) bool
+
 	// wantedSince is when the plan first held changes; owned by run.
 	wantedSince time.Duration
 	renewedAt   time.Duration
@@ -130,9 +136,16 @@
 	return &Controller{
 		cfg: cfg, keeper: keeper, table: table, engines: engines, clock: clock, log: log,
 		lease: lease.New(lc, table, clock), open: make(map[string]*openOrder),
+		load: func(string) int { return 0 }, elsewhere: func(string) bool { return false },
 	}
 }
 
+// SetView sets where the streams of engines, and the changes that other VMs have
+// ordered, are read; it is called before Start.
+func (c *Controller) SetView(load Load, elsewhere func(engine string) bool) {
+	c.load, c.elsewhere = load, elsewhere
+}
+
 // Start begins to plan.
 func (c *Controller) Start(context.Context) error {
 	c.Run(func(ctx context.Context) { kernel.Every(ctx, tick, c.step) })
@@ -162,8 +175,8 @@
 	return out
 }
 
-// load reads the journal at the start of a tenure.
-func (c *Controller) load(ctx context.Context) error {
+// readJournal reads the journal at the start of a tenure.
+func (c *Controller) readJournal(ctx context.Context) error {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	records, err := c.table.List(call, KeyPrefix)
@@ -198,7 +211,7 @@
 	if c.wantedSince == 0 {
 		c.wantedSince = now
 	}
-	if now-c.wantedSince < c.patience() {
+	if _, held := c.lease.Held(); !held && now-c.wantedSince < c.patience() {
 		return
 	}
 	t, ok := c.hold(ctx)
@@ -206,13 +219,12 @@
 		return
 	}
 	if c.loadedFence != t.Fence {
-		if err := c.load(ctx); err != nil {
+		if err := c.readJournal(ctx); err != nil {
 			c.log.Warn(telemetry.EventOrderRefused, telemetry.F("journal", "read"), telemetry.F("cause", err))
 			return
 		}
 		c.loadedFence = t.Fence
 	}
-	changes = c.wanted(v)
 	c.finish(ctx, t, v)
 	if t.Fence > 1 && c.clock()-t.Since < c.cfg.Gap+settle {
 		// The holder before may have ordered until just before.
@@ -224,9 +236,9 @@
 // wanted returns the planned changes of engines that no order stands open for.
 func (c *Controller) wanted(v *fleet.View) []Change {
 	var out []Change
-	for _, ch := range Plan(v, c.cfg.Share) {
+	for _, ch := range PlanAll(v, c.want, c.load) {
 		c.mu.Lock()
-		busy := c.open[ch.Target.ID] != nil
+		busy := c.open[ch.Target.ID] != nil || c.elsewhere(ch.Target.ID)
 		c.mu.Unlock()
 		if !busy {
 			out = append(out, ch)
@@ -235,6 +247,9 @@
 	return out
 }
 
+// want is how many of a service's engines are to prefill.
+func (c *Controller) want(engines int) int { return int(math.Round(c.cfg.Share * float64(engines))) }
+
 // finishing reports whether rows of the journal can be removed.
 func (c *Controller) finishing(v *fleet.View) bool {
 	c.mu.Lock()
--- a/internal/stages/plan.go
+++ b/internal/stages/plan.go
@@ -5,7 +5,6 @@
 package stages
 
 import (
-	"math"
 	"sort"
 
 	"garnethoist.org/garnethoist/internal/fleet"
@@ -17,11 +16,36 @@
 	Stage  fleet.Stage
 }
 
-// Plan returns the changes that bring each service's engines to the share of
-// prefill engines in each data centre. Each data centre with two engines or
-// more keeps one of each stage, as it may be cut off. Engines that leave are
-// not counted.
-func Plan(v *fleet.View, share float64) []Change {
+// Load says how many long answers an engine runs, as far as this VM knows.
+type Load func(engine string) int
+
+// Plan returns the changes that bring the engines of a service to the number of
+// prefill engines wanted, dealt to the data centres by their size. Each data
+// centre with two engines or more keeps one of each stage, as it may be cut
+// off. Engines that leave are not counted; those with the fewest streams are
+// changed first.
+func Plan(targets []*fleet.Target, want int, load Load) []Change {
+	var out []Change
+	groups := byDataCentre(targets)
+	total := 0
+	for _, g := range groups {
+		total += len(g)
+	}
+	for _, g := range groups {
+		if total == 0 {
+			break
+		}
+		// The rest of the division goes to the data centres dealt last.
+		part := want * len(g) / total
+		want, total = want-part, total-len(g)
+		out = append(out, planGroup(g, part, load)...)
+	}
+	return out
+}
+
+// PlanAll plans each model service of a view; want says how many of so many
+// engines are to prefill.
+func PlanAll(v *fleet.View, want func(engines int) int, load Load) []Change {
 	if v.Config == nil {
 		return nil
 	}
@@ -31,13 +55,21 @@
 		if s == nil || s.Engine == nil {
 			continue
 		}
-		for _, group := range byDataCentre(v.Targets[name]) {
-			out = append(out, planGroup(group, share)...)
-		}
+		out = append(out, Plan(v.Targets[name], want(staying(v.Targets[name])), load)...)
 	}
 	return out
 }
 
+func staying(targets []*fleet.Target) int {
+	n := 0
+	for _, t := range targets {
+		if !t.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
 func sortedServices(v *fleet.View) []string {
 	names := make([]string, 0, len(v.Targets))
 	for name := range v.Targets {
@@ -67,14 +99,13 @@
 	return out
 }
 
-// planGroup plans the engines of one data centre; they are in order of id, so
-// that every VM plans the same.
-func planGroup(group []*fleet.Target, share float64) []Change {
+// planGroup plans the engines of one data centre.
+func planGroup(group []*fleet.Target, want int, load Load) []Change {
 	n := len(group)
 	if n < 2 {
 		return nil
 	}
-	want := min(max(int(math.Round(share*float64(n))), 1), n-1)
+	want = min(max(want, 1), n-1)
 	have := 0
 	for _, t := range group {
 		if t.Stage == fleet.Prefill {
@@ -85,20 +116,23 @@
 	if have > want {
 		from, to = to, from
 	}
-	var out []Change
+	var candidates []*fleet.Target
 	for _, t := range group {
-		if have == want {
-			break
-		}
-		if t.Stage != from {
-			continue
+		if t.Stage == from {
+			candidates = append(candidates, t)
 		}
+	}
+	sort.SliceStable(candidates, func(i, j int) bool { return load(candidates[i].ID) < load(candidates[j].ID) })
+	var out []Change
+	for _, t := range candidates[:min(abs(want-have), len(candidates))] {
 		out = append(out, Change{Target: t, Stage: to})
-		if have < want {
-			have++
-		} else {
-			have--
-		}
 	}
 	return out
 }
+
+func abs(n int) int {
+	if n < 0 {
+		return -n
+	}
+	return n
+}
--- a/internal/stages/stages_test.go
+++ b/internal/stages/stages_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"sync"
 	"testing"
 	"time"
@@ -57,7 +58,8 @@
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			got := map[string]fleet.Stage{}
-			for _, c := range stages.Plan(tc.view, tc.share) {
+			want := func(engines int) int { return int(math.Round(tc.share * float64(engines))) }
+			for _, c := range stages.PlanAll(tc.view, want, func(string) int { return 0 }) {
 				got[c.Target.ID] = c.Stage
 			}
 			if tc.want == nil {
@@ -68,6 +70,30 @@
 	}
 }
 
+func TestPlanChangesTheLeastLoaded(t *testing.T) {
+	is := is.New(t)
+	targets := []*fleet.Target{engine("1", "a", fleet.Decode), engine("2", "a", fleet.Decode), engine("3", "a", fleet.Decode), engine("4", "a", fleet.Decode)}
+	load := map[string]int{"1": 30, "2": 5, "3": 40, "4": 1}
+	var got []string
+	for _, c := range stages.Plan(targets, 2, func(id string) int { return load[id] }) {
+		got = append(got, c.Target.ID)
+	}
+	is.Equal(got, []string{"4", "2"})
+}
+
+func TestPlanDealsToDataCentres(t *testing.T) {
+	is := is.New(t)
+	var targets []*fleet.Target
+	for _, dc := range []string{"a", "b", "c"} {
+		for _, n := range []string{"1", "2", "3", "4"} {
+			targets = append(targets, engine(dc+n, dc, fleet.Decode))
+		}
+	}
+	for want := 3; want <= 9; want++ {
+		is.Equal(len(stages.Plan(targets, want, func(string) int { return 0 })), want)
+	}
+}
+
 // engines carry out orders and note who gave them.
 type engines struct {
 	mu     sync.Mutex
