Calls to the store spread by the size of the group; other data centres cost 9 ms

Change: the gap between two calls grows with the group, to 0.4 s at most; the price of a target elsewhere is 9 ms, was 4.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -140,7 +140,7 @@
 		k.Register(name, func(k *kernel.Kernel) (any, error) {
 			g := &kernel.Getter{Kernel: k}
 			t := watch.NewTable(kernel.Need[Store](g, ModuleStore), table, kernel.Need[*watch.Link](g, ModuleLink),
-				kernel.Need[*peers.Peers](g, ModulePeers).Sentinel, apply(g), kernel.Need[*telemetry.Logger](g, ModuleLog))
+				kernel.Need[*peers.Peers](g, ModulePeers), apply(g), kernel.Need[*telemetry.Logger](g, ModuleLog))
 			return t, g.Err
 		})
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -38,7 +38,7 @@
 	sentinels = 4
 	// newsGrace is how long after another VM's word the own call may bring the
 	// same news.
-	newsGrace = 250 * time.Millisecond
+	newsGrace = 600 * time.Millisecond
 	// nudgeInterval is the least time between two calls made anew, above what
 	// a call to a slow store takes.
 	nudgeInterval = 1200 * time.Millisecond
--- a/internal/place/config.go
+++ b/internal/place/config.go
@@ -33,6 +33,6 @@
 		PairsMS:       0.13,
 		StepMS:        0.6,
 		StepPerRunMS:  0.0065,
-		RemotePenalty: 4 * time.Millisecond,
+		RemotePenalty: 9 * time.Millisecond,
 	}
 }
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -24,9 +24,12 @@
 	shortWait = 2 * time.Second
 	// longWait is the same for the others, whom the sentinels tell of news.
 	longWait = 20 * time.Second
-	// callGap is the least time between two calls; changes that come together
-	// are taken in one call.
-	callGap = 60 * time.Millisecond
+	// callGapPerVM is the least time between two calls of one VM, for each VM in
+	// the group: changes that come together are taken in one call, and all VMs
+	// together call no oftener as the group grows.
+	callGapPerVM = 6 * time.Millisecond
+	// maxCallGap keeps news well within the two seconds that they may take.
+	maxCallGap = 400 * time.Millisecond
 	// Waits between calls that fail; a process that has just lost the store
 	// asks soon, one that waits for long asks seldom.
 	firstBackoff = 50 * time.Millisecond
@@ -45,8 +48,7 @@
 	apply Apply
 	log   *telemetry.Logger
 	link  *Link
-	// sentinel says whether this VM is to watch closely.
-	sentinel func() bool
+	group Group
 
 	// revision is the newest one taken in; only follow uses it.
 	revision uint64
@@ -60,11 +62,19 @@
 	renewed bool
 }
 
+// Group is the VMs that follow the same store.
+type Group interface {
+	// Sentinel reports whether this VM is one of the few that watch closely.
+	Sentinel() bool
+	// Size counts the VMs.
+	Size() int
+}
+
 // NewTable returns a follower of the table called name. link is shared by all
-// followers of one store. A VM for which sentinel is true asks again every few
-// seconds; others wait longer and are told of news by Newer.
-func NewTable(feed store.Feed, name string, link *Link, sentinel func() bool, apply Apply, log *telemetry.Logger) *Table {
-	return &Table{feed: feed, name: name, apply: apply, log: log, link: link, sentinel: sentinel}
+// followers of one store. A sentinel of the group asks again every few seconds;
+// others wait longer and are told of news by Newer.
+func NewTable(feed store.Feed, name string, link *Link, group Group, apply Apply, log *telemetry.Logger) *Table {
+	return &Table{feed: feed, name: name, apply: apply, log: log, link: link, group: group}
 }
 
 // Newest returns the highest version of a row taken in.
@@ -130,7 +140,7 @@
 		if err == nil {
 			wait.Reset()
 			t.link.up(t.name)
-			kernel.Sleep(ctx, callGap)
+			kernel.Sleep(ctx, min(maxCallGap, time.Duration(t.group.Size())*callGapPerVM))
 			continue
 		}
 		if t.takeRenewed() {
@@ -149,7 +159,7 @@
 		return t.list(ctx)
 	}
 	wait := longWait
-	if t.sentinel() {
+	if t.group.Sentinel() {
 		wait = shortWait
 	}
 	rows, err := t.call(ctx, func(ctx context.Context) (store.Rows, error) {
