A prompt counts as read only where it was sent; the VM's own link is reckoned

Cause: a request refused at the door had its parts noted as cached at the engine it would have gone to, so under load the reckoned caches were wrong; on VMs with 10 Mbit/s links what waits to be sent made in-place reading late (reckoned 52 ms, 155 ms at the median in a burst). Ruled out: the begin of the send (2 ms) and the second hop in calm (15 to 30 ms). Change: Commit notes the use once the request is admitted, and keeps the link busy for the time that its bytes take.

--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -68,6 +68,7 @@
 		choice.Ticket.End(place.Neutral, time.Now())
 		return refused, nil, err
 	}
+	x.g.placer.Commit(choice, x.meta.Prompt, time.Now())
 	if choice.InPlace {
 		x.note(choice.Target, describe(choice, "inplace"), nil)
 		out, err := x.decode(ctx, s, choice, nil)
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -32,8 +32,9 @@
 	openPrice = 20 * time.Millisecond
 	// pausePrice weighs the prefills in hand where a stream joins.
 	pausePrice = 1
-	// linkLoad is how many times longer a send takes beside others.
-	linkLoad = 2.0
+	// linkShare is the part of the VM's link that is there for prompts; the rest
+	// is for reports, answers and the store.
+	linkShare = 0.8
 	// shortPrompt is the length in tokens below which a second hop never pays.
 	shortPrompt = 1024
 	// maxInPlace bounds the prefills in hand at a decode target that runs
@@ -110,6 +111,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	next, apart := p.bestDecode(targets, "", tried, now)
+	link := p.linkWait(now) + p.linkTime(q)
 	var best Choice
 	var chosen weighed
 	for _, t := range targets {
@@ -125,6 +127,7 @@
 			w.price += next.price + transferTime + p.linkTime(q)
 			w.expected += p.linkTime(q)
 		}
+		w.expected += link
 		if best.Target == nil || w.price < chosen.price {
 			best = Choice{Target: t, Expected: w.expected, Own: w.own, Cached: w.cached, InPlace: t.Stage != fleet.Prefill}
 			chosen = w
@@ -134,20 +137,36 @@
 		return Choice{}, false
 	}
 	best.Ticket = p.begin(best.Target.ID, chosen.work, chosen.reckoned, now)
-	p.noteUse(best.Target.ID, q, q.Tokens-chosen.cached)
 	return best, true
 }
 
-// linkTime is how long sending the request once more takes this VM's link, with
-// room for what else is on it.
+// Commit notes that the request of a choice is sent: the target has its prompt
+// from now on, and the VM's link is busy with it.
+func (p *Placer) Commit(c Choice, q *Prompt, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.noteUse(c.Target.ID, q, q.Tokens-c.Cached)
+	p.occupyLink(q, now)
+}
+
+// linkTime is how long sending the request takes this VM's link.
 func (p *Placer) linkTime(q *Prompt) time.Duration {
 	if p.cfg.LinkMbps <= 0 {
 		return 0
 	}
-	us := linkLoad * 8 * float64(q.BodyBytes) / p.cfg.LinkMbps
+	us := 8 * float64(q.BodyBytes) / (linkShare * p.cfg.LinkMbps)
 	return time.Duration(us * float64(time.Microsecond))
 }
 
+// linkWait is how long what is being sent already keeps the link busy; the
+// caller holds p.mu.
+func (p *Placer) linkWait(now time.Time) time.Duration { return max(p.linkFree.Sub(now), 0) }
+
+// occupyLink counts one send of the request; the caller holds p.mu.
+func (p *Placer) occupyLink(q *Prompt, now time.Time) {
+	p.linkFree = now.Add(p.linkWait(now) + p.linkTime(q))
+}
+
 func (p *Placer) usable(t *fleet.Target, tried Tried) bool {
 	return !t.Leaving && !tried[t.ID] && !p.changing(t)
 }
@@ -294,5 +313,6 @@
 		return Choice{}, false
 	}
 	p.noteUse(t.ID, q, q.Tokens)
+	p.occupyLink(q, now)
 	return Choice{Target: t, Expected: s.wait, Ticket: p.begin(t.ID, Work{Running: 1, Streams: q.streams(), Tokens: q.Tokens + q.Output/2}, 0, now)}, true
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -111,6 +111,8 @@
 	states map[string]*state
 	uses   []Use
 	random *rand.Rand
+	// linkFree is when this VM's link has sent what it was given.
+	linkFree time.Time
 }
 
 // New returns a placer without any work in hand.
