--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -35,8 +35,6 @@
 	tried place.Tried
 	// arrivals counts the targets that the request reached, prefills excepted.
 	arrivals int
-	// prefills counts the prefill calls that reached a target.
-	prefills int
 	// ran is set once a target may have run the request.
 	ran bool
 	// began is set once the caller has a part of the answer; status is that of
@@ -261,17 +259,32 @@
 // report logs and counts the request once.
 func (x *exchange) report(err error) {
 	took := time.Since(x.arrived)
+	fields := append(x.fields(), telemetry.F("ms", took.Milliseconds()))
+	if err == nil {
+		x.g.stats.Request(x.status, "", took)
+		x.g.log.Info(telemetry.EventRequestServed, fields...)
+		return
+	}
+	e := errkind.From(err)
+	x.g.stats.Request(x.status, e.Kind, took)
+	event := telemetry.EventRequestFailed
+	if e.Answer().Outcome == errkind.NotRun {
+		event = telemetry.EventRequestRefused
+	}
+	x.g.log.Warn(event, append(fields, telemetry.F("kind", e.Kind), telemetry.F("cause", e.Error()))...)
+}
+
+// fields returns what the log line tells of the request and of the beliefs that
+// it was decided on.
+func (x *exchange) fields() []telemetry.Field {
 	fields := []telemetry.Field{
-		telemetry.F("request", x.meta.ID), telemetry.F("ms", took.Milliseconds()), telemetry.F("status", x.status),
-		telemetry.F("sends", x.trail.String()),
+		telemetry.F("request", x.meta.ID), telemetry.F("status", x.status), telemetry.F("sends", x.trail.String()),
 	}
 	if x.view.Config != nil {
 		fields = append(fields, telemetry.F("config", x.view.Config.Version), telemetry.F("targets", x.view.TargetsRevision))
 	}
-	name := ""
 	if x.route != nil {
-		name = x.route.Name
-		fields = append(fields, telemetry.F("route", name), telemetry.F("service", x.service))
+		fields = append(fields, telemetry.F("route", x.route.Name), telemetry.F("service", x.service))
 	}
 	if p := x.meta.Prompt; p != nil {
 		fields = append(fields, telemetry.F("prompt", p.Tokens), telemetry.F("output", p.Output), telemetry.F("max_output", p.MaxOutput))
@@ -279,17 +292,5 @@
 	if !x.first.IsZero() {
 		fields = append(fields, telemetry.F("first_ms", x.first.Sub(x.arrived).Milliseconds()))
 	}
-	if err == nil {
-		x.g.stats.Request(name, x.status, "", took)
-		x.g.log.Info(telemetry.EventRequestServed, fields...)
-		return
-	}
-	e := errkind.From(err)
-	x.g.stats.Request(name, x.status, e.Kind, took)
-	event := telemetry.EventRequestFailed
-	if e.Answer().Outcome == errkind.NotRun {
-		event = telemetry.EventRequestRefused
-	}
-	fields = append(fields, telemetry.F("kind", e.Kind), telemetry.F("cause", e.Error()))
-	x.g.log.Warn(event, fields...)
+	return fields
 }
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -149,13 +149,11 @@
 			out = refused
 		}
 		if out == refused {
-			x.prefills++
 			x.arrivals++
 		}
 		return nil, out, err
 	}
 	defer resp.Close()
-	x.prefills++
 	body, err := readWhole(resp)
 	if err == nil && resp.Status != http.StatusOK {
 		err = errkind.New(errkind.TargetFailed, "prefill status %d", resp.Status)
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -34,7 +34,7 @@
 }
 
 // Request counts one request; kind is empty for an answer of a target.
-func (s *Stats) Request(_ string, status int, kind errkind.Kind, took time.Duration) {
+func (s *Stats) Request(status int, kind errkind.Kind, took time.Duration) {
 	set := metric.WithAttributeSet(attribute.NewSet(attribute.String("status", strconv.Itoa(status)), attribute.String("kind", string(kind))))
 	s.requests.Add(context.Background(), 1, set)
 	s.seconds.Record(context.Background(), took.Seconds(), set)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/netip"
 	"sync"
@@ -59,43 +58,6 @@
 	Address string `json:"address"`
 }
 
-// report is one VM's work in hand. Its keys on the wire are numbers, as reports
-// are sent often and some VMs have narrow links.
-type report struct {
-	VM string `cbor:"1,keyasint"`
-	// Address is where the VM listens, for those that have not listed it yet.
-	Address string `cbor:"2,keyasint"`
-	// Incarnation and Number order the reports of one VM.
-	Incarnation int64  `cbor:"3,keyasint"`
-	Number      uint64 `cbor:"4,keyasint"`
-	Work        []item `cbor:"5,keyasint"`
-	// Uses are the prompts given to targets since the last report.
-	Uses []use `cbor:"6,keyasint,omitempty"`
-	// Newest is the highest row version taken in of each followed table.
-	Newest []uint64 `cbor:"7,keyasint"`
-	// Changing is the engines that this VM has ordered to change their stage.
-	Changing map[string]fleet.Stage `cbor:"8,keyasint,omitempty"`
-}
-
-// use is a place.Use on the wire.
-type use struct {
-	_       struct{} `cbor:",toarray"`
-	Target  string
-	Parts   []uint64
-	Missing int
-}
-
-// item is a place.Work on the wire.
-type item struct {
-	_         struct{} `cbor:",toarray"`
-	Target    string
-	PrefillUS int64
-	Prefills  int
-	Running   int
-	Streams   int
-	Tokens    int
-}
-
 // Placer is where this VM's own state is read and others' uses are told.
 type Placer interface {
 	Own() map[string]place.Work
@@ -186,69 +148,6 @@
 	return b
 }
 
-// register writes this VM's record until it stands, and then lists the others'.
-func (p *Peers) register(ctx context.Context) {
-	value, err := json.Marshal(p.self)
-	if err != nil {
-		// Only strings are encoded.
-		panic("peers: encode member: " + err.Error())
-	}
-	p.until(ctx, func(call context.Context) error {
-		_, err := p.table.Commit(call, store.Txn{Puts: []store.Put{{Key: KeyPrefix + p.self.VM, Value: value}}})
-		return err
-	})
-	for wait := firstList; ctx.Err() == nil; wait = laterList {
-		p.until(ctx, p.list)
-		kernel.Sleep(ctx, wait)
-	}
-}
-
-// until calls f until it succeeds.
-func (p *Peers) until(ctx context.Context, f func(context.Context) error) {
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, registerTimeout)
-		err := f(call)
-		cancel()
-		if err == nil {
-			return
-		}
-		kernel.Sleep(ctx, registerBackoff)
-	}
-}
-
-// list reads the members' records.
-func (p *Peers) list(ctx context.Context) error {
-	records, err := p.table.List(ctx, KeyPrefix)
-	if err != nil {
-		return err
-	}
-	for _, r := range records {
-		var m Member
-		if err := json.Unmarshal(r.Value, &m); err != nil {
-			p.log.Warn(telemetry.EventBadRow, telemetry.F("key", r.Key), telemetry.F("revision", r.Version), telemetry.F("cause", err))
-			continue
-		}
-		p.learn(m)
-	}
-	return nil
-}
-
-// learn takes in a member.
-func (p *Peers) learn(m Member) {
-	addr, err := netip.ParseAddrPort(m.Address)
-	if err != nil {
-		p.log.Warn(telemetry.EventBadRow, telemetry.F("peer", m.VM), telemetry.F("cause", err))
-		return
-	}
-	p.mu.Lock()
-	before, known := p.members[m.VM]
-	p.members[m.VM] = addr
-	p.mu.Unlock()
-	if !known || before != addr {
-		p.log.Info(telemetry.EventPeerState, telemetry.F("peer", m.VM), telemetry.F("address", m.Address))
-	}
-}
-
 // Sentinel reports whether this VM is one of the few that watch the store
 // closely: the first ones by name of those that are heard.
 func (p *Peers) Sentinel() bool {
@@ -337,22 +236,6 @@
 	return max(minInterval, time.Duration(p.Size())*intervalPerVM)
 }
 
-func itemsOf(work map[string]place.Work) []item {
-	items := make([]item, 0, len(work))
-	for id, w := range work {
-		items = append(items, item{Target: id, PrefillUS: w.Prefill.Microseconds(), Prefills: w.Prefills, Running: w.Running, Streams: w.Streams, Tokens: w.Tokens})
-	}
-	return items
-}
-
-func usesOf(uses []place.Use) []use {
-	out := make([]use, 0, len(uses))
-	for _, u := range uses {
-		out = append(out, use{Target: u.Target, Parts: u.Parts, Missing: u.Missing})
-	}
-	return out
-}
-
 func (p *Peers) broadcast(r report) {
 	data, err := cbor.Marshal(r)
 	if err != nil {
--- a/internal/stages/controller.go
+++ b/internal/stages/controller.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"hash/fnv"
 	"math"
-	"strings"
 	"sync"
 	"time"
 
@@ -78,13 +77,6 @@
 	Order(ctx context.Context, t *fleet.Target, o Order, still func() bool) error
 }
 
-// row is the journal's row of an engine.
-type row struct {
-	Holder string      `json:"holder"`
-	Fence  uint64      `json:"fence"`
-	Stage  fleet.Stage `json:"stage"`
-}
-
 // Config is the controller's settings.
 type Config struct {
 	VM string
@@ -122,14 +114,6 @@
 	loadedFence uint64
 }
 
-// openOrder is a row of the journal as this VM sees it.
-type openOrder struct {
-	row  row
-	seen time.Duration
-	// unknown orders of this VM had no answer.
-	unknown bool
-}
-
 // New returns a controller that does nothing until Start.
 func New(cfg Config, keeper *fleet.Keeper, table store.Table, engines Engines, clock lease.Clock, incarnation uint64, log *telemetry.Logger) *Controller {
 	lc := lease.Config{DataCentre: "all", Service: "stages", Holder: cfg.VM, Incarnation: incarnation, TTL: leaseTTL}
@@ -175,29 +159,6 @@
 	return out
 }
 
-// readJournal reads the journal at the start of a tenure.
-func (c *Controller) readJournal(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	records, err := c.table.List(call, KeyPrefix)
-	if err != nil {
-		return errors.Wrap(err, "read journal")
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.open = make(map[string]*openOrder)
-	for _, r := range records {
-		engine := strings.TrimPrefix(r.Key, KeyPrefix)
-		var v row
-		if err := json.Unmarshal(r.Value, &v); err != nil {
-			return errors.Wrapf(err, "decode %s", r.Key)
-		}
-		c.open[engine] = &openOrder{row: v, seen: c.clock()}
-		c.log.Info(telemetry.EventOrderAdopted, telemetry.F("engine", engine), telemetry.F("stage", string(v.Stage)), telemetry.F("holder", v.Holder), telemetry.F("fence", v.Fence))
-	}
-	return nil
-}
-
 // step looks at the plan once.
 func (c *Controller) step(ctx context.Context) {
 	v := c.keeper.View()
@@ -327,40 +288,6 @@
 	c.heldFence = 0
 }
 
-// finish removes the journal's rows that stand open no more.
-func (c *Controller) finish(ctx context.Context, t lease.Tenure, v *fleet.View) {
-	var keys []string
-	c.mu.Lock()
-	for id, o := range c.open {
-		if c.finished(v, id, o) {
-			keys = append(keys, KeyPrefix+id)
-			c.log.Info(telemetry.EventOrderDone, telemetry.F("engine", id), telemetry.F("stage", string(o.row.Stage)), telemetry.F("fence", o.row.Fence))
-		}
-	}
-	c.mu.Unlock()
-	if len(keys) == 0 {
-		return
-	}
-	if err := c.commit(ctx, t, store.Txn{Deletes: keys}); err != nil {
-		c.log.Warn(telemetry.EventOrderRefused, telemetry.F("journal", "remove"), telemetry.F("cause", err))
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, key := range keys {
-		delete(c.open, strings.TrimPrefix(key, KeyPrefix))
-	}
-}
-
-// commit writes to the journal within the tenure.
-func (c *Controller) commit(ctx context.Context, t lease.Tenure, txn store.Txn) error {
-	txn.Conds = append(txn.Conds, store.Cond{Key: lease.FenceKey("all", "stages"), Version: t.FenceVersion})
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	_, err := c.table.Commit(call, txn)
-	return err
-}
-
 // order journals all changes in one transaction and then gives the orders.
 func (c *Controller) order(ctx context.Context, t lease.Tenure, changes []Change) {
 	if len(changes) == 0 {
