--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -98,4 +98,5 @@
 	is.NoErr(ReadFile("../../examples/garnet-entry.jsonc", DefaultEntry()))
 	is.NoErr(ReadFile("../../examples/garnet-steward.jsonc", DefaultSteward()))
 	is.NoErr(ReadFile("../../examples/garnet-standin.jsonc", DefaultStandin()))
+	is.NoErr(ReadFile("../../examples/garnet-node.jsonc", DefaultNode()))
 }
