Routes without a timeout or an objective are served

Cause: read in the diff: a timeout of 0 would have answered 504 at once, an objective of 0 refused every stream. No site has such a route. Change: a default of a minute; no admission without an objective. Tests of admission, timeouts and the relay of whole events. The first two fail without it.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -106,13 +106,25 @@
 	return s != nil && s.Engine != nil && x.meta.Prompt != nil
 }
 
+// setDeadline takes the shorter of the route's timeout and the caller's own.
 func (x *exchange) setDeadline() {
-	x.deadline = x.arrived.Add(x.route.Timeout)
-	if x.meta.Timeout > 0 && x.meta.Timeout < x.route.Timeout {
-		x.deadline = x.arrived.Add(x.meta.Timeout)
+	x.deadline = x.arrived.Add(allowed(x.route.Timeout, x.meta.Timeout))
+}
+
+// allowed returns the shorter of two timeouts, of which 0 is none.
+func allowed(route, caller time.Duration) time.Duration {
+	if route <= 0 {
+		route = defaultTimeout
 	}
+	if caller > 0 && caller < route {
+		return caller
+	}
+	return route
 }
 
+// defaultTimeout bounds requests on routes without a timeout of their own.
+const defaultTimeout = time.Minute
+
 // reload takes the newest view, so that nothing is sent to a target that has
 // begun to leave meanwhile.
 func (x *exchange) reload() { x.view = x.g.keeper.View() }
--- /dev/null
+++ b/internal/gateway/exchange_test.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"garnethoist.org/garnethoist/internal/errkind"
+	"garnethoist.org/garnethoist/internal/fleet"
+	"garnethoist.org/garnethoist/internal/place"
+)
+
+func TestTheShorterTimeoutHolds(t *testing.T) {
+	is := is.New(t)
+	is.Equal(allowed(2*time.Second, 0), 2*time.Second)
+	is.Equal(allowed(2*time.Second, 600*time.Millisecond), 600*time.Millisecond)
+	is.Equal(allowed(2*time.Second, 9*time.Second), 2*time.Second)
+	is.Equal(allowed(0, time.Second), time.Second)
+	is.Equal(allowed(0, 0), defaultTimeout)
+}
+
+// What would come too late is refused at once, unless it is only its own length
+// that makes it late; a refusal says when to come back.
+func TestAdmission(t *testing.T) {
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	cases := []struct {
+		name      string
+		objective time.Duration
+		expected  time.Duration
+		own       time.Duration
+		arrivals  int
+		admitted  bool
+	}{
+		{"on time", ms(200), ms(100), ms(20), 0, true},
+		{"too late", ms(200), ms(160), ms(20), 0, false},
+		{"long by itself", ms(200), ms(180), ms(150), 0, true},
+		{"sent before", ms(200), ms(180), ms(20), 1, true},
+		{"no objective", 0, ms(900), ms(20), 0, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			x := &exchange{
+				g: &Gateway{random: newRandom()}, arrived: now, deadline: now.Add(2 * time.Second),
+				route: &fleet.Route{Objective: tc.objective}, arrivals: tc.arrivals,
+			}
+			err := x.admit(place.Choice{Target: &fleet.Target{ID: "i"}, Expected: tc.expected, Own: tc.own})
+			is.Equal(err == nil, tc.admitted)
+			if err == nil {
+				return
+			}
+			is.True(errkind.Is(err, errkind.CannotFinish))
+			a := errkind.From(err).Answer()
+			is.Equal(a.Outcome, errkind.NotRun)
+			is.True(a.RetryAfter > 0 && a.RetryAfter <= 2*time.Second/3)
+		})
+	}
+}
+
+func TestEventsAreRelayedWhole(t *testing.T) {
+	cases := []struct {
+		text string
+		end  int
+		id   string
+	}{
+		{"", 0, ""},
+		{"id: 1\ndata: a\n", 0, ""},
+		{"id: 1\ndata: a\n\n", 15, "1"},
+		{"id: 1\ndata: a\n\nid: 2\nda", 15, "1"},
+		{"id: 1\r\ndata: a\r\n\r\n", 18, "1"},
+		{"data: no id:\n\n", 14, ""},
+		{"id: 1\ndata: a\n\ndata: b\n\n", 24, "1"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.text, func(t *testing.T) {
+			is := is.New(t)
+			end := eventsEnd([]byte(tc.text))
+			is.Equal(end, tc.end)
+			id, _ := lastEventID([]byte(tc.text)[:end])
+			is.Equal(id, tc.id)
+		})
+	}
+}
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -99,9 +99,10 @@
 }
 
 // admit refuses a request that would not be answered on time, at once, so that
-// those in hand are. One that has been sent somewhere goes on.
+// those in hand are. One that has been sent somewhere goes on, and a route
+// without an objective takes all.
 func (x *exchange) admit(c place.Choice) error {
-	if x.arrivals > 0 || x.ran {
+	if x.arrivals > 0 || x.ran || x.route.Objective <= 0 {
 		return nil
 	}
 	left := x.route.Objective - time.Since(x.arrived)
