--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,6 +12,7 @@
 	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/peers"
 	"garnethoist.org/garnethoist/internal/place"
+	"garnethoist.org/garnethoist/internal/proc"
 	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/telemetry"
 )
@@ -77,14 +77,16 @@
 	followed *followed
 }
 
+// ports serves all tests.
+var ports = proc.NewPorts()
+
 func address(t *testing.T) string {
 	t.Helper()
-	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	addrs, err := ports.Take(1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close()
-	return c.LocalAddr().String()
+	return string(addrs[0])
 }
 
 func start(t *testing.T, name, addr string, incarnation int64, table store.Table, o orders) *vm {
