--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -162,16 +162,10 @@
 	g.Drain(ctx)
 	err := g.server.Close()
 	g.served.Wait()
-	return errors.Wrap(errors.WithStack(firstOf(err, g.bg.Stop(ctx))), "close gateway")
-}
-
-func firstOf(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
+	if bgErr := g.bg.Stop(ctx); err == nil {
+		err = bgErr
 	}
-	return nil
+	return errors.Wrap(err, "close gateway")
 }
 
 // Ready says why no new callers should come, or "".
--- a/internal/httpsend/send.go
+++ b/internal/httpsend/send.go
@@ -214,9 +214,6 @@
 	return n, failed(Cut, errors.Wrap(err, "read body"))
 }
 
-// Buffered reports whether more of the answer has arrived already.
-func (r *Response) Buffered() bool { return r.conn.br.Buffered() > 0 }
-
 // Close keeps the connection for reuse after a complete exchange and closes it
 // otherwise. A closed connection tells the target to stop working.
 func (r *Response) Close() {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -138,14 +138,10 @@
 // Stop ends the exchange.
 func (p *Peers) Stop(ctx context.Context) error {
 	err := p.conn.Close()
-	return errors.Wrap(firstOf(p.Background.Stop(ctx), err), "close peers")
-}
-
-func firstOf(a, b error) error {
-	if a != nil {
-		return a
+	if bgErr := p.Background.Stop(ctx); err == nil {
+		err = bgErr
 	}
-	return b
+	return errors.Wrap(err, "close peers")
 }
 
 // Sentinel reports whether this VM is one of the few that watch the store
