Reports stay in a data centre, relays carry sums; sentinels pass on changes

With 65 VMs a report is 81 ms apart, so what VMs know of each other is old.

Ruled out: fewer reports (older numbers); no reports abroad (work of other data centres unknown); a longer gap between calls (news must be in force in 2 to 3 s).

Change: a VM reports to its own data centre. The relay of each (fastest link, then name, of those heard) sends the sums to the other relays and passes theirs on; where no relay is known, all VMs of the data centre are sent one every 480 ms. The interval grows with the data centre, 22 ms at 18 VMs. In groups of 24 or more only the sentinels (two of a data centre) wait for changes and pass them on; the others apply what follows their own revision, ask the store where something is missing or others know a newer row, and watch themselves where no sentinel is heard. A VM greets those it lists elsewhere, so that shares of common limits count it at once.

What is left of the calls is the configuration's changes, too large for a datagram, and VMs that start.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,7 +107,7 @@
 	registerFollowers(k, a)
 	k.Register(ModulePeers, func(k *kernel.Kernel) (any, error) {
 		g := &kernel.Getter{Kernel: k}
-		self := peers.Member{VM: cfg.VM, Address: string(cfg.PeerAddress)}
+		self := peers.Member{VM: cfg.VM, Address: string(cfg.PeerAddress), DataCentre: cfg.DataCentre, LinkMbps: cfg.LinkMbps}
 		return peers.New(self, time.Now().UnixNano(), kernel.Need[Store](g, ModuleStore), kernel.Need[*telemetry.Logger](g, ModuleLog)), g.Err
 	})
 	k.Register(ModulePlacer, func(k *kernel.Kernel) (any, error) { return providePlacer(k, cfg) })
--- /dev/null
+++ b/internal/peers/exchange.go
@@ -0,0 +1,178 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"garnethoist.org/garnethoist/internal/kernel"
+)
+
+// maxDatagram bounds a datagram.
+const maxDatagram = 16 << 10
+
+// sender remembers the last report of one kind, so that one that says the same
+// is sent seldom.
+type sender struct {
+	number uint64
+	last   string
+	lastAt time.Time
+}
+
+// due numbers r and reports whether it must be sent now.
+func (s *sender) due(r *report) bool {
+	uses := r.Uses
+	r.Uses = nil
+	body := string(encode(r))
+	r.Uses = uses
+	if len(uses) == 0 && body == s.last && time.Since(s.lastAt) < quietInterval {
+		return false
+	}
+	s.last, s.lastAt = body, time.Now()
+	s.number++
+	r.Number = s.number
+	return true
+}
+
+// send reports to the VMs of this data centre and, where this VM is its relay,
+// to the other data centres.
+func (p *Peers) send(ctx context.Context) {
+	var own, summary sender
+	for ; ctx.Err() == nil; kernel.Sleep(ctx, p.Interval()) {
+		r := p.ownReport()
+		if p.relays() {
+			s := p.summary(r)
+			if summary.due(s) {
+				p.sendAbroad(s)
+			}
+		}
+		if own.due(r) {
+			p.toAll(datagram{Report: r}, p.neighbourAddrs())
+		}
+	}
+}
+
+// ownReport returns this VM's report. It takes the uses from the placer.
+func (p *Peers) ownReport() *report {
+	r := &report{
+		From: p.self, Incarnation: p.incarnation, Work: itemsOf(p.placer.Own()),
+		Uses: usesOf(p.placer.TakeUses()), Changing: p.orders.Open(),
+	}
+	for _, f := range p.followed {
+		r.Newest = append(r.Newest, f.Newest())
+	}
+	return r
+}
+
+// neighbourAddrs returns the addresses of the other VMs of this data centre.
+func (p *Peers) neighbourAddrs() []netip.AddrPort {
+	return p.addrsOf(p.self.DataCentre)
+}
+
+func (p *Peers) addrsOf(dataCentre string) []netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	to := make([]netip.AddrPort, 0, len(p.members))
+	for vm, m := range p.members {
+		if vm != p.self.VM && m.DataCentre == dataCentre {
+			to = append(to, m.addr)
+		}
+	}
+	return to
+}
+
+func (p *Peers) toAll(d datagram, to []netip.AddrPort) {
+	data := encode(d)
+	if len(data) > maxDatagram {
+		// Readers learn of it by the versions in reports.
+		return
+	}
+	for _, addr := range to {
+		// A datagram that cannot be sent is followed by the next report.
+		_, _ = p.conn.WriteToUDPAddrPort(data, addr)
+	}
+}
+
+// encode returns v as CBOR. Only this package's types are encoded, which cannot
+// fail.
+func encode(v any) []byte {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		panic("peers: encode: " + err.Error())
+	}
+	return data
+}
+
+func (p *Peers) receive(ctx context.Context) {
+	buf := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		n, _, err := p.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		var d datagram
+		if err := cbor.Unmarshal(buf[:n], &d); err != nil {
+			continue
+		}
+		switch {
+		case d.Hello != nil:
+			p.takeHello(*d.Hello)
+		case d.News != nil:
+			p.takeNews(d.News)
+		case d.Report != nil && d.Report.From.VM != p.self.VM:
+			p.takeReport(d.Report)
+		}
+	}
+}
+
+// takeReport takes in a report, and passes a summary of another data centre on
+// where this VM is its own data centre's relay.
+func (p *Peers) takeReport(r *report) {
+	addr, err := netip.ParseAddrPort(r.From.Address)
+	if err != nil {
+		return
+	}
+	if !r.Summary && r.From.DataCentre != p.self.DataCentre {
+		return
+	}
+	if !p.note(r, addr) {
+		return
+	}
+	p.placer.Observe(placeUses(r.Uses))
+	p.learn(r.From, addr)
+	p.compare(r.Newest)
+	if r.Summary && !r.Forwarded && p.relays() {
+		r.Forwarded = true
+		p.toAll(datagram{Report: r}, p.neighbourAddrs())
+	}
+}
+
+// note remembers a report unless a newer one is known.
+func (p *Peers) note(r *report, addr netip.AddrPort) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all, key := p.heard, r.From.VM
+	if r.Summary {
+		all, key = p.centres, r.From.DataCentre
+	}
+	s := all[key]
+	if s != nil && s.fresh() && s.from.VM == r.From.VM &&
+		(r.Incarnation < s.incarnation || (r.Incarnation == s.incarnation && r.Number <= s.number)) {
+		return false
+	}
+	all[key] = &heardState{
+		from: r.From, addr: addr, incarnation: r.Incarnation, number: r.Number, at: time.Now(),
+		work: workOf(r.Work), newest: r.Newest, changing: r.Changing,
+	}
+	if !r.Summary && len(p.passing) < maxPassing {
+		p.passing = append(p.passing, r.Uses...)
+	}
+	return true
+}
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -4,12 +4,25 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"time"
 
 	"garnethoist.org/garnethoist/internal/kernel"
 	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/telemetry"
 )
 
+const (
+	// KeyPrefix is where members stand in the store.
+	KeyPrefix = "vm/"
+	// registerBackoff is the wait between tries to write one's own record.
+	registerBackoff = 300 * time.Millisecond
+	registerTimeout = 2 * time.Second
+	// How often the members are listed: soon after the start, when others start
+	// too, and seldom later, as a new VM tells all that it has listed.
+	firstList = 3 * time.Second
+	laterList = 30 * time.Second
+)
+
 // register writes this VM's record until it stands, and then lists the others'.
 func (p *Peers) register(ctx context.Context) {
 	value, err := json.Marshal(p.self)
@@ -23,6 +36,7 @@
 	})
 	for wait := firstList; ctx.Err() == nil; wait = laterList {
 		p.until(ctx, p.list)
+		p.hello()
 		kernel.Sleep(ctx, wait)
 	}
 }
@@ -52,23 +66,46 @@
 			p.log.Warn(telemetry.EventBadRow, telemetry.F("key", r.Key), telemetry.F("revision", r.Version), telemetry.F("cause", err))
 			continue
 		}
-		p.learn(m)
+		addr, err := netip.ParseAddrPort(m.Address)
+		if err != nil {
+			p.log.Warn(telemetry.EventBadRow, telemetry.F("peer", m.VM), telemetry.F("cause", err))
+			continue
+		}
+		p.learn(m, addr)
 	}
 	return nil
 }
 
-// learn takes in a member.
-func (p *Peers) learn(m Member) {
+// hello tells the listed VMs of other data centres of this one, as reports do
+// not reach them: shares of common limits count it at once.
+func (p *Peers) hello() {
+	p.mu.Lock()
+	var to []netip.AddrPort
+	for _, m := range p.members {
+		if m.DataCentre != p.self.DataCentre {
+			to = append(to, m.addr)
+		}
+	}
+	p.mu.Unlock()
+	p.toAll(datagram{Hello: &p.self}, to)
+}
+
+func (p *Peers) takeHello(m Member) {
 	addr, err := netip.ParseAddrPort(m.Address)
 	if err != nil {
 		p.log.Warn(telemetry.EventBadRow, telemetry.F("peer", m.VM), telemetry.F("cause", err))
 		return
 	}
+	p.learn(m, addr)
+}
+
+// learn takes in a member.
+func (p *Peers) learn(m Member, addr netip.AddrPort) {
 	p.mu.Lock()
-	before, known := p.members[m.VM]
-	p.members[m.VM] = addr
+	known, ok := p.members[m.VM]
+	p.members[m.VM] = listed{Member: m, addr: addr}
 	p.mu.Unlock()
-	if !known || before != addr {
+	if !ok || known.addr != addr {
 		p.log.Info(telemetry.EventPeerState, telemetry.F("peer", m.VM), telemetry.F("address", m.Address))
 	}
 }
--- /dev/null
+++ b/internal/peers/news.go
@@ -0,0 +1,69 @@
+package peers
+
+import (
+	"time"
+
+	"garnethoist.org/garnethoist/internal/store"
+)
+
+const (
+	// newsGrace is how long after another VM's word the own call, or the
+	// sentinel's datagram, may bring the same news.
+	newsGrace = 600 * time.Millisecond
+	// nudgeInterval is the least time between two calls made anew, above what
+	// a call to a slow store takes.
+	nudgeInterval = 1200 * time.Millisecond
+	// passOnFrom is the size of a group from which its sentinels pass on what
+	// they read, and the other VMs make no calls of their own: below it the
+	// calls saved are worth less than what each VM knows from the store itself.
+	passOnFrom = 24
+)
+
+// PassesOn reports whether the sentinels of the group pass on what they read.
+func (p *Peers) PassesOn() bool { return p.Size() >= passOnFrom }
+
+// Publish passes changes of a followed table on to the VMs of this data centre,
+// where this VM is a sentinel of a large group.
+func (p *Peers) Publish(table string, d store.Delta) {
+	if !p.PassesOn() || !p.Sentinel() {
+		return
+	}
+	for i, f := range p.followed {
+		if f.Name() == table {
+			p.toAll(datagram{News: newsOf(i, d)}, p.neighbourAddrs())
+		}
+	}
+}
+
+func (p *Peers) takeNews(n *news) {
+	if n.Table >= 0 && n.Table < len(p.followed) {
+		p.followed[n.Table].Offer(n.delta())
+	}
+}
+
+// compare makes the call of a followed table anew where others know a newer row
+// and this VM does not learn it within the grace.
+func (p *Peers) compare(newest []uint64) {
+	for i, f := range p.followed {
+		if i >= len(newest) || newest[i] <= f.Newest() || !p.mayNudge(i) {
+			continue
+		}
+		version := newest[i]
+		time.AfterFunc(newsGrace, func() {
+			if f.Newest() < version {
+				f.Newer()
+			}
+		})
+	}
+}
+
+// mayNudge bounds how often a followed table's call is made anew.
+func (p *Peers) mayNudge(i int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if time.Since(p.nudged[i]) < nudgeInterval {
+		return false
+	}
+	p.nudged[i] = time.Now()
+	return true
+}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -66,11 +66,20 @@
 type followed struct {
 	newest atomic.Uint64
 	nudges atomic.Int64
+	offers atomic.Int64
 }
 
+func (f *followed) Name() string   { return "t" }
 func (f *followed) Newest() uint64 { return f.newest.Load() }
 func (f *followed) Newer()         { f.nudges.Add(1) }
 
+func (f *followed) Offer(d store.Delta) {
+	f.offers.Add(1)
+	for _, r := range d.Rows.Rows {
+		f.newest.Store(max(f.newest.Load(), r.Version))
+	}
+}
+
 type vm struct {
 	peers    *peers.Peers
 	placer   *placer
@@ -90,9 +99,14 @@
 }
 
 func start(t *testing.T, name, addr string, incarnation int64, table store.Table, o orders) *vm {
+	t.Helper()
+	return startMember(t, peers.Member{VM: name, Address: addr}, incarnation, table, o)
+}
+
+func startMember(t *testing.T, m peers.Member, incarnation int64, table store.Table, o orders) *vm {
 	t.Helper()
 	v := &vm{placer: &placer{}, followed: &followed{}}
-	v.peers = peers.New(peers.Member{VM: name, Address: addr}, incarnation, table, telemetry.Discard())
+	v.peers = peers.New(m, incarnation, table, telemetry.Discard())
 	v.peers.SetPlacer(v.placer)
 	v.peers.SetOrders(o)
 	v.peers.Follow(v.followed)
--- /dev/null
+++ b/internal/peers/relay.go
@@ -0,0 +1,150 @@
+package peers
+
+import (
+	"cmp"
+	"math"
+	"net/netip"
+	"time"
+
+	"garnethoist.org/garnethoist/internal/fleet"
+	"garnethoist.org/garnethoist/internal/place"
+)
+
+const (
+	// maxPassing bounds the uses that wait to be told to other data centres.
+	maxPassing = 512
+	// sentinels is how many VMs of all data centres watch the store closely.
+	sentinels = 4
+	// largeCentre is the number of VMs from which a data centre has two
+	// sentinels at least, so that the loss of one leaves the other.
+	largeCentre = 5
+)
+
+// before orders the VMs of a data centre for its duties: those with the faster
+// link first, then by name.
+func before(a, b Member) bool {
+	if c := cmp.Compare(b.LinkMbps, a.LinkMbps); c != 0 {
+		return c < 0
+	}
+	return a.VM < b.VM
+}
+
+// rank is this VM's place among those of its data centre that are heard; the
+// caller holds p.mu.
+func (p *Peers) rank() int {
+	n := 0
+	for _, s := range p.heard {
+		if s.fresh() && before(s.from, p.self) {
+			n++
+		}
+	}
+	return n
+}
+
+// relays reports whether this VM is its data centre's relay.
+func (p *Peers) relays() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rank() == 0
+}
+
+// Sentinel reports whether this VM is one of the few that watch the store
+// closely.
+func (p *Peers) Sentinel() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rank() < p.sentinelsHere()
+}
+
+// sentinelsHere is the number of sentinels of this data centre; the caller holds
+// p.mu.
+func (p *Peers) sentinelsHere() int {
+	centres := map[string]bool{p.self.DataCentre: true}
+	own := 1
+	for vm, m := range p.members {
+		centres[m.DataCentre] = true
+		if vm != p.self.VM && m.DataCentre == p.self.DataCentre {
+			own++
+		}
+	}
+	n := max(int(math.Round(sentinels/float64(len(centres)))), 1)
+	if own >= largeCentre {
+		n = max(n, 2)
+	}
+	return n
+}
+
+// summary returns the sums of this data centre, own being this VM's report.
+func (p *Peers) summary(own *report) *report {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	work := workOf(own.Work)
+	newest := append([]uint64(nil), own.Newest...)
+	changing := make(map[string]fleet.Stage, len(own.Changing))
+	add := func(w map[string]place.Work, n []uint64, c map[string]fleet.Stage) {
+		for target, more := range w {
+			work[target] = work[target].Plus(more)
+		}
+		for i := range min(len(newest), len(n)) {
+			newest[i] = max(newest[i], n[i])
+		}
+		for engine, stage := range c {
+			changing[engine] = stage
+		}
+	}
+	add(nil, nil, own.Changing)
+	for _, s := range p.heard {
+		if s.fresh() {
+			add(s.work, s.newest, s.changing)
+		}
+	}
+	r := &report{From: p.self, Incarnation: p.incarnation, Summary: true, Work: itemsOf(work), Newest: newest, Changing: changing}
+	r.Uses = append(p.passing, own.Uses...)
+	p.passing = nil
+	return r
+}
+
+// sendAbroad sends a summary to the relay of each other data centre, or to all
+// of its VMs where none has been heard of late.
+func (p *Peers) sendAbroad(r *report) {
+	d := datagram{Report: r}
+	for dataCentre, relay := range p.relaysAbroad() {
+		if relay != nil {
+			p.toAll(d, []netip.AddrPort{relay.addr})
+			continue
+		}
+		if p.mayCall(dataCentre) {
+			p.toAll(d, p.addrsOf(dataCentre))
+		}
+	}
+}
+
+// relaysAbroad returns the relay of each other data centre that has members, nil
+// where none is heard.
+func (p *Peers) relaysAbroad() map[string]*heardState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[string]*heardState)
+	for _, m := range p.members {
+		if m.DataCentre == p.self.DataCentre {
+			continue
+		}
+		out[m.DataCentre] = nil
+		if s := p.centres[m.DataCentre]; s != nil && s.fresh() {
+			out[m.DataCentre] = s
+		}
+	}
+	return out
+}
+
+// mayCall bounds how often all VMs of a data centre without a known relay are
+// sent a summary.
+func (p *Peers) mayCall(dataCentre string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if time.Since(p.called[dataCentre]) < quietInterval {
+		return false
+	}
+	p.called[dataCentre] = time.Now()
+	return true
+}
--- /dev/null
+++ b/internal/peers/relay_test.go
@@ -0,0 +1,143 @@
+package peers_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"garnethoist.org/garnethoist/internal/fleet"
+	"garnethoist.org/garnethoist/internal/peers"
+	"garnethoist.org/garnethoist/internal/place"
+	"garnethoist.org/garnethoist/internal/store"
+)
+
+// startIn starts a VM of a data centre.
+func startIn(t *testing.T, dataCentre, name string, link float64, table store.Table, o orders) *vm {
+	t.Helper()
+	return startMember(t, peers.Member{VM: name, Address: address(t), DataCentre: dataCentre, LinkMbps: link}, 1, table, o)
+}
+
+func TestDataCentresHearOfEachOther(t *testing.T) {
+	is := is.New(t)
+	table := store.NewMemory()
+	a1 := startIn(t, "a", "a1", 10, table, orders{"e1": fleet.Prefill})
+	defer a1.stop(t)
+	a2 := startIn(t, "a", "a2", 200, table, nil) // the faster link: the relay
+	defer a2.stop(t)
+	b1 := startIn(t, "b", "b1", 10, table, nil)
+	defer b1.stop(t)
+	b2 := startIn(t, "b", "b2", 10, table, nil)
+	defer b2.stop(t)
+	for _, v := range []*vm{a1, a2, b1, b2} {
+		eventually(t, "all are counted", func() bool { return v.peers.Size() == 4 })
+	}
+	a1.placer.set(map[string]place.Work{"e1": {Running: 2, Prefill: 5 * time.Millisecond}}, place.Use{Target: "e1", Parts: []uint64{7}, Missing: 5})
+	a2.placer.set(map[string]place.Work{"e1": {Running: 1}})
+	b1.placer.set(map[string]place.Work{"e1": {Running: 4}})
+	for name, v := range map[string]*vm{"b1": b1, "b2": b2} {
+		want := place.Work{Running: 3, Prefill: 5 * time.Millisecond}
+		if name == "b2" {
+			want.Running += 4
+		}
+		eventually(t, name+" knows the other data centre's sum, once", func() bool { return v.peers.Work("e1") == want })
+		eventually(t, name+" hears of uses", func() bool { return v.placer.seen() > 0 })
+	}
+	eventually(t, "a1 knows of b1", func() bool { return a1.peers.Work("e1").Running == 5 })
+	stage, ok := b2.peers.Changing("e1")
+	is.True(ok)
+	is.Equal(stage, fleet.Prefill)
+}
+
+// A data centre whose relay is lost is heard through another VM.
+func TestLostRelayIsReplaced(t *testing.T) {
+	table := store.NewMemory()
+	a1 := startIn(t, "a", "a1", 200, table, nil)
+	a2 := startIn(t, "a", "a2", 10, table, nil)
+	defer a2.stop(t)
+	b1 := startIn(t, "b", "b1", 200, table, nil)
+	b2 := startIn(t, "b", "b2", 10, table, nil)
+	defer b2.stop(t)
+	a2.placer.set(map[string]place.Work{"e1": {Running: 3}})
+	eventually(t, "b2 hears of a2", func() bool { return b2.peers.Work("e1").Running == 3 })
+	// Both relays go at once: neither data centre knows the other's next one.
+	a1.stop(t)
+	b1.stop(t)
+	a2.placer.set(map[string]place.Work{"e1": {Running: 9}})
+	eventually(t, "b2 hears of a2 again", func() bool { return b2.peers.Work("e1").Running == 9 })
+}
+
+// A VM that is added is counted in other data centres before they list again.
+func TestAddedVMIsCountedElsewhere(t *testing.T) {
+	table := store.NewMemory()
+	a := startIn(t, "a", "a", 10, table, nil)
+	defer a.stop(t)
+	eventually(t, "a is listed", func() bool { return a.peers.Size() == 1 })
+	b := startIn(t, "b", "b", 10, table, nil)
+	defer b.stop(t)
+	began := time.Now()
+	eventually(t, "a counts b", func() bool { return a.peers.Size() == 2 })
+	is.New(t).True(time.Since(began) < 2*time.Second)
+}
+
+// enter lists VMs that do not run, so that the group is large.
+func enter(t *testing.T, table store.Table, n int) {
+	t.Helper()
+	var txn store.Txn
+	for i := range n {
+		m := peers.Member{VM: fmt.Sprintf("x%d", i), Address: address(t), DataCentre: "x"}
+		value, err := json.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		txn.Puts = append(txn.Puts, store.Put{Key: peers.KeyPrefix + m.VM, Value: value})
+	}
+	if _, err := table.Commit(context.Background(), txn); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestSentinelsOfALargeGroupPassOn(t *testing.T) {
+	is := is.New(t)
+	table := store.NewMemory()
+	enter(t, table, 30)
+	var vms []*vm
+	for _, name := range []string{"a", "b", "c", "d", "e"} {
+		v := startIn(t, "a", name, 10, table, nil)
+		defer v.stop(t)
+		vms = append(vms, v)
+	}
+	eventually(t, "two of five are sentinels", func() bool {
+		n := 0
+		for _, v := range vms {
+			if v.peers.Sentinel() && v.peers.PassesOn() {
+				n++
+			}
+		}
+		return n == 2
+	})
+	d := store.Delta{From: 3, Rows: store.Rows{Revision: 4, Rows: []store.Row{{Key: "k", Version: 4}}}}
+	vms[4].peers.Publish("t", d) // no sentinel
+	vms[0].peers.Publish("t", d)
+	for _, v := range vms[1:] {
+		eventually(t, "news arrives", func() bool { return v.followed.offers.Load() == 1 })
+	}
+	is.Equal(vms[0].followed.offers.Load(), int64(0))
+}
+
+func TestSmallGroupsDoNotPassOn(t *testing.T) {
+	is := is.New(t)
+	table := store.NewMemory()
+	a := startIn(t, "a", "a", 10, table, nil)
+	defer a.stop(t)
+	b := startIn(t, "a", "b", 10, table, nil)
+	defer b.stop(t)
+	eventually(t, "both are counted", func() bool { return a.peers.Size() == 2 && b.peers.Size() == 2 })
+	is.True(!a.peers.PassesOn())
+	a.peers.Publish("t", store.Delta{Rows: store.Rows{Revision: 1}})
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(b.followed.offers.Load(), int64(0))
+}
--- a/internal/peers/report.go
+++ b/internal/peers/report.go
@@ -1,26 +1,41 @@
 package peers
 
 import (
+	"time"
+
 	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/place"
+	"garnethoist.org/garnethoist/internal/store"
 )
 
-// report is one VM's work in hand. Its keys on the wire are numbers, as reports
-// are sent often and some VMs have narrow links.
+// datagram is what one VM sends another: one of its fields is set.
+type datagram struct {
+	Report *report `cbor:"1,keyasint,omitempty"`
+	News   *news   `cbor:"2,keyasint,omitempty"`
+	// Hello is a VM that has just listed the receiver.
+	Hello *Member `cbor:"3,keyasint,omitempty"`
+}
+
+// report is the work in hand of one VM or, as a summary, of all VMs of one data
+// centre. Its keys on the wire are numbers, as reports are sent often and some
+// VMs have narrow links.
 type report struct {
-	VM string `cbor:"1,keyasint"`
-	// Address is where the VM listens, for those that have not listed it yet.
-	Address string `cbor:"2,keyasint"`
+	// From is the VM that made the report.
+	From Member `cbor:"1,keyasint"`
 	// Incarnation and Number order the reports of one VM.
-	Incarnation int64  `cbor:"3,keyasint"`
-	Number      uint64 `cbor:"4,keyasint"`
-	Work        []item `cbor:"5,keyasint"`
+	Incarnation int64  `cbor:"2,keyasint"`
+	Number      uint64 `cbor:"3,keyasint"`
+	// Summary says that the report is about From's whole data centre, and
+	// Forwarded that the receiver's own relay has passed it on.
+	Summary   bool   `cbor:"4,keyasint,omitempty"`
+	Forwarded bool   `cbor:"5,keyasint,omitempty"`
+	Work      []item `cbor:"6,keyasint"`
 	// Uses are the prompts given to targets since the last report.
-	Uses []use `cbor:"6,keyasint,omitempty"`
+	Uses []use `cbor:"7,keyasint,omitempty"`
 	// Newest is the highest row version taken in of each followed table.
-	Newest []uint64 `cbor:"7,keyasint"`
-	// Changing is the engines that this VM has ordered to change their stage.
-	Changing map[string]fleet.Stage `cbor:"8,keyasint,omitempty"`
+	Newest []uint64 `cbor:"8,keyasint"`
+	// Changing is the engines that have been ordered to change their stage.
+	Changing map[string]fleet.Stage `cbor:"9,keyasint,omitempty"`
 }
 
 // use is a place.Use on the wire.
@@ -50,6 +65,14 @@
 	return items
 }
 
+func workOf(items []item) map[string]place.Work {
+	work := make(map[string]place.Work, len(items))
+	for _, i := range items {
+		work[i.Target] = place.Work{Prefill: time.Duration(i.PrefillUS) * time.Microsecond, Prefills: i.Prefills, Running: i.Running, Streams: i.Streams, Tokens: i.Tokens}
+	}
+	return work
+}
+
 func usesOf(uses []place.Use) []use {
 	out := make([]use, 0, len(uses))
 	for _, u := range uses {
@@ -57,3 +80,55 @@
 	}
 	return out
 }
+
+func placeUses(uses []use) []place.Use {
+	out := make([]place.Use, 0, len(uses))
+	for _, u := range uses {
+		out = append(out, place.Use{Target: u.Target, Parts: u.Parts, Missing: u.Missing})
+	}
+	return out
+}
+
+// news is a store.Delta on the wire.
+type news struct {
+	_ struct{} `cbor:",toarray"`
+	// Table is the place of the table among those followed.
+	Table int
+	// The rows are the changes after revision From, up to revision To.
+	From uint64
+	To   uint64
+	// SinceBackMS is how long the store had been back, or -1 where it has not
+	// been away.
+	SinceBackMS int64
+	Rows        []newsRow
+}
+
+type newsRow struct {
+	_       struct{} `cbor:",toarray"`
+	Key     string
+	Value   []byte
+	Version uint64
+	Removed bool
+}
+
+func newsOf(table int, d store.Delta) *news {
+	n := &news{Table: table, From: d.From, To: d.Rows.Revision, SinceBackMS: -1}
+	if d.WasAway {
+		n.SinceBackMS = d.SinceBack.Milliseconds()
+	}
+	for _, r := range d.Rows.Rows {
+		n.Rows = append(n.Rows, newsRow{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed})
+	}
+	return n
+}
+
+func (n *news) delta() store.Delta {
+	d := store.Delta{From: n.From, Rows: store.Rows{Revision: n.To}}
+	if n.SinceBackMS >= 0 {
+		d.WasAway, d.SinceBack = true, time.Duration(n.SinceBackMS)*time.Millisecond
+	}
+	for _, r := range n.Rows {
+		d.Rows.Rows = append(d.Rows.Rows, store.Row{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed})
+	}
+	return d
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -65,7 +65,8 @@
 	Tokens int
 }
 
-func (w Work) plus(o Work) Work {
+// Plus returns the sum of both.
+func (w Work) Plus(o Work) Work {
 	return Work{
 		Prefill: w.Prefill + o.Prefill, Running: w.Running + o.Running,
 		Prefills: w.Prefills + o.Prefills, Streams: w.Streams + o.Streams, Tokens: w.Tokens + o.Tokens,
@@ -175,7 +176,7 @@
 
 // total is a target's whole work in hand; the caller holds p.mu.
 func (p *Placer) total(id string) Work {
-	return p.state(id).own.plus(p.others.Work(id))
+	return p.state(id).own.Plus(p.others.Work(id))
 }
 
 func (s *state) reachable(now time.Time) bool { return s.misses == 0 || !now.Before(s.retryAt) }
--- a/internal/place/ticket.go
+++ b/internal/place/ticket.go
@@ -49,7 +49,7 @@
 // begin counts work at a target; the caller holds p.mu.
 func (p *Placer) begin(id string, w Work, reckoned time.Duration, now time.Time) *Ticket {
 	s := p.state(id)
-	s.own = s.own.plus(w)
+	s.own = s.own.Plus(w)
 	return &Ticket{placer: p, id: id, work: w, reckoned: reckoned, began: now}
 }
 
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -27,6 +27,17 @@
 	Revision uint64
 }
 
+// Delta is a table's changes after revision From, as one VM passes them on to
+// others.
+type Delta struct {
+	From uint64
+	Rows Rows
+	// WasAway says that the store had been away, and SinceBack for how long it
+	// had been back when the changes were read; 0 while it was still away.
+	WasAway   bool
+	SinceBack time.Duration
+}
+
 // Feed reads a table and its changes.
 type Feed interface {
 	// ListRows returns all rows of a table.
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -45,6 +45,7 @@
 	EventHistoryGone      Event = "store_history_gone"
 	EventConfig           Event = "config"
 	EventTargets          Event = "targets"
+	EventPassedOn         Event = "changes_passed_on"
 	EventBadRow           Event = "bad_row"
 	EventReload           Event = "reload"
 	EventServer           Event = "http_server"
--- a/internal/watch/link.go
+++ b/internal/watch/link.go
@@ -46,6 +46,15 @@
 	}
 }
 
+// heard takes in that the store is back, as another VM found.
+func (l *Link) heard(sinceBack time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if at := time.Now().Add(-sinceBack); at.After(l.regainedAt) {
+		l.regainedAt = at
+	}
+}
+
 // Since returns how long the store has been back: zero while it is away, and
 // false where it has not been away.
 func (l *Link) Since() (time.Duration, bool) {
--- /dev/null
+++ b/internal/watch/offer_test.go
@@ -0,0 +1,138 @@
+package watch_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"garnethoist.org/garnethoist/internal/store"
+	"garnethoist.org/garnethoist/internal/telemetry"
+	"garnethoist.org/garnethoist/internal/watch"
+)
+
+// large is a group whose sentinels pass on what they read.
+type large struct {
+	sentinel atomic.Bool
+	mu       sync.Mutex
+	passed   []store.Delta
+}
+
+func (g *large) Sentinel() bool { return g.sentinel.Load() }
+func (g *large) Size() int      { return 1 }
+func (g *large) PassesOn() bool { return true }
+
+func (g *large) Publish(_ string, d store.Delta) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.passed = append(g.passed, d)
+}
+
+// applied keeps the revisions that a follower took in.
+type applied struct {
+	mu        sync.Mutex
+	revisions []uint64
+}
+
+func (a *applied) apply(rows store.Rows, _ bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.revisions = append(a.revisions, rows.Revision)
+}
+
+func (a *applied) last() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.revisions) == 0 {
+		return 0
+	}
+	return a.revisions[len(a.revisions)-1]
+}
+
+func at(revision uint64) step {
+	return step{rows: store.Rows{Revision: revision, Rows: []store.Row{{Key: "k", Value: []byte(`{}`), Version: revision}}}}
+}
+
+func delta(from, to uint64) store.Delta { return store.Delta{From: from, Rows: at(to).rows} }
+
+func startTable(t *testing.T, f *feed, g watch.Group) (*watch.Table, *applied) {
+	t.Helper()
+	a := &applied{}
+	table := watch.NewTable(f, "t", watch.NewLink(telemetry.Discard()), g, a.apply, telemetry.Discard())
+	if err := table.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := table.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+	return table, a
+}
+
+func (f *feed) called() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.calls)
+}
+
+// A VM to which changes are passed on makes no call while none is missing.
+func TestPassedOnChangesNeedNoCall(t *testing.T) {
+	is := is.New(t)
+	f := &feed{steps: []step{at(5)}}
+	table, a := startTable(t, f, &large{})
+	eventually(t, func() bool { return a.last() == 5 })
+	table.Offer(delta(5, 7))
+	eventually(t, func() bool { return a.last() == 7 })
+	table.Offer(delta(4, 6)) // late: known already
+	table.Offer(delta(6, 9)) // overlaps: what is known comes again
+	eventually(t, func() bool { return a.last() == 9 })
+	time.Sleep(300 * time.Millisecond)
+	is.Equal(f.called(), 1)
+	is.Equal(a.revisions, []uint64{5, 7, 9})
+}
+
+// Changes that are missing between are asked for, and nothing goes back.
+func TestMissingChangesAreAskedFor(t *testing.T) {
+	is := is.New(t)
+	f := &feed{steps: []step{at(5), at(9)}}
+	table, a := startTable(t, f, &large{})
+	eventually(t, func() bool { return a.last() == 5 })
+	table.Offer(delta(8, 9)) // 6 to 8 were lost on the way
+	eventually(t, func() bool { return a.last() == 9 })
+	is.Equal(f.called(), 2)
+	table.Offer(delta(5, 8))
+	table.Offer(delta(9, 10))
+	eventually(t, func() bool { return a.last() == 10 })
+	is.Equal(a.revisions, []uint64{5, 9, 10})
+}
+
+// Word of a newer row makes a resting VM ask, and a VM that becomes a sentinel
+// watches itself.
+func TestRestingVMAsksWhenTold(t *testing.T) {
+	g := &large{}
+	f := &feed{steps: []step{at(5), at(6), at(7)}}
+	table, a := startTable(t, f, g)
+	eventually(t, func() bool { return a.last() == 5 })
+	table.Newer()
+	eventually(t, func() bool { return a.last() == 6 })
+	g.sentinel.Store(true)
+	eventually(t, func() bool { return a.last() == 7 })
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	last := g.passed[len(g.passed)-1]
+	is.New(t).Equal(last.From, uint64(6))
+	is.New(t).Equal(last.Rows.Revision, uint64(7))
+}
+
+// A store that cannot be reached when a resting VM asks is asked again.
+func TestRestingVMAsksUntilAnswered(t *testing.T) {
+	f := &feed{steps: []step{at(5), {err: store.ErrUnavailable}, {err: store.ErrUnavailable}, at(8)}}
+	table, a := startTable(t, f, &large{})
+	eventually(t, func() bool { return a.last() == 5 })
+	table.Newer()
+	eventually(t, func() bool { return a.last() == 8 })
+}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -24,6 +24,9 @@
 	shortWait = 2 * time.Second
 	// longWait is the same for the others, whom the sentinels tell of news.
 	longWait = 20 * time.Second
+	// noWait is the same for a VM to which changes are passed on: it calls only
+	// for what it has missed. Zero would mean no bound to some stores.
+	noWait = time.Millisecond
 	// callGapPerVM is the least time between two calls of one VM, for each VM in
 	// the group: changes that come together are taken in one call, and all VMs
 	// together call no oftener as the group grows.
@@ -56,10 +59,17 @@
 	// newest is the highest version of a row taken in.
 	newest atomic.Uint64
 
+	// offers are the changes that sentinels have passed on, and wake tells that
+	// due was set.
+	offers chan store.Delta
+	wake   chan struct{}
+
 	mu sync.Mutex
 	// cancel ends the call under way, and renewed says that Newer did.
 	cancel  context.CancelFunc
 	renewed bool
+	// due says that a call must be made, whoever passes on what.
+	due bool
 }
 
 // Group is the VMs that follow the same store.
@@ -68,15 +78,26 @@
 	Sentinel() bool
 	// Size counts the VMs.
 	Size() int
+	// PassesOn reports whether the sentinels pass on what they read, so that the
+	// others need no calls of their own.
+	PassesOn() bool
+	// Publish passes changes of a table on, where this VM is to do so.
+	Publish(table string, d store.Delta)
 }
 
 // NewTable returns a follower of the table called name. link is shared by all
 // followers of one store. A sentinel of the group asks again every few seconds;
 // others wait longer and are told of news by Newer.
 func NewTable(feed store.Feed, name string, link *Link, group Group, apply Apply, log *telemetry.Logger) *Table {
-	return &Table{feed: feed, name: name, apply: apply, log: log, link: link, group: group}
+	return &Table{
+		feed: feed, name: name, link: link, group: group, apply: apply, log: log,
+		offers: make(chan store.Delta, maxOffers), wake: make(chan struct{}, 1),
+	}
 }
 
+// Name returns the table's name.
+func (t *Table) Name() string { return t.name }
+
 // Newest returns the highest version of a row taken in.
 func (t *Table) Newest() uint64 { return t.newest.Load() }
 
@@ -85,10 +106,15 @@
 func (t *Table) Newer() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.due = true
 	if t.cancel != nil {
 		t.renewed = true
 		t.cancel()
 	}
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
 }
 
 // call makes one call that Newer can end.
@@ -133,6 +159,10 @@
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval, wait.MaxInterval = firstBackoff, maxBackoff
 	for ctx.Err() == nil {
+		if t.listed && t.rests() {
+			t.rest(ctx)
+			continue
+		}
 		err := t.step(ctx)
 		if ctx.Err() != nil {
 			return
@@ -158,10 +188,7 @@
 	if !t.listed {
 		return t.list(ctx)
 	}
-	wait := longWait
-	if t.group.Sentinel() {
-		wait = shortWait
-	}
+	wait := t.wait()
 	rows, err := t.call(ctx, func(ctx context.Context) (store.Rows, error) {
 		return t.feed.Changes(ctx, t.name, t.revision, wait)
 	})
@@ -176,14 +203,28 @@
 	if rows.Revision < t.revision {
 		return errStale
 	}
+	from := t.revision
 	t.revision = rows.Revision
 	t.note(rows)
+	t.setDue(false)
 	if len(rows.Rows) > 0 {
 		t.apply(rows, false)
+		t.publish(from, rows)
 	}
 	return nil
 }
 
+// wait is how long the next call waits for changes.
+func (t *Table) wait() time.Duration {
+	switch {
+	case t.group.Sentinel():
+		return shortWait
+	case t.group.PassesOn():
+		return noWait
+	}
+	return longWait
+}
+
 func (t *Table) list(ctx context.Context) error {
 	rows, err := t.feed.ListRows(ctx, t.name)
 	if err != nil {
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -68,6 +68,9 @@
 
 func (alone) Sentinel() bool { return true }
 func (alone) Size() int      { return 1 }
+func (alone) PassesOn() bool { return false }
+
+func (alone) Publish(string, store.Delta) {}
 
 func row(key string) store.Row { return store.Row{Key: key, Value: []byte(`{}`)} }
 
