A seeded soak of real garnet-node processes before stand-ins

Change: internal/soak starts garnet-node processes, deals faults by a seed (stops, kills, pauses, settings; the store's faults, links that are refused, reset, held one way or both, delayed; targets that misbehave, leave, crash and are replaced at the same address; changes and storms of the configuration), overlapping and in series, and checks from what callers and targets see while it runs.

Ruled out: faults inside the process (not what the operators see); clocks: only the order of a VM's lives reads the time of day (TestRestartedVMIsHeard).

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: all build demo test check generate bench fuzz
+.PHONY: all build demo test check generate bench fuzz soak
 
 all: build
 
@@ -27,6 +27,14 @@
 	@go test -count=1 -run 'TestSpread|TestLeavingTarget' -v ./internal/member | grep '^figure'
 	@$(BENCH) -bench 'Relay|Control|Succession' ./internal/proc 2>&1 | grep '^figure'
 
+# Soaks garnet-node processes with faults dealt by a seed, for some minutes; a
+# report and a timeline for each seed are below soak/.
+SEED ?= 0
+MINUTES ?= 2
+SOAK_S = 30
+soak: build
+	./bin/garnet-soak --seed $(SEED) --seeds $$(( $(MINUTES) * 60 / $(SOAK_S) )) --length $(SOAK_S)s --out soak
+
 # Makes the committed generated code anew; needs protoc.
 generate:
 	go generate ./api
--- a/internal/proc/cluster.go
+++ b/internal/proc/cluster.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,7 +25,9 @@
 	// none.
 	Env func(name string) []string
 
-	ports     *Ports
+	ports *Ports
+
+	mu        sync.Mutex
 	processes []*Process
 }
 
@@ -36,15 +39,19 @@
 
 // Run starts a program with a settings file made of cfg.
 func (c *Cluster) Run(program, name string, cfg any) (*Process, error) {
+	if err := c.Write(name, cfg); err != nil {
+		return nil, err
+	}
+	return c.Rerun(program, name)
+}
+
+// Write writes the settings file of the process called name.
+func (c *Cluster) Write(name string, cfg any) error {
 	data, err := json.MarshalIndent(cfg, "", "  ")
 	if err != nil {
-		return nil, errors.Wrap(err, "encode settings")
-	}
-	path := filepath.Join(c.Dir, name+".json")
-	if err := os.WriteFile(path, data, 0o644); err != nil {
-		return nil, errors.Wrap(err, "write settings")
+		return errors.Wrap(err, "encode settings")
 	}
-	return c.Rerun(program, name)
+	return errors.Wrap(os.WriteFile(filepath.Join(c.Dir, name+".json"), data, 0o644), "write settings")
 }
 
 // Rerun starts a program with the settings file of an earlier Run.
@@ -63,7 +70,9 @@
 	if err != nil {
 		return nil, err
 	}
+	c.mu.Lock()
 	c.processes = append(c.processes, p)
+	c.mu.Unlock()
 	return p, nil
 }
 
@@ -73,8 +82,11 @@
 // StopAll stops every process, newest first: those that do not end within
 // grace are killed.
 func (c *Cluster) StopAll(grace time.Duration) {
-	for i := len(c.processes) - 1; i >= 0; i-- {
-		stop(c.processes[i], grace)
+	c.mu.Lock()
+	processes := append([]*Process(nil), c.processes...)
+	c.mu.Unlock()
+	for i := len(processes) - 1; i >= 0; i-- {
+		stop(processes[i], grace)
 	}
 }
 
--- a/internal/proc/relay.go
+++ b/internal/proc/relay.go
@@ -1,23 +1,58 @@
 package proc
 
 import (
-	"io"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
 
-// Relay is a small TCP relay that can be cut: a network partition between two
+// Disturbance is what a relay does to the connections through it.
+type Disturbance int
+
+// The disturbances. All but Reset and Refuse hold bytes back, as a lost packet
+// does: what was held goes on when the link is sound again.
+const (
+	// Sound passes everything on.
+	Sound Disturbance = iota
+	// Refuse breaks every connection and refuses new ones.
+	Refuse
+	// Reset resets every connection once; new ones pass.
+	Reset
+	// Silent holds everything, both ways.
+	Silent
+	// OneWay holds what comes back and passes what goes out.
+	OneWay
+	// Delayed holds each piece for the relay's delay.
+	Delayed
+)
+
+// String returns the disturbance as it appears in reports.
+func (d Disturbance) String() string {
+	return [...]string{"sound", "refuse", "reset", "silent", "one_way", "delayed"}[d]
+}
+
+const (
+	// delay is what Delayed adds to each piece.
+	delay = 60 * time.Millisecond
+	// holdPoll is how often a held piece looks whether it may go on.
+	holdPoll = 5 * time.Millisecond
+	// pieceBytes is the size of one read.
+	pieceBytes = 16 << 10
+)
+
+// Relay is a small TCP relay that can be disturbed: the network between two
 // processes.
 type Relay struct {
 	listener net.Listener
 	backend  string
 	served   sync.WaitGroup
 
-	mu    sync.Mutex
-	cut   bool
-	conns map[net.Conn]bool
+	mu     sync.Mutex
+	state  Disturbance
+	closed bool
+	conns  map[net.Conn]bool
 }
 
 // NewRelay listens on a loopback address for connections to backend.
@@ -35,25 +70,39 @@
 func (r *Relay) Addr() string { return r.listener.Addr().String() }
 
 // Cut breaks every connection and refuses new ones.
-func (r *Relay) Cut() {
+func (r *Relay) Cut() { r.Disturb(Refuse) }
+
+// Heal lets connections through again.
+func (r *Relay) Heal() { r.Disturb(Sound) }
+
+// Disturb disturbs the link until it is called again.
+func (r *Relay) Disturb(d Disturbance) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.cut = true
+	r.state = d
+	if d != Refuse && d != Reset {
+		return
+	}
 	for c := range r.conns {
-		c.Close()
+		reset(c)
 	}
 }
 
-// Heal lets connections through again.
-func (r *Relay) Heal() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.cut = false
+// reset closes a connection with a reset. A connection that is closed already
+// needs none.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
 }
 
 // Close ends the relay and waits for it.
 func (r *Relay) Close() {
 	r.listener.Close()
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
 	r.Cut()
 	r.served.Wait()
 }
@@ -72,10 +121,11 @@
 func (r *Relay) hold(c net.Conn) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.cut {
-		r.conns[c] = true
+	if r.state == Refuse {
+		return false
 	}
-	return !r.cut
+	r.conns[c] = true
+	return true
 }
 
 func (r *Relay) release(c net.Conn) {
@@ -88,10 +138,12 @@
 func (r *Relay) pass(in net.Conn) {
 	defer r.release(in)
 	if !r.hold(in) {
+		reset(in)
 		return
 	}
 	out, err := net.Dial("tcp", r.backend)
 	if err != nil {
+		reset(in)
 		return
 	}
 	defer r.release(out)
@@ -100,11 +152,50 @@
 	}
 	var back sync.WaitGroup
 	back.Go(func() {
-		// Either end closing ends both ways.
-		_, _ = io.Copy(in, out)
+		r.copy(in, out, true)
 		in.Close()
 	})
-	_, _ = io.Copy(out, in)
+	r.copy(out, in, false)
 	out.Close()
 	back.Wait()
 }
+
+// copy passes pieces on until either end closes.
+func (r *Relay) copy(dst, src net.Conn, back bool) {
+	buf := make([]byte, pieceBytes)
+	for {
+		n, err := src.Read(buf)
+		if n > 0 {
+			if !r.await(back) {
+				return
+			}
+			if _, werr := dst.Write(buf[:n]); werr != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// await holds a piece as long as the link is disturbed. It returns false when
+// the relay closes.
+func (r *Relay) await(back bool) bool {
+	for {
+		r.mu.Lock()
+		state, closed := r.state, r.closed
+		r.mu.Unlock()
+		switch {
+		case closed:
+			return false
+		case state == Delayed:
+			time.Sleep(delay)
+			return true
+		case state == Silent, state == OneWay && back:
+			time.Sleep(holdPoll)
+		default:
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,86 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+)
+
+// Kind is a kind of fault.
+type Kind string
+
+// The kinds of fault.
+const (
+	// Of a VM's process. Stop is planned: SIGTERM, and a start after the end.
+	Stop   Kind = "vm_stop"
+	Kill   Kind = "vm_kill"
+	Pause  Kind = "vm_pause"
+	Hangup Kind = "vm_settings"
+	// Of the store.
+	StoreFault  Kind = "store_fault"
+	StoreForget Kind = "store_forgets"
+	// Of links: from a VM to the store, and to a target.
+	StoreLink  Kind = "store_link"
+	TargetLink Kind = "target_link"
+	// Of targets. Leave is planned; Crash frees the address for another one.
+	TargetFault Kind = "target_fault"
+	Leave       Kind = "target_leaves"
+	Crash       Kind = "target_crashes"
+	// Of the configuration: one change, or several in quick succession.
+	Change Kind = "config_change"
+	Storm  Kind = "config_storm"
+)
+
+// Fault is one fault of a plan.
+type Fault struct {
+	Kind Kind
+	At   time.Duration
+	For  time.Duration
+	// Index chooses the VM or target, and Variant the way, both modulo what
+	// there is.
+	Index   int
+	Variant int
+}
+
+// kinds has each kind as often as it is dealt among others.
+var kinds = []Kind{
+	Stop, Stop, Kill, Pause, Pause, Hangup, StoreFault, StoreFault, StoreForget, StoreLink, StoreLink,
+	TargetLink, TargetFault, TargetFault, TargetFault, Leave, Crash, Change, Change, Storm,
+}
+
+const (
+	// firstFault leaves the VMs time to come up.
+	firstFault = 2 * time.Second
+	// lastFault is kept free of new faults before the end, for recovery.
+	lastFault = 4 * time.Second
+	// meanGap is the mean time between the begins of two faults.
+	meanGap = 700 * time.Millisecond
+	// shortest and longest bound a fault's duration.
+	shortest = 300 * time.Millisecond
+	longest  = 4 * time.Second
+	// series is the chance that a fault comes again at the moment it ends.
+	series = 0.25
+)
+
+// Plan deals faults by a seed: the same seed gives the same plan. They overlap,
+// and some come in series.
+func Plan(seed uint64, length time.Duration) []Fault {
+	r := rand.New(rand.NewPCG(seed, seed))
+	var out []Fault
+	at := firstFault
+	for at < length-lastFault {
+		f := Fault{
+			Kind: kinds[r.IntN(len(kinds))], At: at, Index: r.IntN(1 << 16), Variant: r.IntN(1 << 16),
+			For: shortest + time.Duration(r.Int64N(int64(longest-shortest))),
+		}
+		out = append(out, f)
+		for r.Float64() < series && f.At+f.For < length-lastFault {
+			f.At += f.For
+			f.Variant = r.IntN(1 << 16)
+			out = append(out, f)
+		}
+		at += time.Duration(r.ExpFloat64() * float64(meanGap))
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
+	return out
+}
