Changes passed on follow the table's last change; only sentinels contend

Ruled out: lost datagrams (the news had come, and was put aside); large configurations (they fit).

Change: news follows the revision at which the table last changed. In a group whose sentinels pass on, only sentinels contend for the lease of the stages.

Tests, failing first: TestPassedOnChangesFollowTheLastChange, TestOnlyCandidatesContend (did not exist). garnet-soak takes a folder of programs without a slash.

--- a/cmd/garnet-soak/main.go
+++ b/cmd/garnet-soak/main.go
@@ -43,6 +43,13 @@
 	if o.Seed == 0 {
 		o.Seed = uint64(rand.Uint32())
 	}
+	// A program in a folder named without a slash would be looked for on the path.
+	bin, err := filepath.Abs(o.Bin)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "garnet-soak:", err)
+		os.Exit(exitError)
+	}
+	o.Bin = bin
 	ports := proc.NewPorts()
 	broken := 0
 	for i := range o.Seeds {
--- a/internal/stages/controller.go
+++ b/internal/stages/controller.go
@@ -105,6 +105,8 @@
 	load Load
 	// elsewhere says whether another VM changes an engine.
 	elsewhere func(engine string) bool
+	// candidate says whether this VM may contend for the lease.
+	candidate func() bool
 
 	// wantedSince is when the plan first held changes; owned by run.
 	wantedSince time.Duration
@@ -121,6 +123,7 @@
 		cfg: cfg, keeper: keeper, table: table, engines: engines, clock: clock, log: log,
 		lease: lease.New(lc, table, clock), open: make(map[string]*openOrder),
 		load: func(string) int { return 0 }, elsewhere: func(string) bool { return false },
+		candidate: func() bool { return true },
 	}
 }
 
@@ -130,6 +133,10 @@
 	c.load, c.elsewhere = load, elsewhere
 }
 
+// SetCandidate sets what says whether this VM may contend for the lease: in a
+// large group a few are enough. It is called before Start.
+func (c *Controller) SetCandidate(candidate func() bool) { c.candidate = candidate }
+
 // Start begins to plan.
 func (c *Controller) Start(context.Context) error {
 	c.Run(func(ctx context.Context) { kernel.Every(ctx, tick, c.step) })
@@ -172,7 +179,7 @@
 	if c.wantedSince == 0 {
 		c.wantedSince = now
 	}
-	if _, held := c.lease.Held(); !held && now-c.wantedSince < c.patience() {
+	if _, held := c.lease.Held(); !held && (now-c.wantedSince < c.patience() || !c.candidate()) {
 		return
 	}
 	t, ok := c.hold(ctx)
--- a/internal/stages/stages_test.go
+++ b/internal/stages/stages_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -209,6 +210,26 @@
 	is.Equal(orders[1].order.Sequence, uint64(1))
 }
 
+// A VM that is no candidate asks the store for nothing and orders nothing, until
+// it is one.
+func TestOnlyCandidatesContend(t *testing.T) {
+	is := is.New(t)
+	table := store.NewMemory()
+	k := newKeeper()
+	e := &engines{keeper: []*fleet.Keeper{k}}
+	var candidate atomic.Bool
+	c := newController("a", k, table, e, clock)
+	c.SetCandidate(candidate.Load)
+	start(t, c)
+	time.Sleep(6 * time.Second) // longer than any candidate waits
+	is.Equal(len(e.given()), 0)
+	records, err := table.List(context.Background(), "")
+	is.NoErr(err)
+	is.Equal(len(records), 0)
+	candidate.Store(true)
+	eventually(t, "the engines are ordered", func() bool { return len(e.given()) == 2 })
+}
+
 func TestNoStoreNoOrders(t *testing.T) {
 	is := is.New(t)
 	table := store.NewMemory()
--- a/internal/watch/offer.go
+++ b/internal/watch/offer.go
@@ -60,7 +60,7 @@
 	if d.WasAway {
 		t.link.heard(d.SinceBack)
 	}
-	t.revision = d.Rows.Revision
+	t.revision, t.changed = d.Rows.Revision, d.Rows.Revision
 	t.note(d.Rows)
 	t.apply(d.Rows, false)
 }
--- a/internal/watch/offer_test.go
+++ b/internal/watch/offer_test.go
@@ -136,3 +136,22 @@
 	table.Newer()
 	eventually(t, func() bool { return a.last() == 8 })
 }
+
+// Revisions without a change of the table leave no gap: a VM that rests has not
+// heard of them.
+func TestPassedOnChangesFollowTheLastChange(t *testing.T) {
+	is := is.New(t)
+	g := &large{}
+	g.sentinel.Store(true)
+	f := &feed{steps: []step{at(5), {rows: store.Rows{Revision: 8}}, at(9)}}
+	_, a := startTable(t, f, g)
+	eventually(t, func() bool { return a.last() == 9 })
+	eventually(t, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return len(g.passed) > 0
+	})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	is.Equal(g.passed[0].From, uint64(5))
+}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -53,8 +53,11 @@
 	link  *Link
 	group Group
 
-	// revision is the newest one taken in; only follow uses it.
+	// revision is the newest one taken in, and changed the one at which the table
+	// last changed or was listed: no row has changed between them. Only follow
+	// uses them.
 	revision uint64
+	changed  uint64
 	listed   bool
 	// newest is the highest version of a row taken in.
 	newest atomic.Uint64
@@ -203,11 +206,12 @@
 	if rows.Revision < t.revision {
 		return errStale
 	}
-	from := t.revision
 	t.revision = rows.Revision
 	t.note(rows)
 	t.setDue(false)
 	if len(rows.Rows) > 0 {
+		from := t.changed
+		t.changed = rows.Revision
 		t.apply(rows, false)
 		t.publish(from, rows)
 	}
@@ -233,7 +237,7 @@
 	if rows.Revision < t.revision {
 		return errStale
 	}
-	t.listed, t.revision = true, rows.Revision
+	t.listed, t.revision, t.changed = true, rows.Revision, rows.Revision
 	t.note(rows)
 	t.apply(rows, true)
 	return nil
