A target that refuses is avoided for a while

Change: refusals count, 0.3 each, and are forgotten with a second's decay; a target that refuses everything costs 300 ms more. A handle that could not be taken counts against the engine that read the prompt too.

Tests, failing first: TestRefusingTargetDoesNotDrawAll, TestBlamedTargetIsAvoided (neither compiled before).

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -170,7 +170,7 @@
 	case Refused:
 		x.note(t, "refused", nil)
 		drain(resp)
-		ticket.End(place.Neutral, time.Now())
+		ticket.End(place.Refused, time.Now())
 		return nil, refused, errors.Errorf("status %d", resp.Status)
 	case Invalid:
 		x.note(t, "invalid", nil)
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -89,6 +89,9 @@
 	if err != nil && out != unknown {
 		x.free(choice.Target, handle)
 	}
+	if out == refused {
+		x.g.placer.Blame(choice.Target.ID, time.Now())
+	}
 	return out, next.Target, err
 }
 
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -11,6 +11,9 @@
 	plainWork = 15 * time.Millisecond
 	// failurePrice is the price of a target all of whose answers fail.
 	failurePrice = time.Second
+	// refusalPrice is the price of a target that refuses all requests: less than
+	// that of one that fails, as a refused request has lost little.
+	refusalPrice = 300 * time.Millisecond
 	// transferTime is what moving a prompt's KV cache and the first step of
 	// the decode target take, from the users' sheets.
 	transferTime = 8 * time.Millisecond
@@ -91,11 +94,8 @@
 
 func (p *Placer) plainPrice(t *fleet.Target, s *state, now time.Time) time.Duration {
 	load := float64(p.total(t.ID).Running+1) / float64(max(t.Slots, 1))
-	price := time.Duration(load*load*float64(plainWork)) + p.remote(t) + time.Duration(s.failures*float64(failurePrice))
-	if !s.reachable(now) {
-		price += failurePrice
-	}
-	return price
+	price := time.Duration(load*load*float64(plainWork)) + p.remote(t)
+	return price + p.unsound(s, now)
 }
 
 func (p *Placer) remote(t *fleet.Target) time.Duration {
@@ -239,9 +239,9 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
-// unsound is the price of a target that fails or cannot be reached.
+// unsound is the price of a target that fails, refuses or cannot be reached.
 func (p *Placer) unsound(s *state, now time.Time) time.Duration {
-	price := time.Duration(s.failures * float64(failurePrice))
+	price := time.Duration(s.failures*float64(failurePrice) + s.refusing(now)*float64(refusalPrice))
 	if !s.reachable(now) {
 		price += failurePrice
 	}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -5,6 +5,7 @@
 package place
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -86,6 +87,10 @@
 	cache *cache
 	// failures is the share of recent requests that failed, 0 to 1.
 	failures float64
+	// refusals is the share of recent requests that were refused, as of
+	// refusedAt; it falls with time, as a full target empties.
+	refusals  float64
+	refusedAt time.Time
 	// slowdown is how many times longer its work takes than reckoned.
 	slowdown float64
 	// retryAt is when a target that could not be reached is tried again.
@@ -179,4 +184,17 @@
 	return p.state(id).own.Plus(p.others.Work(id))
 }
 
+// refusing is the share of refused requests as of now.
+func (s *state) refusing(now time.Time) float64 {
+	if s.refusals == 0 {
+		return 0
+	}
+	return s.refusals * math.Exp(-float64(now.Sub(s.refusedAt))/float64(refusalDecay))
+}
+
+func (s *state) noteRefusal(now time.Time) {
+	r := s.refusing(now)
+	s.refusals, s.refusedAt = r+refusalWeight*(1-r), now
+}
+
 func (s *state) reachable(now time.Time) bool { return s.misses == 0 || !now.Before(s.retryAt) }
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -260,3 +260,51 @@
 	later, _ := p.Read(targets, spec, q, nil, now.Add(time.Second))
 	is.True(later.Expected-later.Own < 35*time.Millisecond)
 }
+
+// A target that refuses at once looks idle: it must not draw all requests, and
+// is tried again a little later.
+func TestRefusingTargetDoesNotDrawAll(t *testing.T) {
+	for _, stage := range []fleet.Stage{fleet.Decode, fleet.NoStage} {
+		is := is.New(t)
+		p := newPlacer(others{"busy": {Running: 4, Prefill: 30 * time.Millisecond}})
+		targets := []*fleet.Target{engine("refusing", stage), engine("busy", stage)}
+		now := time.Now()
+		choose := func() place.Choice {
+			if stage == fleet.NoStage {
+				c, ok := p.Plain(targets, nil, 0, now)
+				is.True(ok)
+				return c
+			}
+			c, ok := p.Read(targets, spec, session(5), nil, now)
+			is.True(ok)
+			return c
+		}
+		refusals := 0
+		for range 20 {
+			c := choose()
+			if c.Target.ID == "refusing" {
+				refusals++
+				c.Ticket.End(place.Refused, now)
+				continue
+			}
+			c.Ticket.End(place.Neutral, now) // teaches nothing of its speed
+		}
+		is.True(refusals >= 1 && refusals <= 4)
+		now = now.Add(15 * time.Second)
+		is.Equal(choose().Target.ID, "refusing")
+	}
+}
+
+// The target whose handle could not be taken is avoided for a while too.
+func TestBlamedTargetIsAvoided(t *testing.T) {
+	is := is.New(t)
+	p := newPlacer(others{"p2": {Prefill: 30 * time.Millisecond}})
+	targets := []*fleet.Target{engine("p1", fleet.Prefill), engine("p2", fleet.Prefill), engine("d", fleet.Decode)}
+	now := time.Now()
+	for range 4 {
+		p.Blame("p1", now)
+	}
+	c, ok := p.Read(targets, spec, session(5), nil, now)
+	is.True(ok)
+	is.True(c.Target.ID != "p1")
+}
--- a/internal/place/ticket.go
+++ b/internal/place/ticket.go
@@ -22,8 +22,10 @@
 const (
 	// Good: the target did its work.
 	Good Result = iota + 1
-	// Neutral tells nothing: the caller left, or the target was full.
+	// Neutral tells nothing: the caller left.
 	Neutral
+	// Refused: the target did not run the request. It is full, or says so.
+	Refused
 	// Bad: the target failed.
 	Bad
 	// Unreachable: no connection could be opened.
@@ -34,6 +36,7 @@
 const (
 	failureWeight  = 0.1
 	slowdownWeight = 0.1
+	refusalWeight  = 0.3
 	// Bounds of what one answer can do to the slowdown.
 	minSlowdown = 0.5
 	maxSlowdown = 20.0
@@ -69,6 +72,8 @@
 		s.misses = 0
 		s.failures -= failureWeight * s.failures
 		t.measure(s, now)
+	case Refused:
+		s.noteRefusal(now)
 	case Bad:
 		s.failures += failureWeight * (1 - s.failures)
 	case Unreachable:
@@ -78,6 +83,14 @@
 	}
 }
 
+// Blame notes that a prompt which a target had read could not be gone on with:
+// its handle was gone, or could not be fetched.
+func (p *Placer) Blame(target string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state(target).noteRefusal(now)
+}
+
 // First notes that the target has begun to answer: the prefill is over.
 func (t *Ticket) First(now time.Time) {
 	if t == nil || t.ended || t.work.Prefill == 0 {
@@ -104,5 +117,9 @@
 	t.reckoned = 0
 }
 
+// refusalDecay is how fast refusals are forgotten: a full engine has a free slot
+// again within a second or two (users' sheets).
+const refusalDecay = time.Second
+
 // minReckoned is the shortest prefill that tells something of the speed.
 const minReckoned = 5 * time.Millisecond
