The configuration's header and idle timeouts are taken in

Ruled out: setting the server's fields while it runs (a data race); a server for each version (open connections would keep the old limits).

Change: a caller's connection replaces the deadlines that net/http sets, by its state, with the newest configuration's.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,10 +31,10 @@
 	// defaultHeaderTimeout bounds the time that a caller takes for its head
 	// before the configuration is known.
 	defaultHeaderTimeout = 10 * time.Second
-	// idleTimeout closes a caller's idle connection. It is above any that the
-	// users' configurations hold, so that a caller never finds its connection
-	// closed too early.
-	idleTimeout = time.Minute
+	// defaultIdleTimeout closes a caller's idle connection before the
+	// configuration is known. It is above any that the users' configurations
+	// hold, so that a caller never finds its connection closed too early.
+	defaultIdleTimeout = time.Minute
 	// pruneInterval is how often idle connections and forgotten targets are
 	// looked through.
 	pruneInterval = time.Second
@@ -129,11 +129,11 @@
 	handler.NoRoute(func(c *gin.Context) { g.serve(c.Writer, c.Request) })
 	g.server = &http.Server{
 		Handler: handler, MaxHeaderBytes: maxHeaderBytes,
-		ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: telemetry.StdLogger(g.log),
+		ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+		ConnState: noteState, ErrorLog: telemetry.StdLogger(g.log),
 	}
 	g.served.Go(func() {
-		if err := g.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := g.server.Serve(callerListener{Listener: l, limits: g.callerLimits}); !errors.Is(err, http.ErrServerClosed) {
 			g.log.Warn(telemetry.EventStopped, telemetry.F("cause", err))
 		}
 	})
@@ -143,6 +143,14 @@
 	return nil
 }
 
+// callerLimits returns the configuration's limits, or none before it is known.
+func (g *Gateway) callerLimits() fleet.Limits {
+	if c := g.keeper.View().Config; c != nil {
+		return c.Limits
+	}
+	return fleet.Limits{}
+}
+
 // prune closes connections to targets that are not listed any more.
 func (g *Gateway) prune() {
 	v := g.keeper.View()
--- a/internal/soak/deal.go
+++ b/internal/soak/deal.go
@@ -145,6 +145,10 @@
 	turn := w.storeTurn
 	w.mu.Unlock()
 	w.store.SetFault(f)
+	if f == platformtest.FaultStale {
+		// Old reads matter where a VM lists a table that it knows.
+		w.store.DropHistory()
+	}
 	kernel.Sleep(ctx, d)
 	w.mu.Lock()
 	newest := w.storeTurn == turn
