A stopping VM answers what hangs; SIGHUP does not end a starting process

Causes: the server closed with requests in hand, whose callers then knew nothing; SIGHUP came before the program had asked for the signal, and its default ends a process.

Ruled out for the first: the checker taking a target's own break for the VM's (a target that hangs until its connection closes said so after the caller had its part: that was wrong too, and an answer cut meanwhile is now judged once the target is through). For the second: a fault of the plan (its only signal then is SIGHUP).

Change: when the drain is over, the waits of requests in hand end, so that they are answered 502, or 503 where nothing ran, within 200 ms. SIGHUP is caught from the first line of Main. Between exec and that line it still ends a process; the soak sends it 200 ms after a start at the earliest.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -57,6 +57,11 @@
 
 // Main runs the daemon and returns its exit code.
 func (d Daemon) Main(args []string, stdout, stderr io.Writer) int {
+	// A program that reads its settings again listens for SIGHUP itself; here
+	// the signal is only kept from ending the process, from the first moment on.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	var opts Options
 	if code, done := Parse(d.Name, &opts, args, stdout, stderr); done {
 		return code
@@ -126,11 +131,6 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
-	// A program that reads its settings again listens for SIGHUP itself; here
-	// the signal is only kept from ending the process.
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	k := kernel.New()
 	d.Register(k, logs)
 	app, err := k.App(kernel.Timeouts{Start: startTimeout, Stop: d.StopTimeout()}, d.Roots...)
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -20,8 +20,10 @@
 	quietFor = 1500 * time.Millisecond
 	// leastDrain is the shortest time between the signal and the end.
 	leastDrain = 2500 * time.Millisecond
-	// graceMargin is kept free at the end of the grace.
+	// graceMargin is kept free at the end of the grace, and lastAnswers is the
+	// part of it in which requests still in hand are answered.
 	graceMargin = 400 * time.Millisecond
+	lastAnswers = 200 * time.Millisecond
 	drainPoll   = 50 * time.Millisecond
 	// tokenTime is the reckoned time of one token of an answer, with a good
 	// part over what the users' sheets give for a full batch.
@@ -82,5 +84,15 @@
 			break
 		}
 	}
+	g.answerRest(ctx)
 	g.log.Info(telemetry.EventStopped, telemetry.F("in_flight", g.inFlight.Load()), telemetry.F("ms", time.Since(began).Milliseconds()))
 }
+
+// answerRest ends the waits of requests in hand for their targets, so that their
+// callers are told what is known instead of finding the connection cut.
+func (g *Gateway) answerRest(ctx context.Context) {
+	g.endingNow()
+	for until := time.Now().Add(lastAnswers); g.inFlight.Load() > 0 && time.Now().Before(until) && ctx.Err() == nil; {
+		kernel.Sleep(ctx, drainPoll)
+	}
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -78,6 +78,7 @@
 	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
+	defer context.AfterFunc(x.g.ending, cancel)()
 	x.tried = place.Tried{}
 	x.g.budget(x.service).Request(time.Since(x.g.started))
 	if x.generates() {
@@ -234,6 +235,8 @@
 		return errkind.Wrap(errkind.ClientGone, cause, "the caller has gone")
 	case !x.ran:
 		return x.refusal(errkind.NoTarget, cause, "no target could take the request")
+	case x.g.ending.Err() != nil:
+		return errkind.Wrap(errkind.OutcomeUnknown, cause, "this VM stops; the request may have run")
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return errkind.Wrap(errkind.DeadlineExceeded, cause, "no answer in time")
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,11 +73,15 @@
 	log    *telemetry.Logger
 	stats  *Stats
 
-	server   *http.Server
-	served   sync.WaitGroup
-	bg       kernel.Background
-	drain    drainState
-	inFlight atomic.Int64
+	server *http.Server
+	served sync.WaitGroup
+	bg     kernel.Background
+	drain  drainState
+	// ending is done when the drain is over: requests in hand are answered with
+	// what is known then.
+	ending    context.Context
+	endingNow context.CancelFunc
+	inFlight  atomic.Int64
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
@@ -96,6 +100,7 @@
 		started: time.Now(),
 	}
 	g.limits.Store(&limits)
+	g.ending, g.endingNow = context.WithCancel(context.Background())
 	return g
 }
 
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -84,6 +84,9 @@
 	runs    []string
 	ending  Ending
 	refused bool
+	// cut is when the caller got a part, while the target was still at work; 0
+	// where that is not so.
+	cut time.Duration
 }
 
 // Ending is how a target's work on a request ended.
@@ -201,9 +204,26 @@
 func (c *Checker) Ended(id string, how Ending) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if r := c.requests[id]; r != nil {
-		r.ending = how
+	r := c.requests[id]
+	if r == nil {
+		return
+	}
+	r.ending = how
+	if r.cut != 0 {
+		c.checkCut(id, r, r.cut)
+	}
+}
+
+// checkCut judges an answer of which the caller got a part, once it is known how
+// the target's work ended; the caller holds c.mu.
+func (c *Checker) checkCut(id string, r *request, at time.Duration) {
+	if len(r.runs) > 0 && r.ending == 0 {
+		r.cut = at
+		return
 	}
+	// The store's disturbances excuse nothing.
+	broken := len(r.runs) == 1 && r.ending != Spoiled && c.undisturbed(r.sent, at, r.vm, r.runs[0])
+	c.check(Uncut, !broken, at, "%s on %s: %v did not break off, the caller got a part", id, r.vm, r.runs)
 }
 
 // Answered checks what a caller got.
@@ -221,9 +241,7 @@
 		r.refused = true
 		c.check(Unrun, len(r.runs) == 0, at, "%s was refused and ran on %v", id, r.runs)
 	case a.Cut:
-		// The store's disturbances excuse nothing.
-		broken := len(r.runs) == 1 && r.ending != Spoiled && c.undisturbed(r.sent, at, r.vm, r.runs[0])
-		c.check(Uncut, !broken, at, "%s on %s: %v did not break off, the caller got a part", id, r.vm, r.runs)
+		c.checkCut(id, r, at)
 	}
 }
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -68,6 +68,16 @@
 			c.Ended("q", soak.HungUp)
 			c.Answered("q", soak.Answer{Cut: true}, s)
 		}, soak.Uncut},
+		{"cut, and only then known how the target ended", func(c *soak.Checker) {
+			c.Ran("q", "e1", "", s)
+			c.Answered("q", soak.Answer{Cut: true}, s)
+			c.Ended("q", soak.HungUp)
+		}, soak.Uncut},
+		{"cut by a target that hung, which ends with its connection", func(c *soak.Checker) {
+			c.Ran("q", "e1", "", s)
+			c.Answered("q", soak.Answer{Cut: true}, s)
+			c.Ended("q", soak.Spoiled)
+		}, ""},
 		{"cut by the target itself", func(c *soak.Checker) {
 			c.Ran("q", "e1", "", s)
 			c.Ended("q", soak.Spoiled)
--- a/internal/soak/deal.go
+++ b/internal/soak/deal.go
@@ -25,6 +25,9 @@
 )
 
 const (
+	// upAfter is when a started process has come to its first line of code,
+	// before which the kernel ends it on SIGHUP whatever that line says.
+	upAfter = 200 * time.Millisecond
 	// storms is how many changes a storm has, stormGap apart.
 	storms   = 8
 	stormGap = 100 * time.Millisecond
@@ -129,9 +132,9 @@
 	v.mu.Lock()
 	v.cfg.LogLinesPerS = int64(300 + variant%100)
 	err := w.cluster.Write(v.name, v.cfg)
-	p := v.process
+	p, up := v.process, time.Since(v.started) > upAfter
 	v.mu.Unlock()
-	if err != nil || variant%2 == 0 || p == nil || p.Exited() {
+	if err != nil || variant%2 == 0 || p == nil || p.Exited() || !up {
 		return
 	}
 	// It may end at this moment.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -44,6 +44,8 @@
 	cause string
 }{
 	{1, ""},
+	{206, "SIGHUP ended a process that had just been started"},
+	{105, "requests that waited for a hung target were cut when a stopping VM's grace ended"},
 }
 
 func TestShortSoak(t *testing.T) {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -41,6 +41,7 @@
 
 	mu      sync.Mutex
 	process *proc.Process
+	started time.Time
 	life    int
 	// expected says that the process was signalled to end.
 	expected bool
@@ -188,7 +189,7 @@
 		return err
 	}
 	v.mu.Lock()
-	v.process, v.expected = p, false
+	v.process, v.started, v.expected = p, time.Now(), false
 	v.life++
 	v.mu.Unlock()
 	w.check.Disturbed(v.name, w.now(), w.now()+settled)
