--- a/internal/proc/harness_test.go
+++ b/internal/proc/harness_test.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 
 	"garnethoist.org/garnethoist/internal/proc"
+	"garnethoist.org/garnethoist/internal/proc/proctest"
 	"garnethoist.org/garnethoist/internal/settings"
 	"garnethoist.org/garnethoist/internal/standin"
 )
@@ -34,20 +35,7 @@
 		serveReverseProxy(backend, os.Getenv(envProxyListen))
 		return
 	}
-	dir, err := os.MkdirTemp("", "garnet-test-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	binDir = filepath.Join(dir, "bin")
-	build := exec.Command("go", "build", "-o", binDir+"/", "garnethoist.org/garnethoist/cmd/...")
-	if out, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
-		os.Exit(1)
-	}
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
+	os.Exit(proctest.Main("garnethoist.org/garnethoist/cmd/...", func(dir string) { binDir = dir }, m.Run))
 }
 
 const tableHeader = "service,kind,engines,model,adapters,version,weight,rate_per_s,in_flight,account_rate_per_s,deadline,repeatable,change_cost,fencing,objective\n"
--- /dev/null
+++ b/internal/proc/proctest/build.go
@@ -0,0 +1,29 @@
+// Package proctest builds the project's programs for tests that run them.
+package proctest
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+)
+
+// Main builds the programs of a package pattern into a folder, tells the folder,
+// runs the tests and removes it again. It returns the tests' exit code; a
+// TestMain passes it to os.Exit.
+func Main(pattern string, bin func(dir string), run func() int) int {
+	dir, err := os.MkdirTemp("", "garnet-test-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binDir := filepath.Join(dir, "bin")
+	build := exec.Command("go", "build", "-o", binDir+"/", pattern)
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	bin(binDir)
+	return run()
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"reflect"
 	"strings"
 	"testing"
@@ -14,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"garnethoist.org/garnethoist/internal/proc"
+	"garnethoist.org/garnethoist/internal/proc/proctest"
 	"garnethoist.org/garnethoist/internal/soak"
 )
 
@@ -21,20 +20,7 @@
 var binDir string
 
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "garnet-soak-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	binDir = filepath.Join(dir, "bin")
-	build := exec.Command("go", "build", "-o", binDir+"/", "garnethoist.org/garnethoist/cmd/garnet-node")
-	if out, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
-		os.Exit(1)
-	}
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
+	os.Exit(proctest.Main("garnethoist.org/garnethoist/cmd/garnet-node", func(dir string) { binDir = dir }, m.Run))
 }
 
 // The seeds that are soaked by every run of the tests: first one for CI, then
