--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -10,10 +10,11 @@
 	"github.com/pkg/errors"
 
 	"garnethoist.org/garnethoist/internal/kernel"
+	"garnethoist.org/garnethoist/internal/place"
 )
 
-// maxDatagram bounds a datagram.
-const maxDatagram = 16 << 10
+// maxDatagram bounds a datagram, below what UDP allows.
+const maxDatagram = 60 << 10
 
 // sender remembers the last report of one kind, so that one that says the same
 // is sent seldom.
@@ -42,13 +43,19 @@
 // to the other data centres.
 func (p *Peers) send(ctx context.Context) {
 	var own, summary sender
+	var abroadAt time.Time
 	for ; ctx.Err() == nil; kernel.Sleep(ctx, p.Interval()) {
+		p.expire()
 		r := p.ownReport()
-		if p.relays() {
+		switch {
+		case p.relays() && !time.Now().Before(abroadAt):
 			s := p.summary(r)
 			if summary.due(s) {
 				p.sendAbroad(s)
+				abroadAt = time.Now().Add(p.pause(s))
 			}
+		default:
+			p.pass(r.Uses)
 		}
 		if own.due(r) {
 			p.toAll(datagram{Report: r}, p.neighbourAddrs())
@@ -167,12 +174,18 @@
 		(r.Incarnation < s.incarnation || (r.Incarnation == s.incarnation && r.Number <= s.number)) {
 		return false
 	}
-	all[key] = &heardState{
+	next := &heardState{
 		from: r.From, addr: addr, incarnation: r.Incarnation, number: r.Number, at: time.Now(),
 		work: workOf(r.Work), newest: r.Newest, changing: r.Changing,
 	}
-	if !r.Summary && len(p.passing) < maxPassing {
-		p.passing = append(p.passing, r.Uses...)
+	var before map[string]place.Work
+	if s != nil {
+		before = s.work
+	}
+	p.replace(before, next.work)
+	all[key] = next
+	if !r.Summary {
+		p.keepPassing(r.Uses)
 	}
 	return true
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -87,6 +87,9 @@
 	// heard holds the VMs of this data centre, and centres the other ones.
 	heard   map[string]*heardState
 	centres map[string]*heardState
+	// sums is the work of all of them at each target: it is asked for once for
+	// each target and request.
+	sums map[string]place.Work
 	// passing is the uses that the relay has yet to tell other data centres.
 	passing []use
 	// nudged is when each followed table's call was last made anew, and called
@@ -120,6 +123,7 @@
 	return &Peers{
 		self: self, incarnation: incarnation, table: table, log: log,
 		members: make(map[string]listed), heard: make(map[string]*heardState), centres: make(map[string]*heardState),
+		sums:   make(map[string]place.Work),
 		nudged: make(map[int]time.Time), called: make(map[string]time.Time),
 	}
 }
@@ -207,15 +211,37 @@
 func (p *Peers) Work(target string) place.Work {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var sum place.Work
+	return p.sums[target]
+}
+
+// replace puts the work that one VM or data centre says in place of what it said
+// before; the caller holds p.mu.
+func (p *Peers) replace(before, now map[string]place.Work) {
+	for target, w := range before {
+		left := p.sums[target].Minus(w)
+		if left == (place.Work{}) {
+			delete(p.sums, target)
+			continue
+		}
+		p.sums[target] = left
+	}
+	for target, w := range now {
+		p.sums[target] = p.sums[target].Plus(w)
+	}
+}
+
+// expire takes what was said too long ago out of the sums.
+func (p *Peers) expire() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for _, all := range []map[string]*heardState{p.heard, p.centres} {
 		for _, s := range all {
-			if s.fresh() {
-				sum = sum.Plus(s.work[target])
+			if !s.fresh() && s.work != nil {
+				p.replace(s.work, nil)
+				s.work = nil
 			}
 		}
 	}
-	return sum
 }
 
 var _ place.Others = (*Peers)(nil)
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -15,6 +15,10 @@
 	maxPassing = 512
 	// sentinels is how many VMs of all data centres watch the store closely.
 	sentinels = 4
+	// relayShare is the part of a relay's link that summaries may take, and
+	// maxPause the longest pause between them, well below maxAge.
+	relayShare = 0.2
+	maxPause   = 400 * time.Millisecond
 	// largeCentre is the number of VMs from which a data centre has two
 	// sentinels at least, so that the loss of one leaves the other.
 	largeCentre = 5
@@ -74,6 +78,32 @@
 	return n
 }
 
+// pass keeps this VM's uses for the next summary.
+func (p *Peers) pass(uses []use) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keepPassing(uses)
+}
+
+// keepPassing is pass for a caller that holds p.mu.
+func (p *Peers) keepPassing(uses []use) {
+	if len(p.passing) < maxPassing {
+		p.passing = append(p.passing, uses...)
+	}
+}
+
+// pause is how long after a summary the next one waits: the relay of the other
+// data centre passes it on to each of its VMs, which may take a part of its link
+// only. In a large fleet summaries are large.
+func (p *Peers) pause(r *report) time.Duration {
+	if p.self.LinkMbps <= 0 {
+		return 0
+	}
+	bits := 8 * float64(len(encode(r))) * float64(p.neighbours())
+	us := bits / (relayShare * p.self.LinkMbps)
+	return min(time.Duration(us*float64(time.Microsecond)), maxPause)
+}
+
 // summary returns the sums of this data centre, own being this VM's report.
 func (p *Peers) summary(own *report) *report {
 	p.mu.Lock()
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -110,7 +110,23 @@
 func (p *Placer) Read(targets []*fleet.Target, spec *fleet.EngineSpec, q *Prompt, tried Tried, now time.Time) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	next, apart := p.bestDecode(targets, "", tried, now)
+	next, apart := p.bestDecode(p.decoders(targets), "", tried, now)
+	best, chosen := p.bestRead(p.thin(targets, q), spec, q, tried, next, apart, now)
+	if best.Target == nil {
+		next, apart = p.bestDecode(targets, "", tried, now)
+		best, chosen = p.bestRead(targets, spec, q, tried, next, apart, now)
+	}
+	if best.Target == nil {
+		return Choice{}, false
+	}
+	best.Ticket = p.begin(best.Target.ID, chosen.work, chosen.reckoned, now)
+	return best, true
+}
+
+// bestRead returns the cheapest way to prefill q at one of the targets, and what
+// it was weighed at. next is the best seat for one prefilled apart, which is only
+// possible where apart says so; the caller holds p.mu.
+func (p *Placer) bestRead(targets []*fleet.Target, spec *fleet.EngineSpec, q *Prompt, tried Tried, next seat, apart bool, now time.Time) (Choice, weighed) {
 	link := p.linkWait(now) + p.linkTime(q)
 	var best Choice
 	var chosen weighed
@@ -123,9 +139,8 @@
 			continue
 		}
 		if t.Stage == fleet.Prefill {
-			w.expected += next.wait + transferTime
+			w.expected += next.wait + transferTime + p.linkTime(q)
 			w.price += next.price + transferTime + p.linkTime(q)
-			w.expected += p.linkTime(q)
 		}
 		w.expected += link
 		if best.Target == nil || w.price < chosen.price {
@@ -133,11 +148,7 @@
 			chosen = w
 		}
 	}
-	if best.Target == nil {
-		return Choice{}, false
-	}
-	best.Ticket = p.begin(best.Target.ID, chosen.work, chosen.reckoned, now)
-	return best, true
+	return best, chosen
 }
 
 // Commit notes that the request of a choice is sent: the target has its prompt
@@ -308,7 +319,10 @@
 func (p *Placer) Decode(targets []*fleet.Target, q *Prompt, near string, tried Tried, now time.Time) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t, s := p.pickDecode(targets, near, tried, now)
+	t, s := p.pickDecode(p.decoders(targets), near, tried, now)
+	if t == nil {
+		t, s = p.pickDecode(targets, near, tried, now)
+	}
 	if t == nil {
 		return Choice{}, false
 	}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -74,7 +74,8 @@
 	}
 }
 
-func (w Work) minus(o Work) Work {
+// Minus returns the difference of both.
+func (w Work) Minus(o Work) Work {
 	return Work{
 		Prefill: w.Prefill - o.Prefill, Running: w.Running - o.Running,
 		Prefills: w.Prefills - o.Prefills, Streams: w.Streams - o.Streams, Tokens: w.Tokens - o.Tokens,
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -1,6 +1,7 @@
 package place_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -308,3 +309,39 @@
 	is.True(ok)
 	is.True(c.Target.ID != "p1")
 }
+
+// In a large fleet few targets are weighed: all VMs know the same homes of a
+// session, and what can be served is served.
+func TestLargeFleetIsThinned(t *testing.T) {
+	is := is.New(t)
+	var targets []*fleet.Target
+	for i := range 1000 {
+		targets = append(targets, engine(fmt.Sprint("p", i), fleet.Prefill))
+	}
+	targets = append(targets, engine("d", fleet.Decode))
+	now := time.Now()
+	a, b := newPlacer(others{}), newPlacer(others{})
+	first, ok := a.Read(targets, spec, session(5), nil, now)
+	is.True(ok)
+	a.Commit(first, session(5), now)
+	b.Observe(a.TakeUses())
+	again := 0
+	for range 20 {
+		c, ok := b.Read(targets, spec, session(5), nil, now)
+		is.True(ok)
+		if c.Target.ID == first.Target.ID {
+			again++
+		}
+		c.Ticket.End(place.Neutral, now)
+	}
+	is.True(again == 0 || again == 20) // a home is always among those weighed
+	for _, t := range targets[:999] {
+		t.Leaving = true
+	}
+	c, ok := a.Read(targets, spec, session(6), nil, now)
+	is.True(ok)
+	is.True(c.Target.ID == "p999" || c.Target.ID == "d")
+	c, ok = a.Decode(targets, session(6), "", nil, now)
+	is.True(ok)
+	is.Equal(c.Target.ID, "d")
+}
--- a/internal/place/ticket.go
+++ b/internal/place/ticket.go
@@ -66,7 +66,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.state(t.id)
-	s.own = s.own.minus(t.work)
+	s.own = s.own.Minus(t.work)
 	switch r {
 	case Good:
 		s.misses = 0
@@ -101,8 +101,8 @@
 	defer p.mu.Unlock()
 	s := p.state(t.id)
 	over := Work{Prefill: t.work.Prefill, Prefills: t.work.Prefills}
-	s.own = s.own.minus(over)
-	t.work = t.work.minus(over)
+	s.own = s.own.Minus(over)
+	t.work = t.work.Minus(over)
 	t.measure(s, now)
 }
 
--- a/internal/stages/controller.go
+++ b/internal/stages/controller.go
@@ -38,6 +38,9 @@
 	// an answer may be carried out seconds later.
 	doneWithin    = 8 * time.Second
 	unknownWithin = 15 * time.Second
+	// maxChanges bounds the changes of one step: the store takes 100 entries in
+	// one transaction, the tenure's condition among them.
+	maxChanges = 90
 	// KeyPrefix is where orders are journalled in the store.
 	KeyPrefix = "order/"
 )
@@ -300,6 +303,7 @@
 	if len(changes) == 0 {
 		return
 	}
+	changes = changes[:min(len(changes), maxChanges)]
 	var txn store.Txn
 	for _, ch := range changes {
 		value, err := json.Marshal(row{Holder: c.cfg.VM, Fence: t.Fence, Stage: ch.Stage})
--- a/internal/stages/journal.go
+++ b/internal/stages/journal.go
@@ -57,7 +57,7 @@
 	var keys []string
 	c.mu.Lock()
 	for id, o := range c.open {
-		if c.finished(v, id, o) {
+		if c.finished(v, id, o) && len(keys) < maxChanges {
 			keys = append(keys, KeyPrefix+id)
 			c.log.Info(telemetry.EventOrderDone, telemetry.F("engine", id), telemetry.F("stage", string(o.row.Stage)), telemetry.F("fence", o.row.Fence))
 		}
--- a/internal/stages/stages_test.go
+++ b/internal/stages/stages_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math"
 	"sync"
 	"sync/atomic"
@@ -230,6 +231,36 @@
 	eventually(t, "the engines are ordered", func() bool { return len(e.given()) == 2 })
 }
 
+// narrow is a store that takes no transaction of more than 100 entries.
+type narrow struct{ store.Table }
+
+func (n narrow) Commit(ctx context.Context, txn store.Txn) (uint64, error) {
+	if len(txn.Conds)+len(txn.Puts)+len(txn.Deletes) > 100 {
+		return 0, store.ErrUnavailable
+	}
+	return n.Table.Commit(ctx, txn)
+}
+
+func TestManyChangesAreJournalledInParts(t *testing.T) {
+	table := narrow{store.NewMemory()}
+	k := fleet.NewKeeper()
+	k.SetConfig(view().Config)
+	var changes []fleet.TargetChange
+	const count = 260
+	for i := range count {
+		id := fmt.Sprint(i)
+		changes = append(changes, fleet.TargetChange{ID: id, Target: engine(id, "a", fleet.Decode)})
+	}
+	k.ApplyTargets(changes, 1)
+	e := &engines{keeper: []*fleet.Keeper{k}}
+	start(t, stages.New(stages.Config{VM: "a", Share: 0.5, Gap: gap}, k, table, e, clock, 1, telemetry.Discard()))
+	eventually(t, "half of the engines are ordered", func() bool { return len(e.given()) == count/2 })
+	eventually(t, "the journal is empty", func() bool {
+		rows, err := table.List(context.Background(), stages.KeyPrefix)
+		return err == nil && len(rows) == 0
+	})
+}
+
 func TestNoStoreNoOrders(t *testing.T) {
 	is := is.New(t)
 	table := store.NewMemory()
