What one VM finds of a failing target, all avoid

Change: a failure is told to the other VMs with the uses that they are told anyway; plain calls are told too, so that every VM knows the sends to each target. The share of failures among the sends of all VMs, fading within 4 s, is priced like this VM's own. A target that fails one request in sixty stays in use.

Test: TestFailuresOfOtherVMsCount (did not compile before).

--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -152,7 +152,7 @@
 	if !p.note(r, addr) {
 		return
 	}
-	p.placer.Observe(placeUses(r.Uses))
+	p.placer.Observe(placeUses(r.Uses), time.Now())
 	p.learn(r.From, addr)
 	p.compare(r.Newest)
 	if r.Summary && !r.Forwarded && p.relays() {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -50,7 +50,7 @@
 type Placer interface {
 	Own() map[string]place.Work
 	TakeUses() []place.Use
-	Observe([]place.Use)
+	Observe(uses []place.Use, now time.Time)
 }
 
 // Followed is a table of the store that this VM follows.
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -45,7 +45,7 @@
 	return out
 }
 
-func (p *placer) Observe(uses []place.Use) {
+func (p *placer) Observe(uses []place.Use, _ time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.observed = append(p.observed, uses...)
--- a/internal/peers/report.go
+++ b/internal/peers/report.go
@@ -44,6 +44,7 @@
 	Target  string
 	Parts   []uint64
 	Missing int
+	Failed  bool
 }
 
 // item is a place.Work on the wire.
@@ -76,7 +77,7 @@
 func usesOf(uses []place.Use) []use {
 	out := make([]use, 0, len(uses))
 	for _, u := range uses {
-		out = append(out, use{Target: u.Target, Parts: u.Parts, Missing: u.Missing})
+		out = append(out, use{Target: u.Target, Parts: u.Parts, Missing: u.Missing, Failed: u.Failed})
 	}
 	return out
 }
@@ -84,7 +85,7 @@
 func placeUses(uses []use) []place.Use {
 	out := make([]place.Use, 0, len(uses))
 	for _, u := range uses {
-		out = append(out, place.Use{Target: u.Target, Parts: u.Parts, Missing: u.Missing})
+		out = append(out, place.Use{Target: u.Target, Parts: u.Parts, Missing: u.Missing, Failed: u.Failed})
 	}
 	return out
 }
--- a/internal/place/cache.go
+++ b/internal/place/cache.go
@@ -1,5 +1,7 @@
 package place
 
+import "time"
+
 // cache reckons which prompt parts a target's KV cache holds: parts yield in
 // the order of their last use, so a part is held as long as fewer tokens than
 // the cache's size have come in since. All VMs tell each other their uses.
@@ -55,25 +57,43 @@
 	}
 }
 
-// Use is one prompt that a target was given.
+// Use is one request that a target was given, or one that it failed.
 type Use struct {
 	Target string
-	// Parts is the hashes of the parts that other prompts may share.
+	// Parts is the hashes of the prompt's parts that other prompts may share.
 	Parts []uint64
-	// Missing is the tokens that were new to the target.
+	// Missing is the prompt's tokens that were new to the target.
 	Missing int
+	// Failed says that an earlier request to the target has failed.
+	Failed bool
 }
 
 // noteUse takes in a use of this VM's own; the caller holds p.mu.
-func (p *Placer) noteUse(target string, q *Prompt, missing int) {
+func (p *Placer) noteUse(target string, q *Prompt, missing int, now time.Time) {
 	var parts []uint64
 	for _, part := range q.sharedParts() {
 		parts = append(parts, part.Hash)
 	}
-	p.state(target).cache.use(parts, missing)
+	p.tell(Use{Target: target, Parts: parts, Missing: missing}, now)
+}
+
+// tell takes in a use of this VM's own and keeps it for the others; the caller
+// holds p.mu.
+func (p *Placer) tell(u Use, now time.Time) {
+	p.state(u.Target).take(u, now)
 	if len(p.uses) < maxUses {
-		p.uses = append(p.uses, Use{Target: target, Parts: parts, Missing: missing})
+		p.uses = append(p.uses, u)
+	}
+}
+
+// take takes in a use.
+func (s *state) take(u Use, now time.Time) {
+	if u.Failed {
+		s.record.fail(now)
+		return
 	}
+	s.record.send(now)
+	s.cache.use(u.Parts, u.Missing)
 }
 
 // maxUses bounds the uses that wait to be told to other VMs.
@@ -89,10 +109,10 @@
 }
 
 // Observe takes in another VM's uses.
-func (p *Placer) Observe(uses []Use) {
+func (p *Placer) Observe(uses []Use, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, u := range uses {
-		p.state(u.Target).cache.use(u.Parts, u.Missing)
+		p.state(u.Target).take(u, now)
 	}
 }
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -89,6 +89,7 @@
 	if best == nil {
 		return Choice{}, false
 	}
+	p.tell(Use{Target: best.ID}, now)
 	return Choice{Target: best, Expected: least, Ticket: p.begin(best.ID, Work{Running: 1}, 0, now)}, true
 }
 
@@ -156,7 +157,7 @@
 func (p *Placer) Commit(c Choice, q *Prompt, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.noteUse(c.Target.ID, q, q.Tokens-c.Cached)
+	p.noteUse(c.Target.ID, q, q.Tokens-c.Cached, now)
 	p.occupyLink(q, now)
 }
 
@@ -252,7 +253,8 @@
 
 // unsound is the price of a target that fails, refuses or cannot be reached.
 func (p *Placer) unsound(s *state, now time.Time) time.Duration {
-	price := time.Duration(s.failures*float64(failurePrice) + s.refusing(now)*float64(refusalPrice))
+	failing := max(s.failures, s.record.share(now))
+	price := time.Duration(failing*float64(failurePrice) + s.refusing(now)*float64(refusalPrice))
 	if !s.reachable(now) {
 		price += failurePrice
 	}
@@ -326,7 +328,7 @@
 	if t == nil {
 		return Choice{}, false
 	}
-	p.noteUse(t.ID, q, q.Tokens)
+	p.noteUse(t.ID, q, q.Tokens, now)
 	p.occupyLink(q, now)
 	return Choice{Target: t, Expected: s.wait, Ticket: p.begin(t.ID, Work{Running: 1, Streams: q.streams(), Tokens: q.Tokens + q.Output/2}, 0, now)}, true
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -86,8 +86,10 @@
 type state struct {
 	own   Work
 	cache *cache
-	// failures is the share of recent requests that failed, 0 to 1.
+	// failures is the share of this VM's recent requests that failed, 0 to 1, and
+	// record counts those of all VMs.
 	failures float64
+	record   record
 	// refusals is the share of recent requests that were refused, as of
 	// refusedAt; it falls with time, as a full target empties.
 	refusals  float64
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -74,7 +74,7 @@
 	now := time.Now()
 	first, _ := a.Read(targets, spec, session(5), nil, now)
 	a.Commit(first, session(5), now)
-	b.Observe(a.TakeUses())
+	b.Observe(a.TakeUses(), now)
 	is.Equal(len(a.TakeUses()), 0)
 	again, _ := b.Read(targets, spec, session(5), nil, now)
 	is.Equal(again.Target.ID, first.Target.ID)
@@ -324,7 +324,7 @@
 	first, ok := a.Read(targets, spec, session(5), nil, now)
 	is.True(ok)
 	a.Commit(first, session(5), now)
-	b.Observe(a.TakeUses())
+	b.Observe(a.TakeUses(), now)
 	again := 0
 	for range 20 {
 		c, ok := b.Read(targets, spec, session(5), nil, now)
@@ -345,3 +345,39 @@
 	is.True(ok)
 	is.Equal(c.Target.ID, "d")
 }
+
+// What one VM finds of a failing target, all avoid; a target that fails one
+// request in many stays in use, and one that recovers is tried again.
+func TestFailuresOfOtherVMsCount(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	a, b := newPlacer(others{}), newPlacer(others{"busy": {Running: 4, Prefill: 40 * time.Millisecond}})
+	targets := []*fleet.Target{engine("failing", fleet.Decode), engine("busy", fleet.Decode)}
+	choose := func(p *place.Placer, now time.Time) place.Choice {
+		c, ok := p.Read(targets, spec, session(5), nil, now)
+		is.True(ok)
+		return c
+	}
+	c := choose(b, now)
+	is.Equal(c.Target.ID, "failing")
+	c.Ticket.End(place.Neutral, now)
+	for range 3 {
+		c := choose(a, now)
+		if c.Target.ID != "failing" {
+			break
+		}
+		a.Commit(c, session(uint64(100)), now)
+		c.Ticket.End(place.Bad, now)
+	}
+	b.Observe(a.TakeUses(), now)
+	is.Equal(choose(b, now).Target.ID, "busy")
+	is.Equal(choose(b, now.Add(30*time.Second)).Target.ID, "failing")
+	var uses []place.Use
+	for range 60 {
+		uses = append(uses, place.Use{Target: "failing"})
+	}
+	uses = append(uses, place.Use{Target: "failing", Failed: true})
+	later := now.Add(time.Minute)
+	b.Observe(uses, later)
+	is.Equal(choose(b, later).Target.ID, "failing")
+}
--- /dev/null
+++ b/internal/place/record.go
@@ -0,0 +1,52 @@
+package place
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// recordMemory is how fast sends and failures of all VMs are forgotten: a
+	// target that recovers is tried again within some seconds.
+	recordMemory = 4 * time.Second
+	// recordPrior is the sends that a target is taken to have passed before any
+	// is known, so that one failure alone says little.
+	recordPrior = 4
+)
+
+// record counts the sends to a target and its failures, of all VMs, of late.
+type record struct {
+	sent   float64
+	failed float64
+	at     time.Time
+}
+
+// fade brings the counts to now.
+func (r *record) fade(now time.Time) {
+	if dt := now.Sub(r.at); dt > 0 {
+		keep := math.Exp(-float64(dt) / float64(recordMemory))
+		r.sent *= keep
+		r.failed *= keep
+		r.at = now
+	}
+}
+
+func (r *record) send(now time.Time) {
+	r.fade(now)
+	r.sent++
+}
+
+func (r *record) fail(now time.Time) {
+	r.fade(now)
+	r.failed++
+}
+
+// succeed takes in that a request to the target has succeeded: older failures
+// count less.
+func (r *record) succeed() { r.failed -= failureWeight * r.failed }
+
+// share is the part of the sends that failed.
+func (r *record) share(now time.Time) float64 {
+	r.fade(now)
+	return min(r.failed/(r.sent+recordPrior), 1)
+}
--- a/internal/place/ticket.go
+++ b/internal/place/ticket.go
@@ -71,11 +71,13 @@
 	case Good:
 		s.misses = 0
 		s.failures -= failureWeight * s.failures
+		s.record.succeed()
 		t.measure(s, now)
 	case Refused:
 		s.noteRefusal(now)
 	case Bad:
 		s.failures += failureWeight * (1 - s.failures)
+		p.tell(Use{Target: t.id, Failed: true}, now)
 	case Unreachable:
 		wait := firstMiss << min(s.misses, maxDoubles)
 		s.misses++
