Reports that say the same are equal; a summary that misses its relay reaches it

Found by reading the code anew and by tests run beside a busy machine.

Causes: a report's items came in a map's order, so that reports which said the same were sent again each interval; a VM that is no relay kept uses for summaries that it never makes, and would have told them late; a summary sent to a VM that had just stopped being the relay went no further (TestDataCentresHearOfEachOther failed once in eight runs: "b1 hears of uses"); datagrams that could not be read or sent went unsaid.

Change: items are sorted; only the relay keeps uses; a VM that is not the relay hands a summary to the one that is, by the order that all share, so that it cannot go round; `event=bad_datagram` lines. Names: remote for abroad, pendingUses for passing. TestSentinelsOfALargeGroupPassOn waits until all VMs are counted: it published before the sentinel knew the last one, which a node makes good by asking the store.

--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -11,6 +11,7 @@
 
 	"garnethoist.org/garnethoist/internal/kernel"
 	"garnethoist.org/garnethoist/internal/place"
+	"garnethoist.org/garnethoist/internal/telemetry"
 )
 
 // maxDatagram bounds a datagram, below what UDP allows.
@@ -43,19 +44,19 @@
 // to the other data centres.
 func (p *Peers) send(ctx context.Context) {
 	var own, summary sender
-	var abroadAt time.Time
+	var nextSummary time.Time
 	for ; ctx.Err() == nil; kernel.Sleep(ctx, p.Interval()) {
 		p.expire()
 		r := p.ownReport()
-		switch {
-		case p.relays() && !time.Now().Before(abroadAt):
+		relays := p.relays()
+		if relays && !time.Now().Before(nextSummary) {
 			s := p.summary(r)
 			if summary.due(s) {
-				p.sendAbroad(s)
-				abroadAt = time.Now().Add(p.pause(s))
+				p.sendRemote(s)
+				nextSummary = time.Now().Add(p.pause(s))
 			}
-		default:
-			p.pass(r.Uses)
+		} else {
+			p.setPending(r.Uses, relays)
 		}
 		if own.due(r) {
 			p.toAll(datagram{Report: r}, p.neighbourAddrs())
@@ -95,7 +96,8 @@
 func (p *Peers) toAll(d datagram, to []netip.AddrPort) {
 	data := encode(d)
 	if len(data) > maxDatagram {
-		// Readers learn of it by the versions in reports.
+		// News that is not sent is asked for; a report that is not sent lapses.
+		p.log.Warn(telemetry.EventBadDatagram, telemetry.F("bytes", len(data)), telemetry.F("limit", maxDatagram))
 		return
 	}
 	for _, addr := range to {
@@ -122,10 +124,12 @@
 			return
 		}
 		if err != nil {
+			p.log.Warn(telemetry.EventBadDatagram, telemetry.F("cause", err))
 			continue
 		}
 		var d datagram
 		if err := cbor.Unmarshal(buf[:n], &d); err != nil {
+			p.log.Warn(telemetry.EventBadDatagram, telemetry.F("bytes", n), telemetry.F("cause", err))
 			continue
 		}
 		switch {
@@ -144,9 +148,11 @@
 func (p *Peers) takeReport(r *report) {
 	addr, err := netip.ParseAddrPort(r.From.Address)
 	if err != nil {
+		p.log.Warn(telemetry.EventBadDatagram, telemetry.F("peer", r.From.VM), telemetry.F("cause", err))
 		return
 	}
-	if !r.Summary && r.From.DataCentre != p.self.DataCentre {
+	if own := r.From.DataCentre == p.self.DataCentre; own == r.Summary {
+		// Reports are for the own data centre, summaries for the others.
 		return
 	}
 	if !p.note(r, addr) {
@@ -155,10 +161,20 @@
 	p.placer.Observe(placeUses(r.Uses), time.Now())
 	p.learn(r.From, addr)
 	p.compare(r.Newest)
-	if r.Summary && !r.Forwarded && p.relays() {
-		r.Forwarded = true
-		p.toAll(datagram{Report: r}, p.neighbourAddrs())
+	if r.Summary && !r.Forwarded {
+		p.passOn(r)
+	}
+}
+
+// passOn passes a summary of another data centre on to the VMs of this one. Where
+// this VM is not the relay, as its sender believes, the relay gets it.
+func (p *Peers) passOn(r *report) {
+	if relay, ok := p.relayAddr(); ok {
+		p.toAll(datagram{Report: r}, []netip.AddrPort{relay})
+		return
 	}
+	r.Forwarded = true
+	p.toAll(datagram{Report: r}, p.neighbourAddrs())
 }
 
 // note remembers a report unless a newer one is known.
@@ -185,7 +201,7 @@
 	p.replace(before, next.work)
 	all[key] = next
 	if !r.Summary {
-		p.keepPassing(r.Uses)
+		p.keepUses(r.Uses)
 	}
 	return true
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -90,12 +90,12 @@
 	// sums is the work of all of them at each target: it is asked for once for
 	// each target and request.
 	sums map[string]place.Work
-	// passing is the uses that the relay has yet to tell other data centres.
-	passing []use
-	// nudged is when each followed table's call was last made anew, and called
+	// pendingUses is the uses that the relay has yet to tell other data centres.
+	pendingUses []use
+	// nudged is when each followed table's call was last made anew, and announced
 	// when all VMs of a data centre were last sent a summary.
-	nudged map[int]time.Time
-	called map[string]time.Time
+	nudged    map[int]time.Time
+	announced map[string]time.Time
 }
 
 // listed is a member with its address decoded.
@@ -124,7 +124,7 @@
 		self: self, incarnation: incarnation, table: table, log: log,
 		members: make(map[string]listed), heard: make(map[string]*heardState), centres: make(map[string]*heardState),
 		sums:   make(map[string]place.Work),
-		nudged: make(map[int]time.Time), called: make(map[string]time.Time),
+		nudged: make(map[int]time.Time), announced: make(map[string]time.Time),
 	}
 }
 
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// maxPassing bounds the uses that wait to be told to other data centres.
-	maxPassing = 512
+	// maxPendingUses bounds the uses that wait to be told to other data centres:
+	// those of about half a second at the grown sites.
+	maxPendingUses = 512
 	// sentinels is how many VMs of all data centres watch the store closely.
 	sentinels = 4
 	// relayShare is the part of a relay's link that summaries may take, and
@@ -52,6 +53,21 @@
 	return p.rank() == 0
 }
 
+// relayAddr returns the address of this data centre's relay, or false where that
+// is this VM.
+func (p *Peers) relayAddr() (netip.AddrPort, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	first := p.self
+	var addr netip.AddrPort
+	for _, s := range p.heard {
+		if s.fresh() && before(s.from, first) {
+			first, addr = s.from, s.addr
+		}
+	}
+	return addr, addr.IsValid()
+}
+
 // Sentinel reports whether this VM is one of the few that watch the store
 // closely.
 func (p *Peers) Sentinel() bool {
@@ -78,18 +94,23 @@
 	return n
 }
 
-// pass keeps this VM's uses for the next summary.
-func (p *Peers) pass(uses []use) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.keepPassing(uses)
+// keepUses keeps uses for the next summary; the caller holds p.mu.
+func (p *Peers) keepUses(uses []use) {
+	if len(p.pendingUses) < maxPendingUses {
+		p.pendingUses = append(p.pendingUses, uses...)
+	}
 }
 
-// keepPassing is pass for a caller that holds p.mu.
-func (p *Peers) keepPassing(uses []use) {
-	if len(p.passing) < maxPassing {
-		p.passing = append(p.passing, uses...)
+// setPending keeps this VM's uses for the next summary where this VM makes one.
+// Else all are dropped: the relay has them too.
+func (p *Peers) setPending(uses []use, relays bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !relays {
+		p.pendingUses = nil
+		return
 	}
+	p.keepUses(uses)
 }
 
 // pause is how long after a summary the next one waits: the relay of the other
@@ -129,29 +150,29 @@
 		}
 	}
 	r := &report{From: p.self, Incarnation: p.incarnation, Summary: true, Work: itemsOf(work), Newest: newest, Changing: changing}
-	r.Uses = append(p.passing, own.Uses...)
-	p.passing = nil
+	r.Uses = append(p.pendingUses, own.Uses...)
+	p.pendingUses = nil
 	return r
 }
 
-// sendAbroad sends a summary to the relay of each other data centre, or to all
+// sendRemote sends a summary to the relay of each other data centre, or to all
 // of its VMs where none has been heard of late.
-func (p *Peers) sendAbroad(r *report) {
+func (p *Peers) sendRemote(r *report) {
 	d := datagram{Report: r}
-	for dataCentre, relay := range p.relaysAbroad() {
+	for dataCentre, relay := range p.remoteRelays() {
 		if relay != nil {
 			p.toAll(d, []netip.AddrPort{relay.addr})
 			continue
 		}
-		if p.mayCall(dataCentre) {
+		if p.mayAnnounce(dataCentre) {
 			p.toAll(d, p.addrsOf(dataCentre))
 		}
 	}
 }
 
-// relaysAbroad returns the relay of each other data centre that has members, nil
+// remoteRelays returns the relay of each other data centre that has members, nil
 // where none is heard.
-func (p *Peers) relaysAbroad() map[string]*heardState {
+func (p *Peers) remoteRelays() map[string]*heardState {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := make(map[string]*heardState)
@@ -167,14 +188,14 @@
 	return out
 }
 
-// mayCall bounds how often all VMs of a data centre without a known relay are
+// mayAnnounce bounds how often all VMs of a data centre without a known relay are
 // sent a summary.
-func (p *Peers) mayCall(dataCentre string) bool {
+func (p *Peers) mayAnnounce(dataCentre string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if time.Since(p.called[dataCentre]) < quietInterval {
+	if time.Since(p.announced[dataCentre]) < quietInterval {
 		return false
 	}
-	p.called[dataCentre] = time.Now()
+	p.announced[dataCentre] = time.Now()
 	return true
 }
--- a/internal/peers/relay_test.go
+++ b/internal/peers/relay_test.go
@@ -103,13 +103,18 @@
 func TestSentinelsOfALargeGroupPassOn(t *testing.T) {
 	is := is.New(t)
 	table := store.NewMemory()
-	enter(t, table, 30)
+	const others = 30
+	enter(t, table, others)
 	var vms []*vm
 	for _, name := range []string{"a", "b", "c", "d", "e"} {
 		v := startIn(t, "a", name, 10, table, nil)
 		defer v.stop(t)
 		vms = append(vms, v)
 	}
+	// A VM that has not heard of another cannot pass anything on to it.
+	for _, v := range vms {
+		eventually(t, "all are counted", func() bool { return v.peers.Size() == others+len(vms) })
+	}
 	eventually(t, "two of five are sentinels", func() bool {
 		n := 0
 		for _, v := range vms {
--- a/internal/peers/report.go
+++ b/internal/peers/report.go
@@ -1,6 +1,8 @@
 package peers
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"garnethoist.org/garnethoist/internal/fleet"
@@ -63,6 +65,8 @@
 	for id, w := range work {
 		items = append(items, item{Target: id, PrefillUS: w.Prefill.Microseconds(), Prefills: w.Prefills, Running: w.Running, Streams: w.Streams, Tokens: w.Tokens})
 	}
+	// The same work makes the same report, which is then not sent again.
+	slices.SortFunc(items, func(a, b item) int { return cmp.Compare(a.Target, b.Target) })
 	return items
 }
 
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -47,6 +47,7 @@
 	EventTargets          Event = "targets"
 	EventPassedOn         Event = "changes_passed_on"
 	EventBadRow           Event = "bad_row"
+	EventBadDatagram      Event = "bad_datagram"
 	EventReload           Event = "reload"
 	EventServer           Event = "http_server"
 	EventLogDropped       Event = "log_dropped"
