In a large fleet engines are ordered as prompts in hand ask for it

Change: above 32 prefill engines a service gets 16 more only while those it has have more than 20 ms of prefills in hand on average. What is counted is the engines' own stage, which all VMs see, so a successor does not begin anew. The sites of today and the grown ones want 6 to 28 and are not touched.

Tests: TestOrdersFollowDemandInALargeFleet, failing first; TestManyChangesAreJournalledInParts goes from prefill to decode now, as such a step is still large.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -169,6 +169,7 @@
 	})
 	group.SetPlacer(placer)
 	group.SetOrders(controller)
+	controller.SetDemand(placer.MeanPrefill)
 	controller.SetCandidate(func() bool { return !group.PassesOn() || group.Sentinel() })
 	controller.SetView(placer.Streams, func(engine string) bool {
 		_, changing := group.Changing(engine)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -173,6 +173,25 @@
 	return p.total(id).Streams
 }
 
+// MeanPrefill is the mean time of the prefills in hand at the prefill targets
+// among those given.
+func (p *Placer) MeanPrefill(targets []*fleet.Target) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var sum time.Duration
+	n := 0
+	for _, t := range targets {
+		if t.Stage == fleet.Prefill && !t.Leaving {
+			sum += p.total(t.ID).Prefill
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / time.Duration(n)
+}
+
 // scatter is a random price that keeps VMs which all know the same old numbers
 // from all choosing the same target; the caller holds p.mu.
 func (p *Placer) scatter() time.Duration {
--- a/internal/stages/controller.go
+++ b/internal/stages/controller.go
@@ -38,6 +38,14 @@
 	// an answer may be carried out seconds later.
 	doneWithin    = 8 * time.Second
 	unknownWithin = 15 * time.Second
+	// unaskedPrefill is how many engines of a service prefill before there is any
+	// traffic; the sites of today and the grown ones want fewer.
+	unaskedPrefill = 32
+	// growBy is how many more may prefill at once where the prefill engines have
+	// more than demandAbove in hand on average: a good part of an objective of 200
+	// ms (users' sheets). An order shows seconds later, which paces the growth.
+	growBy      = 16
+	demandAbove = 20 * time.Millisecond
 	// maxChanges bounds the changes of one step: the store takes 100 entries in
 	// one transaction, the tenure's condition among them.
 	maxChanges = 90
@@ -108,6 +116,9 @@
 	load Load
 	// elsewhere says whether another VM changes an engine.
 	elsewhere func(engine string) bool
+	// demand is the mean time of the prefills in hand at a service's prefill
+	// engines.
+	demand func([]*fleet.Target) time.Duration
 	// candidate says whether this VM may contend for the lease.
 	candidate func() bool
 
@@ -126,7 +137,7 @@
 		cfg: cfg, keeper: keeper, table: table, engines: engines, clock: clock, log: log,
 		lease: lease.New(lc, table, clock), open: make(map[string]*openOrder),
 		load: func(string) int { return 0 }, elsewhere: func(string) bool { return false },
-		candidate: func() bool { return true },
+		candidate: func() bool { return true }, demand: func([]*fleet.Target) time.Duration { return 0 },
 	}
 }
 
@@ -136,6 +147,9 @@
 	c.load, c.elsewhere = load, elsewhere
 }
 
+// SetDemand sets where the prefills in hand are read; it is called before Start.
+func (c *Controller) SetDemand(demand func([]*fleet.Target) time.Duration) { c.demand = demand }
+
 // SetCandidate sets what says whether this VM may contend for the lease: in a
 // large group a few are enough. It is called before Start.
 func (c *Controller) SetCandidate(candidate func() bool) { c.candidate = candidate }
@@ -218,8 +232,18 @@
 	return out
 }
 
-// want is how many of a service's engines are to prefill.
-func (c *Controller) want(engines int) int { return int(math.Round(c.cfg.Share * float64(engines))) }
+// want is how many of a service's engines are to prefill: their share, but in a
+// large fleet no more than prompts in hand ask for, as each order costs and takes
+// its engine away for seconds.
+func (c *Controller) want(targets []*fleet.Target) int {
+	staying, prefill := count(targets)
+	share := int(math.Round(c.cfg.Share * float64(staying)))
+	bound := max(prefill, unaskedPrefill)
+	if c.demand(targets) > demandAbove {
+		bound = max(bound, prefill+growBy)
+	}
+	return min(share, bound)
+}
 
 // finishing reports whether rows of the journal can be removed.
 func (c *Controller) finishing(v *fleet.View) bool {
--- a/internal/stages/plan.go
+++ b/internal/stages/plan.go
@@ -43,9 +43,9 @@
 	return out
 }
 
-// PlanAll plans each model service of a view; want says how many of so many
+// PlanAll plans each model service of a view; want says how many of a service's
 // engines are to prefill.
-func PlanAll(v *fleet.View, want func(engines int) int, load Load) []Change {
+func PlanAll(v *fleet.View, want func(targets []*fleet.Target) int, load Load) []Change {
 	if v.Config == nil {
 		return nil
 	}
@@ -55,19 +55,23 @@
 		if s == nil || s.Engine == nil {
 			continue
 		}
-		out = append(out, Plan(v.Targets[name], want(staying(v.Targets[name])), load)...)
+		out = append(out, Plan(v.Targets[name], want(v.Targets[name]), load)...)
 	}
 	return out
 }
 
-func staying(targets []*fleet.Target) int {
-	n := 0
+// count returns how many engines stay, and how many of them prefill.
+func count(targets []*fleet.Target) (staying, prefill int) {
 	for _, t := range targets {
-		if !t.Leaving {
-			n++
+		if t.Leaving {
+			continue
+		}
+		staying++
+		if t.Stage == fleet.Prefill {
+			prefill++
 		}
 	}
-	return n
+	return staying, prefill
 }
 
 func sortedServices(v *fleet.View) []string {
--- a/internal/stages/stages_test.go
+++ b/internal/stages/stages_test.go
@@ -34,6 +34,17 @@
 	return &fleet.Target{ID: id, Service: "m", DataCentre: dataCentre, Stage: stage}
 }
 
+// staying counts the engines that do not leave.
+func staying(targets []*fleet.Target) int {
+	n := 0
+	for _, t := range targets {
+		if !t.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
 func TestPlan(t *testing.T) {
 	leaving := engine("x", "a", fleet.Prefill)
 	leaving.Leaving = true
@@ -60,7 +71,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			got := map[string]fleet.Stage{}
-			want := func(engines int) int { return int(math.Round(tc.share * float64(engines))) }
+			want := func(targets []*fleet.Target) int { return int(math.Round(tc.share * float64(staying(targets)))) }
 			for _, c := range stages.PlanAll(tc.view, want, func(string) int { return 0 }) {
 				got[c.Target.ID] = c.Stage
 			}
@@ -249,7 +260,7 @@
 	const count = 260
 	for i := range count {
 		id := fmt.Sprint(i)
-		changes = append(changes, fleet.TargetChange{ID: id, Target: engine(id, "a", fleet.Decode)})
+		changes = append(changes, fleet.TargetChange{ID: id, Target: engine(id, "a", fleet.Prefill)})
 	}
 	k.ApplyTargets(changes, 1)
 	e := &engines{keeper: []*fleet.Keeper{k}}
@@ -261,6 +272,29 @@
 	})
 }
 
+// In a large fleet few engines are ordered before prompts in hand ask for more.
+func TestOrdersFollowDemandInALargeFleet(t *testing.T) {
+	table := store.NewMemory()
+	k := fleet.NewKeeper()
+	k.SetConfig(view().Config)
+	var changes []fleet.TargetChange
+	for i := range 200 {
+		id := fmt.Sprint(i)
+		changes = append(changes, fleet.TargetChange{ID: id, Target: engine(id, "a", fleet.Decode)})
+	}
+	k.ApplyTargets(changes, 1)
+	e := &engines{keeper: []*fleet.Keeper{k}}
+	var demand atomic.Int64
+	c := newController("a", k, table, e, clock)
+	c.SetDemand(func([]*fleet.Target) time.Duration { return time.Duration(demand.Load()) })
+	start(t, c)
+	eventually(t, "a few are ordered", func() bool { return len(e.given()) == 32 })
+	time.Sleep(time.Second)
+	is.New(t).Equal(len(e.given()), 32)
+	demand.Store(int64(50 * time.Millisecond))
+	eventually(t, "all of the share are ordered", func() bool { return len(e.given()) == 100 })
+}
+
 func TestNoStoreNoOrders(t *testing.T) {
 	is := is.New(t)
 	table := store.NewMemory()
