--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -111,11 +111,12 @@
 func (p *Placer) Read(targets []*fleet.Target, spec *fleet.EngineSpec, q *Prompt, tried Tried, now time.Time) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	next, apart := p.bestDecode(p.decoders(targets), "", tried, now)
-	best, chosen := p.bestRead(p.thin(targets, q), spec, q, tried, next, apart, now)
+	r := reading{spec: spec, prompt: q, tried: tried, now: now}
+	r.next, r.apart = p.bestDecode(p.decoders(targets), "", tried, now)
+	best, chosen := p.bestRead(p.thin(targets, q), r)
 	if best.Target == nil {
-		next, apart = p.bestDecode(targets, "", tried, now)
-		best, chosen = p.bestRead(targets, spec, q, tried, next, apart, now)
+		r.next, r.apart = p.bestDecode(targets, "", tried, now)
+		best, chosen = p.bestRead(targets, r)
 	}
 	if best.Target == nil {
 		return Choice{}, false
@@ -124,24 +125,36 @@
 	return best, true
 }
 
-// bestRead returns the cheapest way to prefill q at one of the targets, and what
-// it was weighed at. next is the best seat for one prefilled apart, which is only
-// possible where apart says so; the caller holds p.mu.
-func (p *Placer) bestRead(targets []*fleet.Target, spec *fleet.EngineSpec, q *Prompt, tried Tried, next seat, apart bool, now time.Time) (Choice, weighed) {
-	link := p.linkWait(now) + p.linkTime(q)
+// reading is a prompt to be prefilled.
+type reading struct {
+	spec   *fleet.EngineSpec
+	prompt *Prompt
+	tried  Tried
+	now    time.Time
+	// next is the best seat for a prompt that is prefilled apart, which apart says
+	// is possible.
+	next  seat
+	apart bool
+}
+
+// bestRead returns the cheapest way to prefill at one of the targets, and what it
+// was weighed at; the caller holds p.mu.
+func (p *Placer) bestRead(targets []*fleet.Target, r reading) (Choice, weighed) {
+	q := r.prompt
+	link := p.linkWait(r.now) + p.linkTime(q)
 	var best Choice
 	var chosen weighed
 	for _, t := range targets {
-		if !p.usable(t, tried) || (t.Stage == fleet.Prefill && (!apart || q.Tokens < shortPrompt)) {
+		if !p.usable(t, r.tried) || (t.Stage == fleet.Prefill && (!r.apart || q.Tokens < shortPrompt)) {
 			continue
 		}
-		w, ok := p.weigh(t, spec, q, now)
+		w, ok := p.weigh(t, r.spec, q, r.now)
 		if !ok {
 			continue
 		}
 		if t.Stage == fleet.Prefill {
-			w.expected += next.wait + transferTime + p.linkTime(q)
-			w.price += next.price + transferTime + p.linkTime(q)
+			w.expected += r.next.wait + transferTime + p.linkTime(q)
+			w.price += r.next.price + transferTime + p.linkTime(q)
 		}
 		w.expected += link
 		if best.Target == nil || w.price < chosen.price {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -1,4 +1,4 @@
-// Package platform states what garnethoist needs of the platform: a
+// Package store states what garnethoist needs of the platform: a
 // transactional table, an object store, a VM list and a weight store. The
 // interfaces are narrow so that an adapter is one small package; platformtest
 // holds the contract tests that any adapter must pass.
