What binds is told by the lines: late first pieces and long pauses apart

Cause: a request that was late by a pause between events looked as one on time: its line had first_ms only. No policy is changed.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -46,6 +46,8 @@
 	status int
 	// first is when the first byte of the answer went to the caller.
 	first time.Time
+	// longestGap is the longest pause between two writes of a stream's events.
+	longestGap time.Duration
 	// lastEvent is the id of the last event of a stream that the caller has.
 	lastEvent string
 	// stop is what a stopping VM weighed when it took or refused the request.
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -70,5 +70,28 @@
 	if !x.first.IsZero() {
 		fields = append(fields, telemetry.F("first_ms", x.first.Sub(x.arrived).Milliseconds()))
 	}
+	if x.longestGap > 0 {
+		fields = append(fields, telemetry.F("gap_ms", x.longestGap.Milliseconds()))
+	}
+	if late := x.late(); late != "" {
+		fields = append(fields, telemetry.F("late", late))
+	}
 	return fields
 }
+
+// late says why the answer that has been given so far is not on time: its first byte
+// came after the route's objective, or a pause between its events was too long. It
+// is empty for one that is on time or has not begun.
+func (x *exchange) late() string {
+	if x.route == nil || x.first.IsZero() {
+		return ""
+	}
+	waited := x.g.waits.waited(x.route.Name, x.meta.Timeout) + x.first.Sub(x.arrived)
+	switch {
+	case x.route.Objective > 0 && waited > x.route.Objective:
+		return "first"
+	case x.route.MaxGap > 0 && x.longestGap > x.route.MaxGap:
+		return "pause"
+	}
+	return ""
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -27,6 +27,8 @@
 	relaying bool
 	// partial is an event that has not ended yet.
 	partial []byte
+	// wroteAt is when the caller was last written events.
+	wroteAt time.Time
 }
 
 // relay copies whole events to the caller as they arrive. An event that breaks
@@ -63,6 +65,7 @@
 	if id, ok := lastEventID(s.partial[:whole]); ok {
 		s.x.lastEvent = id
 	}
+	s.noteGap(time.Now())
 	if err := s.write(s.partial[:whole]); err != nil {
 		return err
 	}
@@ -73,6 +76,14 @@
 	return s.flush()
 }
 
+// noteGap takes in that events go to the caller now.
+func (s *stream) noteGap(now time.Time) {
+	if !s.wroteAt.IsZero() {
+		s.x.longestGap = max(s.x.longestGap, now.Sub(s.wroteAt))
+	}
+	s.wroteAt = now
+}
+
 // end completes the answer. Bytes behind the last event belong to the body.
 func (s *stream) end(resp *httpsend.Response) error {
 	s.head(resp)
