A profile of the engines is learned from the VM's own requests

Cause: placement reckoned with the first customers' engines (300 tokens a ms, steps of 0.6 ms); the new ones read 64 a ms and take 4.2 ms a step. Not told to other VMs: each sees enough itself.

--- /dev/null
+++ b/internal/profile/profile_test.go
@@ -0,0 +1,173 @@
+package profile_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"garnethoist.org/garnethoist/internal/profile"
+)
+
+// engine is an engine with figures of its own.
+type engine struct {
+	tokenMS, pairsMS, stepMS, eventTokens float64
+}
+
+// draw returns an engine with speeds drawn over a hundredfold range.
+func draw(r *rand.Rand) engine {
+	token := math.Pow(10, -3+2*r.Float64())
+	return engine{
+		tokenMS: token, pairsMS: token * 1e6 / (10e3 * math.Pow(10, 0.8*r.Float64())),
+		stepMS: math.Pow(10, -0.7+2*r.Float64()), eventTokens: float64(1 + r.IntN(80)),
+	}
+}
+
+func (e engine) read(tokens, cached int) float64 {
+	missing := float64(tokens - cached)
+	return missing*e.tokenMS + missing*float64(tokens+cached)/2/1e6*e.pairsMS
+}
+
+// serve has the engine serve one request, with the troubles that measured times have:
+// queues, other requests in the batch, stalls, engines that reset or are slow.
+func (e engine) serve(r *rand.Rand, p *profile.Profile) {
+	tokens := 100 + int(20000*math.Pow(r.Float64(), 2))
+	cached := int(float64(tokens) * r.Float64() * 0.9)
+	own := e.read(tokens, cached)
+	ahead := 0.0
+	if r.Float64() < 0.4 {
+		ahead = own * 2 * r.Float64()
+	}
+	took := own*(1+0.15*r.Float64()) + ahead*(0.5+0.5*r.Float64()) + 2*r.Float64()
+	took *= trouble(r)
+	p.ObserveRead(tokens, cached, ms(ahead), ms(took))
+	events := 1 + r.IntN(30)
+	span := float64(events-1) * e.eventTokens * e.stepMS * (1 + 0.1*r.Float64()) * trouble(r)
+	expected := float64(events) * e.eventTokens * math.Exp(0.5*r.NormFloat64())
+	p.ObserveStream(events, ms(span), int(expected+0.5))
+}
+
+// trouble is the factor by which one time in seven is spoiled.
+func trouble(r *rand.Rand) float64 {
+	if r.Float64() < 0.15 {
+		return 2 + 20*r.Float64()
+	}
+	return 1
+}
+
+func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+
+// Engines a hundred times apart are known after some tens of requests.
+func TestEnginesOfAnySpeedAreLearned(t *testing.T) {
+	bounds := map[int]float64{50: 0.30, 200: 0.25, 1000: 0.25}
+	for _, n := range []int{50, 200, 1000} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			var reads, steps []float64
+			for seed := range uint64(50) {
+				r := rand.New(rand.NewPCG(seed, 7))
+				e, p := draw(r), profile.New()
+				for range n {
+					e.serve(r, p)
+				}
+				reads = append(reads, readError(e, p))
+				steps = append(steps, math.Abs(inMS(p.TokenTime())/e.stepMS-1))
+			}
+			t.Logf("after %d requests: reading off by %s, steps by %s", n, spread(reads), spread(steps))
+			is.True(percentile(reads, 0.9) < bounds[n])
+			is.True(percentile(steps, 0.9) < 0.35)
+		})
+	}
+}
+
+// readError is the mean error of the reading time over prompts of three lengths.
+func readError(e engine, p *profile.Profile) float64 {
+	sum := 0.0
+	for _, q := range [][2]int{{1500, 300}, {9000, 6000}, {17000, 0}} {
+		sum += math.Abs(inMS(p.ReadTime(q[0], q[1]))/e.read(q[0], q[1])-1) / 3
+	}
+	return sum
+}
+
+func inMS(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func percentile(values []float64, share float64) float64 {
+	values = slices.Sorted(slices.Values(values))
+	return values[int(share*float64(len(values)-1))]
+}
+
+func spread(values []float64) string {
+	return fmt.Sprintf("%.3f (median) %.3f (p90) %.3f (most)", percentile(values, 0.5), percentile(values, 0.9), percentile(values, 1))
+}
+
+// A release of other engines is followed within the window.
+func TestNewEnginesReplaceTheOld(t *testing.T) {
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(3, 3))
+	slow, fast, p := engine{tokenMS: 0.02, pairsMS: 0.8, stepMS: 4, eventTokens: 9}, engine{tokenMS: 0.004, pairsMS: 0.1, stepMS: 1, eventTokens: 9}, profile.New()
+	for range 500 {
+		slow.serve(r, p)
+	}
+	is.True(readError(slow, p) < 0.25)
+	for range 300 {
+		fast.serve(r, p)
+	}
+	is.True(readError(fast, p) < 0.25)
+}
+
+// A first sample that a frozen engine spoiled does not last.
+func TestSpoiledFirstSamplesAreOvercome(t *testing.T) {
+	is := is.New(t)
+	p := profile.New()
+	p.ObserveRead(9000, 0, 0, 5*time.Second)
+	p.ObserveRead(9000, 0, 0, 5*time.Second)
+	for range 6 {
+		p.ObserveRead(9000, 0, 0, 40*time.Millisecond)
+	}
+	is.True(p.KnowsReading())
+	is.True(p.ReadTime(9000, 0) < 60*time.Millisecond)
+}
+
+// What tells nothing is not taken in.
+func TestSamplesWithoutSizeAreIgnored(t *testing.T) {
+	is := is.New(t)
+	p := profile.New()
+	before := p.ReadTime(1000, 0)
+	p.ObserveRead(1000, 1000, 0, time.Second)
+	p.ObserveRead(1000, 0, time.Second, time.Second)
+	p.ObserveStream(0, time.Second, 10)
+	is.Equal(p.ReadTime(1000, 0), before)
+}
+
+// In place the same prompt takes twice as long, and tells the same of the engine.
+func TestReadingInPlace(t *testing.T) {
+	is := is.New(t)
+	p := profile.New()
+	for range 20 {
+		p.ObserveInPlace(2000, 0, 0, 80*time.Millisecond)
+	}
+	off := inMS(p.ReadTime(2000, 0))/40 - 1
+	is.True(math.Abs(off) < 0.1)
+	is.Equal(p.InPlaceTime(2000, 0), 2*p.ReadTime(2000, 0))
+}
+
+// The time of a move grows with the prompt; runs and plain calls have their own.
+func TestHopsRunsAndPlainCalls(t *testing.T) {
+	is := is.New(t)
+	p := profile.New()
+	r := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		tokens := 1000 + r.IntN(20000)
+		p.ObserveHop(tokens, ms(7+0.0008*float64(tokens)))
+		p.ObserveRun(700 * time.Millisecond)
+		p.ObservePlain(30 * time.Millisecond)
+	}
+	is.True(math.Abs(inMS(p.HopTime(17000))/20.6-1) < 0.1)
+	is.True(math.Abs(inMS(p.HopTime(1000))/7.8-1) < 0.1)
+	is.True(math.Abs(inMS(p.RunTime())/700-1) < 0.05)
+	is.True(math.Abs(inMS(p.PlainTime())/30-1) < 0.05)
+}
