Learned engines, pauses kept, late requests wait for a lull

Streams took up to their deadline; so did most of what failed. Tests that changed: admission's table has the new verdicts, with more rows; placement tests teach the placer its engines first; decode tests have the new fields.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -57,6 +57,9 @@
 	Objective time.Duration
 	// MaxGap is the longest pause between two events of a stream on time.
 	MaxGap time.Duration
+	// Patience is the longest wait for a stream's next event, its first one too,
+	// after which callers leave; 0 is no such bound.
+	Patience time.Duration
 	// Priority is the route's rank; 0 is the most urgent.
 	Priority int
 	// MaxAttempts bounds the targets that one request may be sent to.
@@ -98,6 +101,11 @@
 	HandleTTL time.Duration
 	// SwitchTime is how long an engine is away when it changes its stage.
 	SwitchTime time.Duration
+	// MaxGap is the shortest pause between events that a route of the service
+	// allows, or 0: streams of all routes run side by side at an engine.
+	MaxGap time.Duration
+	// Objective is the shortest objective of a route of the service, or 0.
+	Objective time.Duration
 }
 
 // Service is one service of the configuration.
@@ -136,6 +144,7 @@
 	for _, s := range services {
 		c.Services[s.Name] = s
 	}
+	c.setAims(routes)
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		c.byHost[host] = append(c.byHost[host], r)
@@ -146,6 +155,27 @@
 	return c
 }
 
+// setAims sets the shortest pauses and objectives of the routes to each service's
+// engines.
+func (c *Config) setAims(routes []*Route) {
+	for _, r := range routes {
+		for _, share := range r.Shares {
+			if s := c.Services[share.Service]; s != nil && s.Engine != nil {
+				s.Engine.MaxGap = shorter(s.Engine.MaxGap, r.MaxGap)
+				s.Engine.Objective = shorter(s.Engine.Objective, r.Objective)
+			}
+		}
+	}
+}
+
+// shorter returns the shorter of two times, of which 0 is none.
+func shorter(a, b time.Duration) time.Duration {
+	if a <= 0 || (b > 0 && b < a) {
+		return b
+	}
+	return a
+}
+
 // Match returns the route of the host with the longest prefix of path, or nil.
 // A port after the host is ignored.
 func (c *Config) Match(host, path string) *Route {
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -9,17 +9,36 @@
 	"garnethoist.org/garnethoist/internal/place"
 )
 
-// admit refuses a request that would not be answered on time, at once, so that
-// those in hand are. One that has been sent somewhere goes on, and a route
+// admit decides on a choice. One that has been sent somewhere goes on, and a route
 // without an objective takes all.
-func (x *exchange) admit(c place.Choice) error {
+func (x *exchange) admit(c place.Choice) place.Verdict {
 	if x.arrivals > 0 || x.ran || x.route.Objective <= 0 {
-		return nil
+		return place.Go
 	}
-	waited := x.g.waits.waited(x.route.Name, x.meta.Timeout) + time.Since(x.arrived)
-	if place.Admits(c, x.route.Objective, waited) {
-		return nil
+	now := time.Now()
+	asked := place.Asked{
+		Objective: x.route.Objective,
+		Waited:    x.g.waits.waited(x.route.Name, x.meta.Timeout) + now.Sub(x.arrived),
+		Left:      x.deadline.Sub(now),
+		Held:      now.Sub(x.arrived),
+		Room:      x.roomAhead(),
 	}
+	if x.route.Patience > 0 {
+		asked.Patience = max(x.arrived.Add(x.route.Patience).Sub(now), 1)
+	}
+	return place.Judge(c, asked)
+}
+
+// roomAhead is how long all engines together would take for those that wait: as many
+// as here wait at each other VM.
+func (x *exchange) roomAhead() time.Duration {
+	here := x.g.room.ahead(x.service, x)
+	engines := max(len(x.view.Targets[x.service]), 1)
+	return here * time.Duration(x.g.group.Size()) / time.Duration(engines)
+}
+
+// refuseLate is the answer to a request that could not be served in time.
+func (x *exchange) refuseLate(c place.Choice) error {
 	x.note(c.Target, "full~"+strconv.FormatInt(c.Expected.Milliseconds(), 10), nil)
 	e := errkind.New(errkind.CannotFinish, "the engines are full; the answer would begin in %d ms", c.Expected.Milliseconds())
 	e.RetryAfter = x.comeBack()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -80,7 +80,6 @@
 	}
 	x.service = x.route.Pick(x.g.float())
 	if meta.Prompt != nil {
-		meta.Prompt.Limit = time.Until(x.deadline)
 		meta.Prompt.BodyBytes = int(max(x.r.ContentLength, 0))
 	}
 	if err := x.readBody(x.view.Config.Limits); err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,6 +117,7 @@
 	endingNow context.CancelFunc
 	inFlight  atomic.Int64
 	waits     waits
+	room      room
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -46,7 +46,7 @@
 			break
 		}
 	}
-	if errkind.Is(last, errkind.CannotFinish) && !x.ran {
+	if !x.ran && (errkind.Is(last, errkind.CannotFinish) || errkind.Is(last, errkind.Stopping)) {
 		return last
 	}
 	if s.relaying && x.g.ending.Err() != nil {
@@ -61,17 +61,8 @@
 // generateOnce asks one decode target, after a prefill elsewhere where that is
 // the better way. target is nil when there is none to ask.
 func (x *exchange) generateOnce(ctx context.Context, s *stream) (outcome, *fleet.Target, error) {
-	targets := x.view.Targets[x.service]
-	if !x.generates() {
-		// The configuration has changed meanwhile.
-		return refused, nil, errkind.New(errkind.NoTarget, "the service is not a model's any more")
-	}
-	choice, ok := x.g.placer.Read(targets, x.view.Config.Services[x.service].Engine, x.meta.Prompt, x.tried, time.Now())
-	if !ok {
-		return refused, nil, errkind.New(errkind.NoTarget, "no engine can take the request")
-	}
-	if err := x.admit(choice); err != nil {
-		choice.Ticket.End(place.Neutral, time.Now())
+	choice, err := x.choose(ctx)
+	if err != nil {
 		return refused, nil, err
 	}
 	x.g.placer.Commit(choice, x.meta.Prompt, time.Now())
@@ -86,7 +77,7 @@
 		return out, choice.Target, err
 	}
 	x.reload()
-	next, ok := x.g.placer.Decode(x.view.Targets[x.service], x.meta.Prompt, choice.Target.DataCentre, x.tried, time.Now())
+	next, ok := x.chooseDecode(choice)
 	if !ok {
 		x.free(choice.Target, handle)
 		return refused, nil, errkind.New(errkind.NoTarget, "no decode engine can take the request")
@@ -98,6 +89,55 @@
 	return out, next.Target, err
 }
 
+// spec returns what the configuration says of the service's engines, or nil where it
+// is no model's any more.
+func (x *exchange) spec() *fleet.EngineSpec {
+	if !x.generates() {
+		return nil
+	}
+	return x.view.Config.Services[x.service].Engine
+}
+
+// choose chooses where the prompt is prefilled, once the request may go.
+func (x *exchange) choose(ctx context.Context) (place.Choice, error) {
+	defer x.g.room.leave(x)
+	for {
+		spec := x.spec()
+		if spec == nil {
+			return place.Choice{}, errkind.New(errkind.NoTarget, "the service is not a model's any more")
+		}
+		c, ok := x.g.placer.Read(x.view.Targets[x.service], spec, x.meta.Prompt, x.tried, time.Now())
+		if !ok {
+			return c, errkind.New(errkind.NoTarget, "no engine can take the request")
+		}
+		verdict := x.admit(c)
+		if verdict == place.Go {
+			return c, nil
+		}
+		c.Ticket.End(place.Neutral, time.Now())
+		if verdict == place.Refuse {
+			return c, x.refuseLate(c)
+		}
+		x.waitForLull(ctx, c)
+		if !x.wanted(ctx) {
+			return c, ctx.Err()
+		}
+		if err := x.checkStop(); err != nil {
+			return c, err
+		}
+		x.reload()
+	}
+}
+
+// chooseDecode chooses where a prompt goes on that another target has read.
+func (x *exchange) chooseDecode(read place.Choice) (place.Choice, bool) {
+	spec := x.spec()
+	if spec == nil {
+		return place.Choice{}, false
+	}
+	return x.g.placer.Decode(x.view.Targets[x.service], spec, x.meta.Prompt, read.Target.DataCentre, x.tried, time.Now())
+}
+
 // describe formats a choice and the figures that it rests on for the log line:
 // the reckoned time to the first event in ms and the tokens held.
 func describe(c place.Choice, what string) string {
@@ -171,6 +211,7 @@
 	switch {
 	case err == nil:
 		x.note(c.Target, strconv.Itoa(resp.Status), nil)
+		c.Ticket.Stream(s.events, s.wroteAt.Sub(s.firstAt))
 		c.Ticket.End(place.Good, time.Now())
 		return answered, nil
 	case x.endedHere():
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -27,7 +27,10 @@
 	relaying bool
 	// partial is an event that has not ended yet.
 	partial []byte
-	// wroteAt is when the caller was last written events.
+	// events counts those of the present target, firstAt is when its first one came
+	// and wroteAt when the caller was last written events.
+	events  int
+	firstAt time.Time
 	wroteAt time.Time
 }
 
@@ -35,6 +38,7 @@
 // off is dropped: it comes again if the stream is resumed.
 func (s *stream) relay(resp *httpsend.Response) error {
 	s.partial = s.partial[:0]
+	s.events, s.firstAt = 0, time.Time{}
 	buf := make([]byte, streamBuffer)
 	for {
 		n, err := resp.Read(buf)
@@ -65,7 +69,7 @@
 	if id, ok := lastEventID(s.partial[:whole]); ok {
 		s.x.lastEvent = id
 	}
-	s.noteGap(time.Now())
+	s.noteEvents(countEvents(s.partial[:whole]), time.Now())
 	if err := s.write(s.partial[:whole]); err != nil {
 		return err
 	}
@@ -76,12 +80,16 @@
 	return s.flush()
 }
 
-// noteGap takes in that events go to the caller now.
-func (s *stream) noteGap(now time.Time) {
+// noteEvents takes in that n events go to the caller now.
+func (s *stream) noteEvents(n int, now time.Time) {
 	if !s.wroteAt.IsZero() {
 		s.x.longestGap = max(s.x.longestGap, now.Sub(s.wroteAt))
 	}
 	s.wroteAt = now
+	if s.events == 0 {
+		s.firstAt = now
+	}
+	s.events += n
 }
 
 // end completes the answer. Bytes behind the last event belong to the body.
@@ -136,6 +144,11 @@
 	return end
 }
 
+// countEvents returns how many complete events p holds.
+func countEvents(p []byte) int {
+	return bytes.Count(p, []byte("\n\n")) + bytes.Count(p, []byte("\r\n\r\n"))
+}
+
 // lastEventID returns the id of the last event in p that has one.
 func lastEventID(p []byte) (string, bool) {
 	i := len(p)
--- a/internal/model/jobs.go
+++ b/internal/model/jobs.go
@@ -69,6 +69,8 @@
 	from   *engine
 	handle *run
 	r      *run
+	// firstAt is when the VM had the first event.
+	firstAt time.Duration
 }
 
 func (x *decoding) make() *run {
@@ -118,9 +120,11 @@
 	}
 	w.after(w.hop(x.a.dc, e), func() {
 		if n == 1 {
+			x.firstAt = w.now
 			x.d.Ticket.First(epoch.Add(w.now))
 		}
 		if last {
+			x.d.Ticket.Stream(n, w.now-x.firstAt)
 			x.d.Ticket.End(place.Good, epoch.Add(w.now))
 		}
 		w.after(millis(w.site.Network.CallerMS), func() { w.deliver(x.a, last) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -170,9 +170,7 @@
 		return nil, g.Err
 	}
 	pc := place.DefaultConfig(cfg.DataCentre)
-	pc.PrefillRate = cfg.PrefillTokensPerMS
 	pc.LinkMbps = cfg.LinkMbps
-	pc.InPlaceRate = cfg.PrefillTokensPerMS / 2
 	controller := kernel.Need[*stages.Controller](g, ModuleStages)
 	placer := place.New(pc, group, func(t *fleet.Target) bool {
 		stage, ok := group.Changing(t.ID)
@@ -180,7 +178,8 @@
 	})
 	group.SetPlacer(placer)
 	group.SetOrders(controller)
-	controller.SetDemand(placer.MeanPrefill)
+	keeper := kernel.Need[*fleet.Keeper](g, ModuleKeeper)
+	controller.SetDemand(func(targets []*fleet.Target) stages.Demand { return demand(placer, keeper.View(), targets) })
 	controller.SetCandidate(func() bool { return !group.PassesOn() || group.Sentinel() })
 	controller.SetView(placer.Streams, func(engine string) bool {
 		_, changing := group.Changing(engine)
@@ -190,6 +189,23 @@
 	return placer, nil
 }
 
+// promptsWait is the part of the shortest objective of a service that prefills in hand
+// take on average where prompts are said to wait.
+const promptsWait = 0.1
+
+// demand returns what the engines of a service are asked for.
+func demand(p *place.Placer, v *fleet.View, targets []*fleet.Target) stages.Demand {
+	if v.Config == nil || len(targets) == 0 {
+		return stages.Demand{}
+	}
+	s := v.Config.Services[targets[0].Service]
+	if s == nil || s.Engine == nil {
+		return stages.Demand{}
+	}
+	reading, decoding := p.Demand(targets, s.Engine)
+	return stages.Demand{Reading: float64(reading) > promptsWait*float64(s.Engine.Objective), Decoding: decoding}
+}
+
 func provideStages(k *kernel.Kernel, cfg *settings.Node, a Adapter) (any, error) {
 	g := &kernel.Getter{Kernel: k}
 	sc := stages.Config{VM: cfg.VM, Share: cfg.PrefillShare, Gap: cfg.LeaseGap.D()}
--- a/internal/place/admit.go
+++ b/internal/place/admit.go
@@ -2,26 +2,76 @@
 
 import "time"
 
+// Verdict is what becomes of a request that has a choice.
+type Verdict int
+
+// The verdicts.
+const (
+	// Go: the request is sent.
+	Go Verdict = iota + 1
+	// Wait: its answer would be late, and it would make others late; it waits until
+	// an engine is nearly idle.
+	Wait
+	// Refuse: it could not be served in time at all.
+	Refuse
+)
+
 const (
-	// admitShare is the part of the time to a stream's first event that its
+	// onTimeShare is the part of the time to a stream's first event that its
 	// reckoned begin may take; the rest is for what the reckoning misses.
-	admitShare = 0.65
-	// waitShare is the part that the wait alone may take: below it a prompt that
-	// is too long for the objective is read all the same, late but whole.
-	waitShare = 0.3
-	// lateShare is the part of the objective by which late requests are admitted;
-	// 0.3 and 1 earned less on two of three days of high load.
-	lateShare = 0.6
+	onTimeShare = 0.9
+	// idleShare is the part of the objective that prompts ahead may take at an
+	// engine for a request to go that is late anyway: others come on time behind it.
+	idleShare = 0.3
+	// roomShare is the part of what is left of a request's time that those waiting
+	// before it may take all engines together: a part of them only is free.
+	roomShare = 0.25
+	// spareShare is how much longer than reckoned reading a prompt may take.
+	spareShare = 1.25
+	// holdShare is the part of the time to a first event for which a request waits at
+	// most; then its caller is told to come back, and has as much time again.
+	holdShare = 0.5
 )
 
-// Admits reports whether a request with an objective for its first event may go on
-// with a choice, waited after its caller's first try. What would come too late is
-// not read, so that what is in hand comes on time, unless only its own length makes
-// it late: it would be refused again later. Where the objective is over the answer
-// is late whatever is done, and yields to first tries: on a day of high load 75 in
-// 100 of them were on time, 67 before.
-func Admits(c Choice, objective, waited time.Duration) bool {
-	left := max(objective-waited, time.Duration(lateShare*float64(objective)))
-	return c.Expected <= time.Duration(admitShare*float64(left)) ||
-		c.Expected-c.Own <= time.Duration(waitShare*float64(left))
+// Asked is what an admission rests on.
+type Asked struct {
+	// Objective is the route's time to the first event, and Waited how long ago its
+	// caller first asked.
+	Objective time.Duration
+	Waited    time.Duration
+	// Left is what is left of the caller's time for the whole answer, and Patience
+	// for its first event; 0 is no bound.
+	Left     time.Duration
+	Patience time.Duration
+	// Held is how long the request has been in hand here.
+	Held time.Duration
+	// Room is the time that those who wait already will take the engines.
+	Room time.Duration
+}
+
+// left is how soon the answer must begin to be of use. How long it lasts is not
+// reckoned with: callers' estimates are often several times off.
+func (a Asked) left() time.Duration {
+	if a.Patience > 0 {
+		return min(a.Left, a.Patience)
+	}
+	return a.Left
+}
+
+// Judge decides whether a request may go on with a choice. In a burst prompts come
+// faster than the engines read them. Were all sent, all would be late until the
+// backlog is read; so what is on time goes first, and the rest waits for a lull, late
+// but whole, as long as there is time.
+func Judge(c Choice, a Asked) Verdict {
+	wait, left := c.Expected-c.Own, a.left()
+	switch {
+	case time.Duration(spareShare*float64(c.Own)) > left:
+		return Refuse
+	case a.Waited+c.Expected <= time.Duration(onTimeShare*float64(a.Objective)),
+		wait <= time.Duration(idleShare*float64(a.Objective)):
+		return Go
+	case a.Held > time.Duration(holdShare*float64(left+a.Held)), a.Room > time.Duration(roomShare*float64(left)):
+		return Refuse
+	}
+	return Wait
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"garnethoist.org/garnethoist/internal/fleet"
+	"garnethoist.org/garnethoist/internal/profile"
 )
 
 // Part is one part of a prompt that other prompts may share.
@@ -26,8 +27,6 @@
 	// Output is the expected and MaxOutput the largest answer, in tokens.
 	Output    int
 	MaxOutput int
-	// Limit is the time that the whole answer may take, or 0.
-	Limit time.Duration
 	// BodyBytes is what each send of the request puts on the VM's link.
 	BodyBytes int
 	// Parts is the prompt's parts in order. The last one is the request's own.
@@ -42,17 +41,6 @@
 	return p.Parts[:len(p.Parts)-1]
 }
 
-// longOutput is the answer's length in tokens from which a request counts as a
-// stream: it holds its slot for a good part of a second.
-const longOutput = 600
-
-func (p *Prompt) streams() int {
-	if p.Output >= longOutput {
-		return 1
-	}
-	return 0
-}
-
 // Work is what a target has in hand.
 type Work struct {
 	// Prefill is the time that its prefills in hand will take.
@@ -82,6 +70,15 @@
 	}
 }
 
+// ahead is the time that the prefills in hand keep one more waiting: the one that is
+// being read is half done on average.
+func (w Work) ahead() time.Duration {
+	if w.Prefills <= 0 {
+		return w.Prefill
+	}
+	return w.Prefill - w.Prefill/time.Duration(2*w.Prefills)
+}
+
 // state is what is known of one target.
 type state struct {
 	own   Work
@@ -94,8 +91,10 @@
 	// refusedAt; it falls with time, as a full target empties.
 	refusals  float64
 	refusedAt time.Time
-	// slowdown is how many times longer its work takes than reckoned.
+	// slowdown is how many times longer its work takes than the profile says, in its
+	// present stage.
 	slowdown float64
+	stage    fleet.Stage
 	// retryAt is when a target that could not be reached is tried again.
 	retryAt time.Time
 	// misses counts the sends in a row that found it unreachable.
@@ -118,8 +117,10 @@
 
 	mu     sync.Mutex
 	states map[string]*state
-	uses   []Use
-	random *rand.Rand
+	// profiles holds what is learned of each service's targets.
+	profiles map[string]*profile.Profile
+	uses     []Use
+	random   *rand.Rand
 	// linkFree is when this VM's link has sent what it was given.
 	linkFree time.Time
 }
@@ -131,7 +132,8 @@
 		seed = rand.Uint64()
 	}
 	return &Placer{
-		cfg: cfg, others: others, changing: changing, states: make(map[string]*state),
+		cfg: cfg, others: others, changing: changing,
+		states: make(map[string]*state), profiles: make(map[string]*profile.Profile),
 		random: rand.New(rand.NewPCG(seed, seed)),
 	}
 }
@@ -145,6 +147,25 @@
 	return s
 }
 
+// profile is what is learned of a service's targets; the caller holds p.mu.
+func (p *Placer) profile(service string) *profile.Profile {
+	f := p.profiles[service]
+	if f == nil {
+		f = profile.New()
+		p.profiles[service] = f
+	}
+	return f
+}
+
+// at returns the state of a target that is weighed now; the caller holds p.mu.
+func (p *Placer) at(t *fleet.Target) *state {
+	s := p.state(t.ID)
+	if s.stage != t.Stage {
+		s.stage, s.slowdown = t.Stage, 1
+	}
+	return s
+}
+
 // Forget drops what is known of targets that are not listed any more and have
 // nothing in hand.
 func (p *Placer) Forget(listed func(id string) bool) {
@@ -177,23 +198,24 @@
 	return p.total(id).Streams
 }
 
-// MeanPrefill is the mean time of the prefills in hand at the prefill targets
-// among those given.
-func (p *Placer) MeanPrefill(targets []*fleet.Target) time.Duration {
+// Demand is what the engines of a service are asked for: the mean time of the prefills
+// in hand at its prefill engines, and how many decode engines its runs fill.
+func (p *Placer) Demand(targets []*fleet.Target, spec *fleet.EngineSpec) (reading time.Duration, decoding float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var sum time.Duration
-	n := 0
+	prefill := 0
 	for _, t := range targets {
-		if t.Stage == fleet.Prefill && !t.Leaving {
-			sum += p.total(t.ID).Prefill
-			n++
+		load := p.total(t.ID)
+		if t.Stage != fleet.Prefill {
+			decoding += p.engines(targets, spec).filled(t, load)
+			continue
+		}
+		if !t.Leaving {
+			reading += load.Prefill
+			prefill++
 		}
 	}
-	if n == 0 {
-		return 0
-	}
-	return sum / time.Duration(n)
+	return reading / time.Duration(max(prefill, 1)), decoding
 }
 
 // scatter is a random price that keeps VMs which all know the same old numbers
--- a/internal/place/record.go
+++ b/internal/place/record.go
@@ -50,3 +50,21 @@
 	r.fade(now)
 	return min(r.failed/(r.sent+recordPrior), 1)
 }
+
+const (
+	// failurePrice is the price of a target all of whose answers fail.
+	failurePrice = time.Second
+	// refusalPrice is the price of a target that refuses all requests: less than
+	// that of one that fails, as a refused request has lost little.
+	refusalPrice = 300 * time.Millisecond
+)
+
+// unsound is the price of a target that fails, refuses or cannot be reached.
+func (p *Placer) unsound(s *state, now time.Time) time.Duration {
+	failing := max(s.failures, s.record.share(now))
+	price := time.Duration(failing*float64(failurePrice) + s.refusing(now)*float64(refusalPrice))
+	if !s.reachable(now) {
+		price += failurePrice
+	}
+	return price
+}
--- a/internal/place/ticket.go
+++ b/internal/place/ticket.go
@@ -1,19 +1,56 @@
 package place
 
-import "time"
+import (
+	"time"
+
+	"garnethoist.org/garnethoist/internal/fleet"
+	"garnethoist.org/garnethoist/internal/profile"
+)
+
+// way is how a request is served by a target.
+type way int
+
+const (
+	// readApart: the target reads the prompt for another one.
+	readApart way = iota + 1
+	// readInPlace: the target reads the prompt and runs the request.
+	readInPlace
+	// goOn: the target runs a request whose prompt was read elsewhere.
+	goOn
+	// plainCall: the target is no model engine.
+	plainCall
+)
 
 // Ticket is a request in hand at a target, until End.
 type Ticket struct {
-	placer *Placer
-	id     string
-	work   Work
-	// reckoned is how long the prefill should take with what is before it, at
-	// the speed of the settings.
-	reckoned time.Duration
-	began    time.Time
+	placer  *Placer
+	id      string
+	service string
+	work    Work
+	way     way
+	prompt  *Prompt
+	cached  int
+	// ahead is the prompts that were in hand before it, and rest what the target
+	// takes besides reading.
+	ahead time.Duration
+	rest  time.Duration
+	// waits says that the target's batch was full.
+	waits bool
+	began time.Time
+	// measured is set once the time to the first event, or to the handle, was taken
+	// in.
+	measured bool
 	ended    bool
 }
 
+// expect notes what the choice rests on.
+func (t *Ticket) expect(w weighed, q *Prompt) {
+	t.way, t.prompt, t.cached, t.ahead, t.rest = readApart, q, w.cached, w.ahead, w.rest
+	if w.work.Running > 0 {
+		t.way = readInPlace
+	}
+}
+
 // Result is how a request at a target ended, as far as the target's health is
 // concerned.
 type Result int
@@ -37,9 +74,11 @@
 	failureWeight  = 0.1
 	slowdownWeight = 0.1
 	refusalWeight  = 0.3
-	// Bounds of what one answer can do to the slowdown.
+	// Bounds of the slowdown, and of what one answer says against the present one: a
+	// single time tells as much of a stall or a queue that was not known.
 	minSlowdown = 0.5
 	maxSlowdown = 20.0
+	maxStep     = 2.0
 )
 
 // Waits before an unreachable target is tried again; they double.
@@ -50,10 +89,10 @@
 )
 
 // begin counts work at a target; the caller holds p.mu.
-func (p *Placer) begin(id string, w Work, reckoned time.Duration, now time.Time) *Ticket {
-	s := p.state(id)
+func (p *Placer) begin(t *fleet.Target, w Work, now time.Time) *Ticket {
+	s := p.state(t.ID)
 	s.own = s.own.Plus(w)
-	return &Ticket{placer: p, id: id, work: w, reckoned: reckoned, began: now}
+	return &Ticket{placer: p, id: t.ID, service: t.Service, work: w, began: now}
 }
 
 // End takes the request off the target's account and notes how it went.
@@ -72,7 +111,7 @@
 		s.misses = 0
 		s.failures -= failureWeight * s.failures
 		s.record.succeed()
-		t.measure(s, now)
+		t.measureEnd(s, now)
 	case Refused:
 		s.noteRefusal(now)
 	case Bad:
@@ -95,7 +134,7 @@
 
 // First notes that the target has begun to answer: the prefill is over.
 func (t *Ticket) First(now time.Time) {
-	if t == nil || t.ended || t.work.Prefill == 0 {
+	if t == nil || t.ended {
 		return
 	}
 	p := t.placer
@@ -105,18 +144,73 @@
 	over := Work{Prefill: t.work.Prefill, Prefills: t.work.Prefills}
 	s.own = s.own.Minus(over)
 	t.work = t.work.Minus(over)
-	t.measure(s, now)
+	t.measureFirst(s, now)
+}
+
+// Stream notes a whole answer: its events, and the time from its first to its last.
+func (t *Ticket) Stream(events int, span time.Duration) {
+	if t == nil || t.ended || t.prompt == nil || t.placer.cfg.Off.Profile {
+		return
+	}
+	p := t.placer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.profile(t.service).ObserveStream(events, span, t.prompt.Output)
+}
+
+// measureEnd takes in the time of a request that has ended well; the caller holds
+// p.mu.
+func (t *Ticket) measureEnd(s *state, now time.Time) {
+	if t.placer.cfg.Off.Profile {
+		return
+	}
+	took := now.Sub(t.began)
+	switch t.way {
+	case readApart:
+		t.measureFirst(s, now)
+	case plainCall:
+		t.placer.profile(t.service).ObservePlain(took)
+	case readInPlace, goOn:
+		t.placer.profile(t.service).ObserveRun(took)
+	}
 }
 
-// measure compares the time that the prefill took with the reckoned one, once.
-func (t *Ticket) measure(s *state, now time.Time) {
-	if t.reckoned < minReckoned {
+// measureFirst takes in the time that reading a prompt, or going on with it, took,
+// once; the caller holds p.mu.
+func (t *Ticket) measureFirst(s *state, now time.Time) {
+	if t.measured || t.prompt == nil {
+		return
+	}
+	t.measured = true
+	f, took := t.placer.profile(t.service), now.Sub(t.began)
+	t.measureSlowdown(f, s, took)
+	if t.placer.cfg.Off.Profile || t.waits {
+		return
+	}
+	switch t.way {
+	case readApart:
+		f.ObserveRead(t.prompt.Tokens, t.cached, t.ahead, took)
+	case readInPlace:
+		f.ObserveInPlace(t.prompt.Tokens, t.cached, t.ahead, took-f.HopTime(0))
+	case goOn:
+		f.ObserveHop(t.prompt.Tokens, took)
+	}
+}
+
+// measureSlowdown compares the time that reading took with the reckoned one, where
+// the profile is known; the caller holds p.mu.
+func (t *Ticket) measureSlowdown(f *profile.Profile, s *state, took time.Duration) {
+	reckoned := f.ReadTime(t.prompt.Tokens, t.cached)
+	if t.way == readInPlace {
+		reckoned = f.InPlaceTime(t.prompt.Tokens, t.cached)
+	}
+	reckoned += t.ahead
+	if t.way == goOn || reckoned < minReckoned || !f.KnowsReading() || t.placer.cfg.Off.Slowdown {
 		return
 	}
-	ratio := float64(now.Sub(t.began)) / float64(t.reckoned)
-	ratio = min(max(ratio, minSlowdown), maxSlowdown)
-	s.slowdown += slowdownWeight * (ratio - s.slowdown)
-	t.reckoned = 0
+	ratio := float64(took-t.rest) / float64(reckoned)
+	ratio = min(max(ratio, s.slowdown/maxStep), s.slowdown*maxStep)
+	s.slowdown = min(max(s.slowdown+slowdownWeight*(ratio-s.slowdown), minSlowdown), maxSlowdown)
 }
 
 // refusalDecay is how fast refusals are forgotten: a full engine has a free slot
--- /dev/null
+++ b/internal/place/weigh.go
@@ -0,0 +1,176 @@
+package place
+
+import (
+	"math"
+	"time"
+
+	"garnethoist.org/garnethoist/internal/fleet"
+	"garnethoist.org/garnethoist/internal/profile"
+)
+
+const (
+	// workPrice weighs the time that a prefill takes the target: it delays
+	// whoever comes next.
+	workPrice = 1.0
+	// cacheShare is the part of a target's free KV cache that parts are
+	// reckoned to be held in.
+	cacheShare = 0.9
+	// spareSlots of each decode target are kept for the short runs of prompts
+	// prefilled elsewhere.
+	spareSlots = 4
+	// batchShare is the price of joining a batch whose slots are all taken, as a
+	// part of the time that a run keeps its slot.
+	batchShare = 0.04
+	// pauseShare is the part of the pause left beside a stream's own steps that
+	// prompts read at its engine may take: those that others send there at the
+	// same moment are not known yet.
+	pauseShare = 0.5
+	// trifle is the part of that budget up to which a prompt is read anywhere.
+	trifle = 1.0 / 8
+	// secondSend is the part of the time of a second send that reading a prompt must
+	// take to be worth one: read in place it takes as long again.
+	secondSend = 0.5
+	// streamPrice weighs what a prompt read beside streams does to each of them, as
+	// a part of its reading time.
+	streamPrice = 0.05
+	// openShare is the price of the first stream at a target, as a part of the
+	// pause budget: other prompts can be read there less freely from then on.
+	openShare = 0.35
+)
+
+// engines is what the engines of one service are reckoned with.
+type engines struct {
+	*profile.Profile
+	spec *fleet.EngineSpec
+	off  Off
+}
+
+// engines returns the engines that targets are; the caller holds p.mu.
+func (p *Placer) engines(targets []*fleet.Target, spec *fleet.EngineSpec) engines {
+	service := ""
+	if len(targets) > 0 {
+		service = targets[0].Service
+	}
+	return engines{Profile: p.profile(service), spec: spec, off: p.cfg.Off}
+}
+
+// pauseBudget is the time that prompts may be read between two events of a stream.
+func (e engines) pauseBudget() time.Duration {
+	if e.spec.MaxGap <= 0 {
+		return math.MaxInt64
+	}
+	return time.Duration(pauseShare * float64(max(e.spec.MaxGap-e.EventPause(), 0)))
+}
+
+// streams counts an answer that lasts longer than the longest pause allowed: a
+// shorter one can hardly be cut in two by a prompt that is read beside it.
+func (e engines) streams(q *Prompt) int {
+	if e.spec.MaxGap > 0 && time.Duration(q.Output)*e.TokenTime() > e.spec.MaxGap {
+		return 1
+	}
+	return 0
+}
+
+// weighed is one way to prefill a prompt.
+type weighed struct {
+	work Work
+	// cached is the prompt's tokens that the target holds.
+	cached int
+	// ahead is the prompts that the target has in hand before this one.
+	ahead time.Duration
+	// expected is the time to the answer's begin, own the part of it that reading
+	// this prompt takes, and rest what the target takes besides reading.
+	expected time.Duration
+	own      time.Duration
+	rest     time.Duration
+	price    time.Duration
+}
+
+// weigh reckons what prefilling r's prompt at t takes. It returns false where t must
+// not read it; the caller holds p.mu.
+func (p *Placer) weigh(t *fleet.Target, r reading) (weighed, bool) {
+	s, load, e, q := p.at(t), p.total(t.ID), r.engines, r.prompt
+	w := weighed{work: Work{Prefills: 1, Tokens: q.Tokens}, ahead: load.ahead(), rest: e.WayTime()}
+	if !e.off.Cache {
+		w.cached = s.cache.held(q, cacheShare*float64(e.spec.KVTokens-load.Tokens))
+	}
+	var extra seat
+	if t.Stage == fleet.Prefill {
+		w.work.Prefill = e.ReadTime(q.Tokens, w.cached)
+		move := e.WayTime() + e.HopTime(q.Tokens) + p.linkTime(q)
+		if w.work.Prefill < time.Duration(secondSend*float64(move)) {
+			return weighed{}, false
+		}
+		extra = seat{wait: r.next.wait + move, price: r.next.price + move}
+	} else {
+		w.work.Prefill = e.InPlaceTime(q.Tokens, w.cached)
+		w.work.Running, w.work.Streams = 1, e.streams(q)
+		w.work.Tokens += q.Output / 2
+		if r.keepPauses && !e.fits(load, w.work.Prefill) {
+			return weighed{}, false
+		}
+		w.rest += e.HopTime(0)
+		extra = e.seat(load, openSlots(t))
+		extra.price += e.HopTime(0) + e.beside(load, w.work)
+	}
+	w.own = time.Duration(float64(w.work.Prefill) * s.slowdown)
+	reading := time.Duration(float64(w.ahead+w.work.Prefill) * s.slowdown)
+	w.expected = reading + w.rest + extra.wait + p.remote(t)
+	w.price = reading + time.Duration(workPrice*float64(w.work.Prefill)) + extra.price +
+		p.remote(t) + p.unsound(s, r.now) + p.scatter()
+	return w, true
+}
+
+// fits reports whether a prompt that takes so long may be read beside the streams of
+// a decode target: each chunk of it comes between two of their tokens.
+func (e engines) fits(load Work, prefill time.Duration) bool {
+	budget := e.pauseBudget()
+	return load.Streams == 0 || load.Prefill+prefill <= budget || prefill <= time.Duration(trifle*float64(budget))
+}
+
+// beside is the price that keeps streams and prompts read in place apart: streams
+// gather at few targets and prompts go to the others.
+func (e engines) beside(load, added Work) time.Duration {
+	budget := e.pauseBudget()
+	small := added.Prefill <= time.Duration(trifle*float64(budget))
+	var price time.Duration
+	if !small {
+		price += time.Duration(streamPrice * float64(load.Streams) * float64(added.Prefill))
+	}
+	if added.Streams == 0 && !small {
+		return price
+	}
+	price += load.Prefill
+	if load.Streams == 0 && e.spec.MaxGap > 0 {
+		price += time.Duration(openShare * float64(budget))
+	}
+	return price
+}
+
+// seat is what joining a decode target's batch costs.
+type seat struct {
+	wait  time.Duration
+	price time.Duration
+}
+
+// openSlots is how many requests may run at t.
+func openSlots(t *fleet.Target) int { return max(t.Slots-spareSlots, 1) }
+
+// filled is the part of a decode target that its runs fill, by slots and by memory.
+func (e engines) filled(t *fleet.Target, load Work) float64 {
+	slots := float64(load.Running) / float64(openSlots(t))
+	memory := float64(load.Tokens) / float64(max(e.spec.KVTokens, 1))
+	return max(slots, memory)
+}
+
+// seat reckons the seat of one more request where seats may run.
+func (e engines) seat(load Work, seats int) seat {
+	used := float64(load.Running) / float64(seats)
+	run := float64(e.RunTime())
+	s := seat{price: time.Duration(used * used * batchShare * run)}
+	if over := load.Running - seats; over >= 0 {
+		s.wait = time.Duration(float64(over+1) * run / float64(seats))
+		s.price += s.wait
+	}
+	return s
+}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -41,24 +41,21 @@
 	LogLinesPerS int64 `json:"log_lines_per_s"`
 	// PrefillShare is the share of a service's engines that prefill.
 	PrefillShare float64 `json:"prefill_share"`
-	// PrefillTokensPerMS is how fast a prefill engine reads a prompt.
-	PrefillTokensPerMS float64 `json:"prefill_tokens_per_ms"`
 }
 
 // DefaultNode returns the node's defaults.
 func DefaultNode() *Node {
 	return &Node{
-		Store:              Platform{Timeout: Duration(700 * time.Millisecond)},
-		MemoryMB:           256,
-		Grace:              Duration(8 * time.Second),
-		LeaseGap:           Duration(3 * time.Second),
-		ConfigBound:        Duration(2 * time.Second),
-		RetryRatio:         0.17,
-		RetryWindow:        Duration(10 * time.Second),
-		RetryBurst:         40,
-		LogLinesPerS:       400,
-		PrefillShare:       0.5,
-		PrefillTokensPerMS: 300,
+		Store:        Platform{Timeout: Duration(700 * time.Millisecond)},
+		MemoryMB:     256,
+		Grace:        Duration(8 * time.Second),
+		LeaseGap:     Duration(3 * time.Second),
+		ConfigBound:  Duration(2 * time.Second),
+		RetryRatio:   0.17,
+		RetryWindow:  Duration(10 * time.Second),
+		RetryBurst:   40,
+		LogLinesPerS: 400,
+		PrefillShare: 0.5,
 	}
 }
 
@@ -89,7 +86,4 @@
 	if s.PrefillShare < 0 || s.PrefillShare >= 1 {
 		r.add("prefill_share", "must be at least 0 and below 1")
 	}
-	if !(s.PrefillTokensPerMS > 0) {
-		r.add("prefill_tokens_per_ms", "must be above zero")
-	}
 }
--- a/internal/stages/controller.go
+++ b/internal/stages/controller.go
@@ -41,11 +41,15 @@
 	// unaskedPrefill is how many engines of a service prefill before there is any
 	// traffic; the sites of today and the grown ones want fewer.
 	unaskedPrefill = 32
-	// growBy is how many more may prefill at once where the prefill engines have
-	// more than demandAbove in hand on average: a good part of an objective of 200
-	// ms (users' sheets). An order shows seconds later, which paces the growth.
-	growBy      = 16
-	demandAbove = 20 * time.Millisecond
+	// growBy is how many more may prefill at once where prompts wait. An order shows
+	// seconds later, which paces the growth.
+	growBy = 16
+	// decodeUse is the part of a decode engine that runs may fill on average, so that
+	// a swing of the mix finds room: an engine takes seconds to change its stage.
+	decodeUse = 0.7
+	// peakSpan is for how long at least the most that decoding needed is kept. The mix
+	// swings within seconds, and a change that chases it comes too late.
+	peakSpan = 15 * time.Second
 	// maxChanges bounds the changes of one step: the store takes 100 entries in
 	// one transaction, the tenure's condition among them.
 	maxChanges = 90
@@ -116,9 +120,10 @@
 	load Load
 	// elsewhere says whether another VM changes an engine.
 	elsewhere func(engine string) bool
-	// demand is the mean time of the prefills in hand at a service's prefill
-	// engines.
-	demand func([]*fleet.Target) time.Duration
+	// demand is what a service's engines are asked for.
+	demand func([]*fleet.Target) Demand
+	// peaks holds the most that decoding needed of late, by service; mu guards it.
+	peaks map[string]*peak
 	// candidate says whether this VM may contend for the lease.
 	candidate func() bool
 
@@ -137,7 +142,7 @@
 		cfg: cfg, keeper: keeper, table: table, engines: engines, clock: clock, log: log,
 		lease: lease.New(lc, table, clock), open: make(map[string]*openOrder),
 		load: func(string) int { return 0 }, elsewhere: func(string) bool { return false },
-		candidate: func() bool { return true }, demand: func([]*fleet.Target) time.Duration { return 0 },
+		candidate: func() bool { return true }, demand: func([]*fleet.Target) Demand { return Demand{} }, peaks: make(map[string]*peak),
 	}
 }
 
@@ -147,8 +152,16 @@
 	c.load, c.elsewhere = load, elsewhere
 }
 
-// SetDemand sets where the prefills in hand are read; it is called before Start.
-func (c *Controller) SetDemand(demand func([]*fleet.Target) time.Duration) { c.demand = demand }
+// Demand is what a service's engines are asked for at a moment.
+type Demand struct {
+	// Reading says that prompts wait at the prefill engines.
+	Reading bool
+	// Decoding is how many decode engines the runs in hand fill.
+	Decoding float64
+}
+
+// SetDemand sets where the demand is read; it is called before Start.
+func (c *Controller) SetDemand(demand func([]*fleet.Target) Demand) { c.demand = demand }
 
 // SetCandidate sets what says whether this VM may contend for the lease: in a
 // large group a few are enough. It is called before Start.
@@ -234,15 +247,51 @@
 
 // want is how many of a service's engines are to prefill: their share, but in a
 // large fleet no more than prompts in hand ask for, as each order costs and takes
-// its engine away for seconds.
+// its engine away for seconds; and no more than decoding leaves.
 func (c *Controller) want(targets []*fleet.Target) int {
 	staying, prefill := count(targets)
 	share := int(math.Round(c.cfg.Share * float64(staying)))
 	bound := max(prefill, unaskedPrefill)
-	if c.demand(targets) > demandAbove {
+	d := c.demand(targets)
+	if d.Reading {
 		bound = max(bound, prefill+growBy)
 	}
-	return min(share, bound)
+	return min(share, bound, staying-c.decoding(targets, d.Decoding))
+}
+
+// decoding is how many engines of a service decode at least: those that its runs have
+// lately filled to decodeUse.
+func (c *Controller) decoding(targets []*fleet.Target, need float64) int {
+	if len(targets) == 0 {
+		return 0
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.peaks[targets[0].Service]
+	if p == nil {
+		p = &peak{}
+		c.peaks[targets[0].Service] = p
+	}
+	return int(math.Ceil(p.take(need, c.clock()) / decodeUse))
+}
+
+// peak is the most that was needed of late.
+type peak struct {
+	// now is the most of the present span, which began at since, and before that of
+	// the one before.
+	now    float64
+	before float64
+	since  time.Duration
+}
+
+// take takes in what is needed at a time, and returns the most of the last one to two
+// spans.
+func (p *peak) take(need float64, at time.Duration) float64 {
+	if at-p.since >= peakSpan {
+		p.now, p.before, p.since = 0, p.now, at
+	}
+	p.now = max(p.now, need)
+	return max(p.now, p.before)
 }
 
 // finishing reports whether rows of the journal can be removed.
--- a/internal/stages/plan.go
+++ b/internal/stages/plan.go
@@ -21,8 +21,8 @@
 
 // Plan returns the changes that bring the engines of a service to the number of
 // prefill engines wanted, dealt to the data centres by their size. Each data
-// centre with two engines or more keeps one of each stage, as it may be cut
-// off. Engines that leave are not counted; those with the fewest streams are
+// centre with two engines or more keeps one of each stage, and one with four or more
+// keeps two, as it may be cut off. Engines that leave are not counted; those with the fewest streams are
 // changed first.
 func Plan(targets []*fleet.Target, want int, load Load) []Change {
 	var out []Change
@@ -103,13 +103,25 @@
 	return out
 }
 
+// keepTwoFrom is the size of a data centre from which two engines of each stage stay:
+// one may be lost, or leave, without the data centre losing the stage.
+const keepTwoFrom = 4
+
+// kept is how many engines of each stage stay of a data centre's n.
+func kept(n int) int {
+	if n < keepTwoFrom {
+		return 1
+	}
+	return 2
+}
+
 // planGroup plans the engines of one data centre.
 func planGroup(group []*fleet.Target, want int, load Load) []Change {
 	n := len(group)
 	if n < 2 {
 		return nil
 	}
-	want = min(max(want, 1), n-1)
+	want = min(max(want, kept(n)), n-kept(n))
 	have := 0
 	for _, t := range group {
 		if t.Stage == fleet.Prefill {
