--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,8 @@
 	RetryBurst float64
 	// RetryWindow is the span that both are counted in.
 	RetryWindow time.Duration
+	// NoLull has requests that would be late refused instead of waiting for a lull.
+	NoLull bool
 }
 
 // Group says how many VMs share the targets.
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -115,7 +115,7 @@
 			return c, nil
 		}
 		c.Ticket.End(place.Neutral, time.Now())
-		if verdict == place.Refuse {
+		if verdict == place.Refuse || x.g.limits.Load().NoLull {
 			return c, x.refuseLate(c)
 		}
 		x.waitForLull(ctx, c)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -171,6 +171,11 @@
 	}
 	pc := place.DefaultConfig(cfg.DataCentre)
 	pc.LinkMbps = cfg.LinkMbps
+	pc.Off = place.Off{
+		Profile: cfg.IsOff(settings.MechanismProfile), Pauses: cfg.IsOff(settings.MechanismPauses),
+		Slowdown: cfg.IsOff(settings.MechanismSlowdown), Cache: cfg.IsOff(settings.MechanismCache),
+		Stay: cfg.IsOff(settings.MechanismStay),
+	}
 	controller := kernel.Need[*stages.Controller](g, ModuleStages)
 	placer := place.New(pc, group, func(t *fleet.Target) bool {
 		stage, ok := group.Changing(t.ID)
@@ -213,10 +218,18 @@
 	return c, g.Err
 }
 
+// gatewayLimits returns the gateway's part of the settings that may change while it
+// runs.
+func gatewayLimits(cfg *settings.Node) gateway.Limits {
+	return gateway.Limits{
+		Grace: cfg.Grace.D(), RetryRatio: cfg.RetryRatio, RetryBurst: cfg.RetryBurst, RetryWindow: cfg.RetryWindow.D(),
+		NoLull: cfg.IsOff(settings.MechanismLull),
+	}
+}
+
 func provideGateway(k *kernel.Kernel, cfg *settings.Node, a Adapter) (any, error) {
 	g := &kernel.Getter{Kernel: k}
 	group := kernel.Need[*peers.Peers](g, ModulePeers)
-	limits := gateway.Limits{Grace: cfg.Grace.D(), RetryRatio: cfg.RetryRatio, RetryBurst: cfg.RetryBurst, RetryWindow: cfg.RetryWindow.D()}
 	client := kernel.Need[*httpsend.Client](g, ModuleSender)
 	descriptors, err := gateway.Descriptors(cfg.FileDescriptors)
 	if err != nil {
@@ -227,7 +240,7 @@
 		Placer: kernel.Need[*place.Placer](g, ModulePlacer), Protocol: a.Protocol, Group: group,
 		Known: kernel.Need[*watch.Knowledge](g, ModuleKnown), Client: client,
 		Log: kernel.Need[*telemetry.Logger](g, ModuleLog), Stats: kernel.Need[*gateway.Stats](g, ModuleStats),
-	}, limits)
+	}, gatewayLimits(cfg))
 	if g.Err != nil {
 		return nil, g.Err
 	}
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -5,6 +5,8 @@
 	"context"
 	"os"
 	"os/signal"
+	"reflect"
+	"slices"
 	"syscall"
 	"time"
 
@@ -80,9 +82,7 @@
 		r.log.Warn(telemetry.EventReload, telemetry.F("refused", true), telemetry.F("cause", err))
 		return
 	}
-	r.gateway.SetLimits(gateway.Limits{
-		Grace: next.Grace.D(), RetryRatio: next.RetryRatio, RetryBurst: next.RetryBurst, RetryWindow: next.RetryWindow.D(),
-	})
+	r.gateway.SetLimits(gatewayLimits(next))
 	r.writer.SetRate(int(next.LogLinesPerS))
 	r.log.Info(telemetry.EventReload, telemetry.F("changed", true), telemetry.F("restart_needed", r.restartNeeded(next)))
 }
@@ -90,6 +90,20 @@
 // restartNeeded reports whether a setting changed that a running process keeps.
 func (r *reloader) restartNeeded(next *settings.Node) bool {
 	a, b := r.running, *next
+	lull := settings.MechanismLull
+	a.Off, b.Off = without(a.Off, lull), without(b.Off, lull)
 	a.Grace, a.RetryRatio, a.RetryBurst, a.RetryWindow, a.LogLinesPerS = b.Grace, b.RetryRatio, b.RetryBurst, b.RetryWindow, b.LogLinesPerS
-	return a != b
+	return !reflect.DeepEqual(a, b)
+}
+
+// without returns the names other than one, in order.
+func without(names []string, name string) []string {
+	var out []string
+	for _, n := range names {
+		if n != name {
+			out = append(out, n)
+		}
+	}
+	slices.Sort(out)
+	return out
 }
--- a/internal/place/config.go
+++ b/internal/place/config.go
@@ -26,6 +26,8 @@
 	Slowdown bool
 	// Cache takes no prompt for cached.
 	Cache bool
+	// Stay weighs a prefill's work no more than the time that its request waits.
+	Stay bool
 }
 
 // DefaultConfig returns the settings of a VM of a data centre.
--- a/internal/place/weigh.go
+++ b/internal/place/weigh.go
@@ -118,11 +118,19 @@
 	w.own = time.Duration(float64(w.work.Prefill) * s.slowdown)
 	reading := time.Duration(float64(w.ahead+w.work.Prefill) * s.slowdown)
 	w.expected = reading + w.rest + extra.wait + p.remote(t)
-	price := reading + time.Duration(workPrice*float64(w.work.Prefill)) + extra.price + p.remote(t)
+	price := reading + time.Duration(e.workPrice()*float64(w.work.Prefill)) + extra.price + p.remote(t)
 	w.price = time.Duration(float64(price)*s.tries(r.now)) + p.unsound(s, r.now) + p.scatter()
 	return w, true
 }
 
+// workPrice is the weight of a prefill's work.
+func (e engines) workPrice() float64 {
+	if e.off.Stay {
+		return 1
+	}
+	return workPrice
+}
+
 // fits reports whether a prompt that takes so long may be read beside the streams of
 // a decode target: each chunk of it comes between two of their tokens.
 func (e engines) fits(load Work, prefill time.Duration) bool {
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -1,6 +1,10 @@
 package settings
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 // Node is the settings of garnet-node.
 type Node struct {
@@ -39,8 +43,11 @@
 	RetryWindow Duration `json:"retry_window"`
 	// LogLinesPerS bounds the log; what is above is dropped and counted.
 	LogLinesPerS int64 `json:"log_lines_per_s"`
-	// PrefillShare is the share of a service's engines that prefill.
+	// PrefillShare is the most of a service's engines that prefill, as a share.
 	PrefillShare float64 `json:"prefill_share"`
+	// Off names the mechanisms of placement and admission that are switched off, to
+	// measure what they are worth: see Mechanisms.
+	Off []string `json:"off"`
 }
 
 // DefaultNode returns the node's defaults.
@@ -59,6 +66,28 @@
 	}
 }
 
+// The mechanisms that can be switched off.
+const (
+	// MechanismProfile learns what the engines take.
+	MechanismProfile = "profile"
+	// MechanismPauses keeps prompts away from streams that would wait too long.
+	MechanismPauses = "pauses"
+	// MechanismSlowdown tells engines of one service apart by their speed.
+	MechanismSlowdown = "slowdown"
+	// MechanismCache reckons what the engines hold.
+	MechanismCache = "cache"
+	// MechanismStay has sessions go back to their caches though others wait there.
+	MechanismStay = "stay"
+	// MechanismLull has late requests wait for a lull; without it they are refused.
+	MechanismLull = "lull"
+)
+
+// Mechanisms lists those that can be switched off.
+var Mechanisms = []string{MechanismProfile, MechanismPauses, MechanismSlowdown, MechanismCache, MechanismStay, MechanismLull}
+
+// IsOff reports whether a mechanism is switched off.
+func (s *Node) IsOff(mechanism string) bool { return slices.Contains(s.Off, mechanism) }
+
 func (s *Node) check(r *report) {
 	r.needString("vm", s.VM)
 	r.needString("data_centre", s.DataCentre)
@@ -83,6 +112,11 @@
 	if s.RetryBurst < 0 {
 		r.add("retry_burst", "must not be below zero")
 	}
+	for _, m := range s.Off {
+		if !slices.Contains(Mechanisms, m) {
+			r.add("off", "holds %q, want one of %s", m, strings.Join(Mechanisms, ", "))
+		}
+	}
 	if s.PrefillShare < 0 || s.PrefillShare >= 1 {
 		r.add("prefill_share", "must be at least 0 and below 1")
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"os"
 	"strings"
 	"testing"
 
@@ -100,3 +101,19 @@
 	is.NoErr(ReadFile("../../examples/garnet-standin.jsonc", DefaultStandin()))
 	is.NoErr(ReadFile("../../examples/garnet-node.jsonc", DefaultNode()))
 }
+
+// What is switched off has a name on the closed list.
+func TestMechanismsThatAreOff(t *testing.T) {
+	is := is.New(t)
+	text, err := os.ReadFile("../../examples/garnet-node.jsonc")
+	is.NoErr(err)
+	off := func(names string) (*Node, error) {
+		n := DefaultNode()
+		return n, Decode([]byte(strings.Replace(string(text), `"off": []`, `"off": `+names, 1)), n)
+	}
+	n, err := off(`["lull", "profile"]`)
+	is.NoErr(err)
+	is.True(n.IsOff(MechanismLull) && n.IsOff(MechanismProfile) && !n.IsOff(MechanismPauses))
+	_, err = off(`["lulls"]`)
+	is.True(err != nil && strings.Contains(err.Error(), `off: holds "lulls"`))
+}
