--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -46,6 +46,8 @@
 	status int
 	// first is when the first byte of the answer went to the caller.
 	first time.Time
+	// lull is how long the request has waited for a lull of the engines.
+	lull time.Duration
 	// longestGap is the longest pause between two writes of a stream's events.
 	longestGap time.Duration
 	// lastEvent is the id of the last event of a stream that the caller has.
@@ -80,6 +82,7 @@
 	}
 	x.service = x.route.Pick(x.g.float())
 	if meta.Prompt != nil {
+		meta.Prompt.Limit = time.Until(x.deadline)
 		meta.Prompt.BodyBytes = int(max(x.r.ContentLength, 0))
 	}
 	if err := x.readBody(x.view.Config.Limits); err != nil {
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -60,6 +60,8 @@
 // waitForLull waits until the engines may be looked at again.
 func (x *exchange) waitForLull(ctx context.Context, c place.Choice) {
 	x.g.room.enter(x, c.Own)
+	began := time.Now()
+	defer func() { x.lull += time.Since(began) }()
 	look := min(max((c.Expected-c.Own)/4, minLook), maxLook)
 	timer := time.NewTimer(time.Duration((0.5 + x.g.float()) * float64(look)))
 	defer timer.Stop()
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -176,6 +176,6 @@
 	p.noteUse(t.ID, q, q.Tokens, now)
 	p.occupyLink(q, now)
 	ticket := p.begin(t, Work{Running: 1, Streams: e.streams(q), Tokens: q.Tokens + q.Output/2}, now)
-	ticket.way, ticket.prompt, ticket.waits = goOn, q, s.wait > 0
+	ticket.way, ticket.prompt, ticket.waits, ticket.beside = goOn, q, s.wait > 0, p.total(t.ID).Running-1
 	return Choice{Target: t, Expected: s.wait, Ticket: ticket}, true
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -27,6 +27,8 @@
 	// Output is the expected and MaxOutput the largest answer, in tokens.
 	Output    int
 	MaxOutput int
+	// Limit is the time that the whole answer may take, or 0.
+	Limit time.Duration
 	// BodyBytes is what each send of the request puts on the VM's link.
 	BodyBytes int
 	// Parts is the prompt's parts in order. The last one is the request's own.
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -81,7 +81,7 @@
 
 func hint() *place.Prompt {
 	return &place.Prompt{
-		Tokens: 220, Output: 5000, MaxOutput: 12000,
+		Tokens: 220, Output: 5000, MaxOutput: 12000, Limit: 15 * time.Second,
 		Parts: []place.Part{{Hash: 7, Tokens: 100}, {Hash: 8, Tokens: 120}},
 	}
 }
@@ -170,6 +170,19 @@
 	is.True(c.Expected > 250*time.Millisecond) // the gateway refuses it
 }
 
+func TestLongAnswersLimitTheBatch(t *testing.T) {
+	is := is.New(t)
+	wide := engine("d1", fleet.Decode)
+	wide.Slots = 96
+	p := taught(t, place.DefaultConfig("a"), others{"d1": {Running: 70, Streams: 70}})
+	c, _ := p.Read([]*fleet.Target{wide}, spec, hint(), nil, time.Now())
+	is.True(c.Expected > 250*time.Millisecond)
+	patient := hint()
+	patient.Limit = time.Minute
+	c, _ = p.Read([]*fleet.Target{wide}, spec, patient, nil, time.Now())
+	is.True(c.Expected < 100*time.Millisecond)
+}
+
 func TestWhatLeavesOrChangesOrWasTriedIsNotChosen(t *testing.T) {
 	is := is.New(t)
 	leaving := engine("d1", fleet.Decode)
--- a/internal/place/ticket.go
+++ b/internal/place/ticket.go
@@ -35,9 +35,11 @@
 	// takes besides reading.
 	ahead time.Duration
 	rest  time.Duration
-	// waits says that the target's batch was full.
-	waits bool
-	began time.Time
+	// beside is the requests that the target ran when it was chosen, and waits says
+	// that its batch was full.
+	beside int
+	waits  bool
+	began  time.Time
 	// measured is set once the time to the first event, or to the handle, was taken
 	// in.
 	measured bool
@@ -46,7 +48,7 @@
 
 // expect notes what the choice rests on.
 func (t *Ticket) expect(w weighed, q *Prompt) {
-	t.way, t.prompt, t.cached, t.ahead, t.rest = readApart, q, w.cached, w.ahead, w.rest
+	t.way, t.prompt, t.cached, t.ahead, t.rest, t.beside = readApart, q, w.cached, w.ahead, w.rest, w.beside
 	if w.work.Running > 0 {
 		t.way = readInPlace
 	}
@@ -157,7 +159,7 @@
 	p := t.placer
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.profile(t.service).ObserveStream(events, span, t.prompt.Output)
+	p.profile(t.service).ObserveStream(events, span, t.prompt.Output, t.beside)
 }
 
 // measureEnd takes in the time of a request that has ended well; the caller holds
--- a/internal/place/weigh.go
+++ b/internal/place/weigh.go
@@ -23,6 +23,13 @@
 	// batchShare is the price of joining a batch whose slots are all taken, as a
 	// part of the time that a run keeps its slot.
 	batchShare = 0.04
+	// streamShare is the part of its time limit that the longest answer may take by
+	// reckoning.
+	streamShare = 0.8
+	// seatsShare is the part of the slots that are filled whatever is reckoned for the
+	// longest answer: few are that long, and steps are learned with what was read
+	// beside them.
+	seatsShare = 0.6
 	// pauseShare is the part of the pause left beside a stream's own steps that
 	// prompts read at its engine may take: those that others send there at the
 	// same moment are not known yet.
@@ -80,6 +87,8 @@
 	cached int
 	// ahead is the prompts that the target has in hand before this one.
 	ahead time.Duration
+	// beside is the requests that the target runs.
+	beside int
 	// expected is the time to the answer's begin, own the part of it that reading
 	// this prompt takes, and rest what the target takes besides reading.
 	expected time.Duration
@@ -92,7 +101,7 @@
 // not read it; the caller holds p.mu.
 func (p *Placer) weigh(t *fleet.Target, r reading) (weighed, bool) {
 	s, load, e, q := p.at(t), p.total(t.ID), r.engines, r.prompt
-	w := weighed{work: Work{Prefills: 1, Tokens: q.Tokens}, ahead: load.ahead(), rest: e.WayTime()}
+	w := weighed{work: Work{Prefills: 1, Tokens: q.Tokens}, ahead: load.ahead(), beside: load.Running, rest: e.WayTime()}
 	if !e.off.Cache {
 		w.cached = s.cache.held(q, cacheShare*float64(e.spec.KVTokens-load.Tokens))
 	}
@@ -112,7 +121,7 @@
 			return weighed{}, false
 		}
 		w.rest += e.HopTime(0)
-		extra = e.seat(load, openSlots(t))
+		extra = e.seat(load, e.seats(t, q))
 		extra.price += e.HopTime(0) + e.beside(load, w.work)
 	}
 	w.own = time.Duration(float64(w.work.Prefill) * s.slowdown)
@@ -166,6 +175,18 @@
 // openSlots is how many requests may run at t.
 func openSlots(t *fleet.Target) int { return max(t.Slots-spareSlots, 1) }
 
+// seats is how many requests may run at t for q to end in time: a fuller batch
+// makes each step longer.
+func (e engines) seats(t *fleet.Target, q *Prompt) int {
+	open := openSlots(t)
+	if e.streams(q) == 0 || q.Limit <= 0 {
+		return open
+	}
+	step := streamShare * float64(q.Limit) / float64(max(q.MaxOutput, 1))
+	bound := (step/float64(max(e.TokenTimeAlone(), 1)) - 1) / profile.StepGrowth
+	return max(int(min(bound, float64(open))), int(seatsShare*float64(open)), 1)
+}
+
 // filled is the part of a decode target that its runs fill, by slots and by memory.
 func (e engines) filled(t *fleet.Target, load Work) float64 {
 	slots := float64(load.Running) / float64(openSlots(t))
--- a/internal/profile/profile.go
+++ b/internal/profile/profile.go
@@ -50,12 +50,18 @@
 	known = 8
 )
 
+// StepGrowth is the part by which each running request makes a decode step longer, for
+// its context is read in each. Steps that are bound by the reading of weights grow
+// less, so that what is reckoned with it is on the safe side.
+const StepGrowth = 0.011
+
 // Profile is what is known of one service's targets. It is not safe for concurrent
 // use.
 type Profile struct {
 	read        *fit
 	hop         *fit
 	event       *fit
+	alone       *fit
 	eventTokens *fit
 	run         mean
 	plain       *fit
@@ -68,6 +74,7 @@
 	return &Profile{
 		read: read,
 		hop:  newFit(vector{priorHopMS, priorMoveMS}), event: newFit(vector{priorEventMS}),
+		alone:       newFit(vector{priorEventMS}),
 		eventTokens: newFit(vector{priorEventTokens}), run: mean{value: priorRunMS},
 		plain: newFit(vector{priorPlainMS}),
 	}
@@ -143,9 +150,14 @@
 	return millis(p.event.at(one) / p.EventTokens())
 }
 
+// TokenTimeAlone is the time of a decode step of a request that runs alone.
+func (p *Profile) TokenTimeAlone() time.Duration {
+	return millis(p.alone.at(one) / p.EventTokens())
+}
+
 // ObserveStream takes in a whole stream: its events, the time from its first to its
-// last one, and the tokens that its caller expected.
-func (p *Profile) ObserveStream(events int, span time.Duration, expected int) {
+// last one, the tokens that its caller expected, and the requests that ran beside it.
+func (p *Profile) ObserveStream(events int, span time.Duration, expected, beside int) {
 	if events <= 0 {
 		return
 	}
@@ -153,7 +165,9 @@
 		p.eventTokens.add(sample{x: one, y: float64(expected) / float64(events), noise: 1})
 	}
 	if events > 1 {
-		p.event.add(sample{x: one, y: inMillis(span) / float64(events-1), noise: 1})
+		pause := inMillis(span) / float64(events-1)
+		p.event.add(sample{x: one, y: pause, noise: 1})
+		p.alone.add(sample{x: one, y: pause / (1 + StepGrowth*float64(max(beside, 0))), noise: 1})
 	}
 }
 
--- a/internal/profile/profile_test.go
+++ b/internal/profile/profile_test.go
@@ -48,7 +48,7 @@
 	events := 1 + r.IntN(30)
 	span := float64(events-1) * e.eventTokens * e.stepMS * (1 + 0.1*r.Float64()) * trouble(r)
 	expected := float64(events) * e.eventTokens * math.Exp(0.5*r.NormFloat64())
-	p.ObserveStream(events, ms(span), int(expected+0.5))
+	p.ObserveStream(events, ms(span), int(expected+0.5), 0)
 }
 
 // trouble is the factor by which one time in seven is spoiled.
@@ -139,7 +139,7 @@
 	before := p.ReadTime(1000, 0)
 	p.ObserveRead(1000, 1000, 0, time.Second)
 	p.ObserveRead(1000, 0, time.Second, time.Second)
-	p.ObserveStream(0, time.Second, 10)
+	p.ObserveStream(0, time.Second, 10, 0)
 	is.Equal(p.ReadTime(1000, 0), before)
 }
 
