--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -419,3 +419,19 @@
 	b.Observe(uses, later)
 	is.Equal(choose(b, later).Target.ID, "failing")
 }
+
+// One long time, a stall or a queue that was not known, does not make a target slow.
+func TestOneLongTimeDoesNotSlowATarget(t *testing.T) {
+	is := is.New(t)
+	p := taught(t, place.DefaultConfig("a"), others{})
+	targets := []*fleet.Target{engine("p1", fleet.Prefill), engine("d", fleet.Decode)}
+	now := time.Now()
+	before, _ := p.Read(targets, spec, session(3), nil, now)
+	before.Ticket.End(place.Neutral, now)
+	for s := uint64(100); s < 102; s++ {
+		c, _ := p.Read(targets, spec, session(s), nil, now)
+		c.Ticket.End(place.Good, now.Add(20*c.Own))
+	}
+	after, _ := p.Read(targets, spec, session(4), nil, now)
+	is.True(float64(after.Own) < 1.2*float64(before.Own))
+}
