--- a/internal/place/admit.go
+++ b/internal/place/admit.go
@@ -17,11 +17,13 @@
 )
 
 const (
-	// waitShare is the part of the objective that a request may have waited when its
-	// prompt begins to be read; the rest is for reading it. Its own length does not
-	// count: a prompt that is too long for the objective would else be refused
-	// whenever engines are busy, 2 in 10 served where others had 8.
-	waitShare = 0.7
+	// onTimeShare is the part of the objective by which an answer is to begin; the rest
+	// is for what the reckoning misses.
+	onTimeShare = 0.9
+	// ownShare is the part of the objective up to which a prompt's own reading counts. A
+	// longer one is late by itself and would else be refused whenever engines are busy:
+	// of the longest tenth 2 in 10 were served where others had 8.
+	ownShare = 0.4
 	// idleShare is the part of the objective that prompts ahead may take at an
 	// engine for a request to go that is late anyway: others come on time behind it.
 	idleShare = 0.3
@@ -66,10 +68,11 @@
 // but whole, as long as there is time.
 func Judge(c Choice, a Asked) Verdict {
 	wait, left := c.Expected-c.Own, a.left()
+	own := min(c.Own, time.Duration(ownShare*float64(a.Objective)))
 	switch {
 	case time.Duration(spareShare*float64(c.Own)) > left:
 		return Refuse
-	case a.Waited+wait <= time.Duration(waitShare*float64(a.Objective)),
+	case a.Waited+wait+own <= time.Duration(onTimeShare*float64(a.Objective)),
 		wait <= time.Duration(idleShare*float64(a.Objective)):
 		return Go
 	case a.Held > time.Duration(holdShare*float64(left+a.Held)), a.Room > time.Duration(roomShare*float64(left)):
