--- a/internal/model/policy.go
+++ b/internal/model/policy.go
@@ -47,8 +47,8 @@
 	Changing(id string) bool
 }
 
-// shortPrompt is the length in tokens below which a prompt is read where it is
-// decoded, as in package place.
+// shortPrompt is the length in tokens below which these policies read a prompt where it
+// is decoded.
 const shortPrompt = 1024
 
 // simple is a policy that takes one engine by a rule and refuses nothing. It
