Names: deferral in place of lull and room; weighing apart and in place stand apart

No behaviour changes: verdicts are Send, Defer and Refuse, the log's key is deferred_ms, the switch is "deferral"; weigh is split by the way that a prompt is read.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -13,7 +13,7 @@
 // without an objective takes all.
 func (x *exchange) admit(c place.Choice) place.Verdict {
 	if x.arrivals > 0 || x.ran || x.route.Objective <= 0 {
-		return place.Go
+		return place.Send
 	}
 	now := time.Now()
 	asked := place.Asked{
@@ -21,7 +21,7 @@
 		Waited:    x.g.waits.waited(x.route.Name, x.meta.Timeout) + now.Sub(x.arrived),
 		Left:      x.deadline.Sub(now),
 		Held:      now.Sub(x.arrived),
-		Room:      x.roomAhead(),
+		Deferred:  x.deferredAhead(),
 	}
 	if x.route.Patience > 0 {
 		asked.Patience = max(x.arrived.Add(x.route.Patience).Sub(now), 1)
@@ -29,10 +29,10 @@
 	return place.Judge(c, asked)
 }
 
-// roomAhead is how long all engines together would take for those that wait: as many
-// as here wait at each other VM.
-func (x *exchange) roomAhead() time.Duration {
-	here := x.g.room.ahead(x.service, x)
+// deferredAhead is how long all engines together would take for what is deferred: as much
+// as here is at each other VM.
+func (x *exchange) deferredAhead() time.Duration {
+	here := x.g.deferred.ahead(x.service, x)
 	engines := max(len(x.view.Targets[x.service]), 1)
 	return here * time.Duration(x.g.group.Size()) / time.Duration(engines)
 }
--- a/internal/gateway/room.go
+++ b/internal/gateway/deferral.go
@@ -15,41 +15,41 @@
 	maxLook = 100 * time.Millisecond
 )
 
-// room holds the requests that wait at this VM for a lull of the engines.
-type room struct {
+// deferred holds the requests that wait at this VM until engines are nearly idle.
+type deferred struct {
 	mu      sync.Mutex
-	waiting map[*exchange]seated
+	waiting map[*exchange]deferral
 }
 
-// seated is one request that waits.
-type seated struct {
+// deferral is one request that waits.
+type deferral struct {
 	service string
 	own     time.Duration
 	since   time.Time
 }
 
 // enter notes that x waits, for reading that takes own.
-func (r *room) enter(x *exchange, own time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.waiting == nil {
-		r.waiting = make(map[*exchange]seated)
+func (d *deferred) enter(x *exchange, own time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.waiting == nil {
+		d.waiting = make(map[*exchange]deferral)
 	}
-	r.waiting[x] = seated{service: x.service, own: own, since: x.arrived}
+	d.waiting[x] = deferral{service: x.service, own: own, since: x.arrived}
 }
 
-func (r *room) leave(x *exchange) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.waiting, x)
+func (d *deferred) leave(x *exchange) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.waiting, x)
 }
 
 // ahead is the reading time of those of a service that came before x.
-func (r *room) ahead(service string, x *exchange) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+func (d *deferred) ahead(service string, x *exchange) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	var sum time.Duration
-	for other, s := range r.waiting {
+	for other, s := range d.waiting {
 		if other != x && s.service == service && s.since.Before(x.arrived) {
 			sum += s.own
 		}
@@ -57,11 +57,11 @@
 	return sum
 }
 
-// waitForLull waits until the engines may be looked at again.
-func (x *exchange) waitForLull(ctx context.Context, c place.Choice) {
-	x.g.room.enter(x, c.Own)
+// waitDeferred waits until the engines may be looked at again.
+func (x *exchange) waitDeferred(ctx context.Context, c place.Choice) {
+	x.g.deferred.enter(x, c.Own)
 	began := time.Now()
-	defer func() { x.lull += time.Since(began) }()
+	defer func() { x.deferredFor += time.Since(began) }()
 	look := min(max((c.Expected-c.Own)/4, minLook), maxLook)
 	timer := time.NewTimer(time.Duration((0.5 + x.g.float()) * float64(look)))
 	defer timer.Stop()
--- a/internal/gateway/room_test.go
+++ b/internal/gateway/deferral_test.go
@@ -39,8 +39,8 @@
 
 func (*backlog) Interval() time.Duration { return 0 }
 
-// waiter returns a request for an engine that others keep busy.
-func waiter(others place.Others) *exchange {
+// late returns a request for an engine that others keep busy.
+func late(others place.Others) *exchange {
 	k := fleet.NewKeeper()
 	k.SetConfig(fleet.NewConfig(1, nil, []*fleet.Service{{Name: "m", Engine: &fleet.EngineSpec{Slots: 8, KVTokens: 100000}}}, fleet.Limits{}))
 	target := &fleet.Target{ID: "d", Service: "m", Slots: 8, Stage: fleet.Decode}
@@ -61,24 +61,24 @@
 
 var full = place.Work{Prefill: time.Second, Prefills: 5}
 
-// What cannot be on time waits while the engines are full, and goes in the lull.
-func TestLateRequestGoesInTheLull(t *testing.T) {
+// What cannot be on time is deferred while the engines are full, and goes once they are idle.
+func TestLateRequestGoesOnceEnginesAreIdle(t *testing.T) {
 	is := is.New(t)
 	b := &backlog{work: full}
-	x := waiter(b)
+	x := late(b)
 	time.AfterFunc(300*time.Millisecond, func() { b.set(place.Work{}) })
 	c, err := x.choose(context.Background())
 	is.NoErr(err)
 	is.Equal(c.Target.ID, "d")
 	waited := time.Since(x.arrived)
 	is.True(waited >= 300*time.Millisecond && waited < 600*time.Millisecond)
-	is.Equal(x.g.room.ahead("m", &exchange{arrived: time.Now()}), time.Duration(0))
+	is.Equal(x.g.deferred.ahead("m", &exchange{arrived: time.Now()}), time.Duration(0))
 }
 
-// Where no lull comes, the caller is refused while it still has time to come back.
+// Where engines stay full, the caller is refused while it still has time to come back.
 func TestLateRequestIsRefusedInTime(t *testing.T) {
 	is := is.New(t)
-	x := waiter(&backlog{work: full})
+	x := late(&backlog{work: full})
 	_, err := x.choose(context.Background())
 	is.True(errkind.Is(err, errkind.CannotFinish))
 	is.True(errkind.From(err).RetryAfter > 0)
@@ -86,20 +86,20 @@
 	is.True(waited > 800*time.Millisecond && waited < 1300*time.Millisecond)
 }
 
-// No more wait than the engines can take on in time: the others are refused at once.
-func TestFullRoomRefusesAtOnce(t *testing.T) {
+// No more are deferred than the engines can take on in time: the others are refused at once.
+func TestTooManyDeferredRefuseAtOnce(t *testing.T) {
 	is := is.New(t)
-	x := waiter(&backlog{work: full})
-	x.g.room.enter(&exchange{service: "m", arrived: x.arrived.Add(-time.Second)}, time.Second)
+	x := late(&backlog{work: full})
+	x.g.deferred.enter(&exchange{service: "m", arrived: x.arrived.Add(-time.Second)}, time.Second)
 	_, err := x.choose(context.Background())
 	is.True(errkind.Is(err, errkind.CannotFinish))
 	is.True(time.Since(x.arrived) < 100*time.Millisecond)
 }
 
-// A caller that leaves while it waits is not sent anywhere.
-func TestWaitingCallerThatLeaves(t *testing.T) {
+// A caller that leaves while its request is deferred is not sent anywhere.
+func TestDeferredCallerThatLeaves(t *testing.T) {
 	is := is.New(t)
-	x := waiter(&backlog{work: full})
+	x := late(&backlog{work: full})
 	ctx, leave := context.WithCancel(context.Background())
 	time.AfterFunc(150*time.Millisecond, leave)
 	_, err := x.choose(ctx)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -46,8 +46,8 @@
 	status int
 	// first is when the first byte of the answer went to the caller.
 	first time.Time
-	// lull is how long the request has waited for a lull of the engines.
-	lull time.Duration
+	// deferredFor is how long the request has been deferred.
+	deferredFor time.Duration
 	// longestGap is the longest pause between two writes of a stream's events.
 	longestGap time.Duration
 	// lastEvent is the id of the last event of a stream that the caller has.
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -39,15 +39,15 @@
 		waited time.Duration
 		want   place.Verdict
 	}{
-		{"on time", ms(200), 0, ms(100), ms(20), 0, 0, place.Go},
-		{"too late", ms(200), 0, ms(260), ms(20), 0, 0, place.Wait},
-		{"long by itself", ms(200), 0, ms(380), ms(350), 0, 0, place.Go},
-		{"sent before", ms(200), 0, ms(380), ms(20), 1, 0, place.Go},
-		{"no objective", 0, 0, ms(900), ms(20), 0, 0, place.Go},
-		{"comes back in time, on time", ms(200), 0, ms(100), ms(20), 0, ms(40), place.Go},
-		{"comes back in time, too late", ms(200), 0, ms(160), ms(20), 0, ms(40), place.Wait},
-		{"comes back late, engines nearly idle", ms(200), 0, ms(70), ms(20), 0, ms(400), place.Go},
-		{"comes back late, would hold up first tries", ms(200), 0, ms(90), ms(20), 0, ms(400), place.Wait},
+		{"on time", ms(200), 0, ms(100), ms(20), 0, 0, place.Send},
+		{"too late", ms(200), 0, ms(260), ms(20), 0, 0, place.Defer},
+		{"long by itself", ms(200), 0, ms(380), ms(350), 0, 0, place.Send},
+		{"sent before", ms(200), 0, ms(380), ms(20), 1, 0, place.Send},
+		{"no objective", 0, 0, ms(900), ms(20), 0, 0, place.Send},
+		{"comes back in time, on time", ms(200), 0, ms(100), ms(20), 0, ms(40), place.Send},
+		{"comes back in time, too late", ms(200), 0, ms(160), ms(20), 0, ms(40), place.Defer},
+		{"comes back late, engines nearly idle", ms(200), 0, ms(70), ms(20), 0, ms(400), place.Send},
+		{"comes back late, would hold up first tries", ms(200), 0, ms(90), ms(20), 0, ms(400), place.Defer},
 		{"longer than its caller waits", ms(200), ms(800), ms(900), ms(890), 0, 0, place.Refuse},
 	}
 	for _, tc := range cases {
@@ -62,7 +62,7 @@
 			x.g.waits.waited("", 2*time.Second)
 			c := place.Choice{Target: &fleet.Target{ID: "i"}, Expected: tc.expected, Own: tc.own}
 			is.Equal(x.admit(c), tc.want)
-			if tc.want == place.Go {
+			if tc.want == place.Send {
 				return
 			}
 			err := x.refuseLate(c)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,8 +57,8 @@
 	RetryBurst float64
 	// RetryWindow is the span that both are counted in.
 	RetryWindow time.Duration
-	// NoLull has requests that would be late refused instead of waiting for a lull.
-	NoLull bool
+	// NoDeferral has requests that would be late refused instead of deferred.
+	NoDeferral bool
 }
 
 // Group says how many VMs share the targets.
@@ -119,7 +119,7 @@
 	endingNow context.CancelFunc
 	inFlight  atomic.Int64
 	waits     waits
-	room      room
+	deferred  deferred
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -100,7 +100,7 @@
 
 // choose chooses where the prompt is prefilled, once the request may go.
 func (x *exchange) choose(ctx context.Context) (place.Choice, error) {
-	defer x.g.room.leave(x)
+	defer x.g.deferred.leave(x)
 	for {
 		spec := x.spec()
 		if spec == nil {
@@ -111,14 +111,14 @@
 			return c, errkind.New(errkind.NoTarget, "no engine can take the request")
 		}
 		verdict := x.admit(c)
-		if verdict == place.Go {
+		if verdict == place.Send {
 			return c, nil
 		}
 		c.Ticket.End(place.Neutral, time.Now())
-		if verdict == place.Refuse || x.g.limits.Load().NoLull {
+		if verdict == place.Refuse || x.g.limits.Load().NoDeferral {
 			return c, x.refuseLate(c)
 		}
-		x.waitForLull(ctx, c)
+		x.waitDeferred(ctx, c)
 		if !x.wanted(ctx) {
 			return c, ctx.Err()
 		}
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -70,8 +70,8 @@
 	if !x.first.IsZero() {
 		fields = append(fields, telemetry.F("first_ms", x.first.Sub(x.arrived).Milliseconds()))
 	}
-	if x.lull > 0 {
-		fields = append(fields, telemetry.F("lull_ms", x.lull.Milliseconds()))
+	if x.deferredFor > 0 {
+		fields = append(fields, telemetry.F("deferred_ms", x.deferredFor.Milliseconds()))
 	}
 	if x.longestGap > 0 {
 		fields = append(fields, telemetry.F("gap_ms", x.longestGap.Milliseconds()))
--- a/internal/model/placed.go
+++ b/internal/model/placed.go
@@ -82,7 +82,7 @@
 	if !ok {
 		return Decision{}
 	}
-	verdict := place.Go
+	verdict := place.Send
 	if a.Sends == 0 {
 		verdict = p.admit.Admit(a, c, now)
 	}
@@ -90,15 +90,15 @@
 	case place.Refuse:
 		c.Ticket.End(place.Neutral, at)
 		return Decision{Refused: true, After: p.comeBack(a, now)}
-	case place.Wait:
+	case place.Defer:
 		c.Ticket.End(place.Neutral, at)
-		return Decision{Waits: true, After: lookAgain}
+		return Decision{Deferred: true, After: lookAgain}
 	}
 	placer.Commit(c, a.Prompt, at)
 	return Decision{Target: c.Target, InPlace: c.InPlace, Ticket: c.Ticket, Priority: p.admit.Priority(a)}
 }
 
-// lookAgain is the time between two looks of a request that waits for a lull.
+// lookAgain is the time between two looks of a deferred request.
 const lookAgain = 60 * time.Millisecond
 
 // Bounds of the wait that a refused caller is told, in aims, and the part of
@@ -151,7 +151,7 @@
 	}
 }
 
-// Today admits as the gateway does, but for the bound on those that wait.
+// Today admits as the gateway does, but for the bound on what is deferred.
 type Today struct{}
 
 // Admit implements Admission.
@@ -178,7 +178,7 @@
 	if c.Expected > millis(a.Class.AimMS)-(now-a.Request.At) {
 		return place.Refuse
 	}
-	return place.Go
+	return place.Send
 }
 
 // Over implements Admission.
@@ -234,7 +234,7 @@
 	}
 	s.inHand[a.Class] += need
 	s.work[a] = need
-	return place.Go
+	return place.Send
 }
 
 // Over implements Admission.
--- a/internal/model/policy.go
+++ b/internal/model/policy.go
@@ -16,11 +16,11 @@
 	InPlace bool
 	// Ticket is told how it went; it may be nil.
 	Ticket *place.Ticket
-	// Refused says that the caller is to come back After, and Waits that the VM looks
+	// Refused says that the caller is to come back After, and Deferred that the VM looks
 	// at the engines again then.
-	Refused bool
-	Waits   bool
-	After   time.Duration
+	Refused  bool
+	Deferred bool
+	After    time.Duration
 	// Priority is sent to the engine.
 	Priority int
 }
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -218,7 +218,7 @@
 		w.refuse(a, d.After)
 		return
 	}
-	if d.Waits {
+	if d.Deferred {
 		w.after(d.After, func() { w.place(a) })
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -223,7 +223,7 @@
 func gatewayLimits(cfg *settings.Node) gateway.Limits {
 	return gateway.Limits{
 		Grace: cfg.Grace.D(), RetryRatio: cfg.RetryRatio, RetryBurst: cfg.RetryBurst, RetryWindow: cfg.RetryWindow.D(),
-		NoLull: cfg.IsOff(settings.MechanismLull),
+		NoDeferral: cfg.IsOff(settings.MechanismDeferral),
 	}
 }
 
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -90,8 +90,8 @@
 // restartNeeded reports whether a setting changed that a running process keeps.
 func (r *reloader) restartNeeded(next *settings.Node) bool {
 	a, b := r.running, *next
-	lull := settings.MechanismLull
-	a.Off, b.Off = without(a.Off, lull), without(b.Off, lull)
+	deferral := settings.MechanismDeferral
+	a.Off, b.Off = without(a.Off, deferral), without(b.Off, deferral)
 	a.Grace, a.RetryRatio, a.RetryBurst, a.RetryWindow, a.LogLinesPerS = b.Grace, b.RetryRatio, b.RetryBurst, b.RetryWindow, b.LogLinesPerS
 	return !reflect.DeepEqual(a, b)
 }
--- a/internal/place/admit.go
+++ b/internal/place/admit.go
@@ -7,11 +7,11 @@
 
 // The verdicts.
 const (
-	// Go: the request is sent.
-	Go Verdict = iota + 1
-	// Wait: its answer would be late, and it would make others late; it waits until
-	// an engine is nearly idle.
-	Wait
+	// Send: the request is sent.
+	Send Verdict = iota + 1
+	// Defer: its answer would be late, and it would make others late; it waits at
+	// this VM until an engine is nearly idle.
+	Defer
 	// Refuse: it could not be served in time at all.
 	Refuse
 )
@@ -27,14 +27,14 @@
 	// idleShare is the part of the objective that prompts ahead may take at an
 	// engine for a request to go that is late anyway: others come on time behind it.
 	idleShare = 0.3
-	// roomShare is the part of what is left of a request's time that those waiting
+	// deferredShare is the part of what is left of a request's time that those deferred
 	// before it may take all engines together: a part of them only is free.
-	roomShare = 0.25
+	deferredShare = 0.25
 	// spareShare is how much longer than reckoned reading a prompt may take.
 	spareShare = 1.25
-	// holdShare is the part of the time to a first event for which a request waits at
-	// most; then its caller is told to come back, and has as much time again.
-	holdShare = 0.5
+	// deferShare is the part of the time to a first event for which a request is
+	// deferred at most; then its caller is told to come back, and has as much time again.
+	deferShare = 0.5
 )
 
 // Asked is what an admission rests on.
@@ -49,8 +49,8 @@
 	Patience time.Duration
 	// Held is how long the request has been in hand here.
 	Held time.Duration
-	// Room is the time that those who wait already will take the engines.
-	Room time.Duration
+	// Deferred is the time that requests deferred before will take the engines.
+	Deferred time.Duration
 }
 
 // left is how soon the answer must begin to be of use. How long it lasts is not
@@ -64,8 +64,8 @@
 
 // Judge decides whether a request may go on with a choice. In a burst prompts come
 // faster than the engines read them. Were all sent, all would be late until the
-// backlog is read; so what is on time goes first, and the rest waits for a lull, late
-// but whole, as long as there is time.
+// backlog is read; so what is on time goes first, and the rest is deferred until engines are
+// nearly idle, late but whole, as long as there is time.
 func Judge(c Choice, a Asked) Verdict {
 	wait, left := c.Expected-c.Own, a.left()
 	own := min(c.Own, time.Duration(ownShare*float64(a.Objective)))
@@ -74,9 +74,9 @@
 		return Refuse
 	case a.Waited+wait+own <= time.Duration(onTimeShare*float64(a.Objective)),
 		wait <= time.Duration(idleShare*float64(a.Objective)):
-		return Go
-	case a.Held > time.Duration(holdShare*float64(left+a.Held)), a.Room > time.Duration(roomShare*float64(left)):
+		return Send
+	case a.Held > time.Duration(deferShare*float64(left+a.Held)), a.Deferred > time.Duration(deferredShare*float64(left)):
 		return Refuse
 	}
-	return Wait
+	return Defer
 }
--- a/internal/place/weigh.go
+++ b/internal/place/weigh.go
@@ -106,23 +106,14 @@
 		w.cached = s.cache.held(q, cacheShare*float64(e.spec.KVTokens-load.Tokens))
 	}
 	var extra seat
+	var ok bool
 	if t.Stage == fleet.Prefill {
-		w.work.Prefill = e.ReadTime(q.Tokens, w.cached)
-		move := e.WayTime() + e.HopTime(q.Tokens) + p.linkTime(q)
-		if w.work.Prefill < time.Duration(secondSend*float64(move)) {
-			return weighed{}, false
-		}
-		extra = seat{wait: r.next.wait + move, price: r.next.price + move}
+		extra, ok = p.weighApart(&w, r)
 	} else {
-		w.work.Prefill = e.InPlaceTime(q.Tokens, w.cached)
-		w.work.Running, w.work.Streams = 1, e.streams(q)
-		w.work.Tokens += q.Output / 2
-		if r.keepPauses && !e.fits(load, w.work.Prefill) {
-			return weighed{}, false
-		}
-		w.rest += e.HopTime(0)
-		extra = e.seat(load, e.seats(t, q))
-		extra.price += e.HopTime(0) + e.beside(load, w.work)
+		extra, ok = w.inPlace(t, load, r)
+	}
+	if !ok {
+		return weighed{}, false
 	}
 	w.own = time.Duration(float64(w.work.Prefill) * s.slowdown)
 	reading := time.Duration(float64(w.ahead+w.work.Prefill) * s.slowdown)
@@ -132,6 +123,34 @@
 	return w, true
 }
 
+// weighApart reckons reading a prompt at a prefill engine, and what going on elsewhere
+// costs. It returns false where a second send takes more than it brings.
+func (p *Placer) weighApart(w *weighed, r reading) (seat, bool) {
+	e, q := r.engines, r.prompt
+	w.work.Prefill = e.ReadTime(q.Tokens, w.cached)
+	move := e.WayTime() + e.HopTime(q.Tokens) + p.linkTime(q)
+	if w.work.Prefill < time.Duration(secondSend*float64(move)) {
+		return seat{}, false
+	}
+	return seat{wait: r.next.wait + move, price: r.next.price + move}, true
+}
+
+// inPlace reckons reading a prompt at the decode engine that then runs it. It returns
+// false where streams there would wait too long.
+func (w *weighed) inPlace(t *fleet.Target, load Work, r reading) (seat, bool) {
+	e, q := r.engines, r.prompt
+	w.work.Prefill = e.InPlaceTime(q.Tokens, w.cached)
+	w.work.Running, w.work.Streams = 1, e.streams(q)
+	w.work.Tokens += q.Output / 2
+	if r.keepPauses && !e.fits(load, w.work.Prefill) {
+		return seat{}, false
+	}
+	w.rest += e.HopTime(0)
+	extra := e.seat(load, e.seats(t, q))
+	extra.price += e.HopTime(0) + e.beside(load, w.work)
+	return extra, true
+}
+
 // workPrice is the weight of a prefill's work.
 func (e engines) workPrice() float64 {
 	if e.off.Stay {
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -78,12 +78,12 @@
 	MechanismCache = "cache"
 	// MechanismStay has sessions go back to their caches though others wait there.
 	MechanismStay = "stay"
-	// MechanismLull has late requests wait for a lull; without it they are refused.
-	MechanismLull = "lull"
+	// MechanismDeferral defers late requests; without it they are refused.
+	MechanismDeferral = "deferral"
 )
 
 // Mechanisms lists those that can be switched off.
-var Mechanisms = []string{MechanismProfile, MechanismPauses, MechanismSlowdown, MechanismCache, MechanismStay, MechanismLull}
+var Mechanisms = []string{MechanismProfile, MechanismPauses, MechanismSlowdown, MechanismCache, MechanismStay, MechanismDeferral}
 
 // IsOff reports whether a mechanism is switched off.
 func (s *Node) IsOff(mechanism string) bool { return slices.Contains(s.Off, mechanism) }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -111,9 +111,9 @@
 		n := DefaultNode()
 		return n, Decode([]byte(strings.Replace(string(text), `"off": []`, `"off": `+names, 1)), n)
 	}
-	n, err := off(`["lull", "profile"]`)
+	n, err := off(`["deferral", "profile"]`)
 	is.NoErr(err)
-	is.True(n.IsOff(MechanismLull) && n.IsOff(MechanismProfile) && !n.IsOff(MechanismPauses))
-	_, err = off(`["lulls"]`)
-	is.True(err != nil && strings.Contains(err.Error(), `off: holds "lulls"`))
+	is.True(n.IsOff(MechanismDeferral) && n.IsOff(MechanismProfile) && !n.IsOff(MechanismPauses))
+	_, err = off(`["deferrals"]`)
+	is.True(err != nil && strings.Contains(err.Error(), `off: holds "deferrals"`))
 }
