--- a/internal/place/weigh.go
+++ b/internal/place/weigh.go
@@ -30,10 +30,6 @@
 	// longest answer: few are that long, and steps are learned with what was read
 	// beside them.
 	seatsShare = 0.6
-	// pauseShare is the part of the pause left beside a stream's own steps that
-	// prompts read at its engine may take: those that others send there at the
-	// same moment are not known yet.
-	pauseShare = 0.5
 	// trifle is the part of that budget up to which a prompt is read anywhere.
 	trifle = 1.0 / 8
 	// secondSend is the part of the time of a second send that reading a prompt must
@@ -63,12 +59,14 @@
 	return engines{Profile: p.profile(service), spec: spec, off: p.cfg.Off}
 }
 
-// pauseBudget is the time that prompts may be read between two events of a stream.
+// pauseBudget is the time that prompts may be read between two events of a stream: all
+// that the shortest pause allowed leaves beside a stream's own steps. Half of it left
+// decode engines idle: 0.02 less of what was owed was earned, the mean of six days.
 func (e engines) pauseBudget() time.Duration {
 	if e.spec.MaxGap <= 0 {
 		return math.MaxInt64
 	}
-	return time.Duration(pauseShare * float64(max(e.spec.MaxGap-e.EventPause(), 0)))
+	return max(e.spec.MaxGap-e.EventPause(), 0)
 }
 
 // streams counts an answer that lasts longer than the longest pause allowed: a
