--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -41,6 +41,7 @@
 	EventStewardJoined    Event = "steward_joined"
 	EventGossipFailed     Event = "gossip_failed"
 	EventStoreLost        Event = "store_lost"
+	EventStoreCall        Event = "store_call"
 	EventStoreCallFailed  Event = "store_call_failed"
 	EventStoreRegained    Event = "store_regained"
 	EventHistoryGone      Event = "store_history_gone"
