Targets that start again under their id; entries of other programs name no target

Cause: a target's id named one run of it, so a start under the same id would have kept the caches, work, failures, slowdown, connections and open orders of the run before. And an entry with fields missing or of another type was taken for a target, or kept the one before it in force. Change: all soft state, connections, orders and uses are kept by the run (id and born). An entry with an earlier start than the known one is ignored. A view is usable only with a target of a configured service.

--- a/Makefile
+++ b/Makefile
@@ -48,3 +48,4 @@
 	go test -run '^$$' -fuzz FuzzEventID -fuzztime $(FUZZTIME) ./internal/relay
 	go test -run '^$$' -fuzz FuzzEventReader -fuzztime $(FUZZTIME) ./internal/relay
 	go test -run '^$$' -fuzz FuzzVMList -fuzztime $(FUZZTIME) ./internal/gossip
+	go test -run '^$$' -fuzz FuzzDecodeTarget -fuzztime $(FUZZTIME) ./platform
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,6 +5,7 @@
 
 import (
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -199,8 +200,13 @@
 
 // Target is one entry of the list of targets.
 type Target struct {
-	// ID names one run of the target; a restart has a new one.
-	ID         string
+	// ID names the target. One that starts again may keep it.
+	ID string
+	// Born is when the target started, in its own word: Unix milliseconds, or 0 where it
+	// does not say.
+	Born int64
+	// Run names the target's present run, see RunID; empty is ID.
+	Run        string
 	Service    string
 	Address    string
 	DataCentre string
@@ -210,6 +216,27 @@
 	Stage   Stage
 }
 
+// runIDBase is the base in which a start is written in a run's id.
+const runIDBase = 36
+
+// RunID names one run of the target, from its start to its end. What is known of a run
+// says nothing of the next one under the same id, which holds no cache, no work and no
+// handle: all state of a target is kept by it.
+func (t *Target) RunID() string {
+	if t.Run == "" {
+		return t.ID
+	}
+	return t.Run
+}
+
+// RunID returns the name of the run of target id that was born then.
+func RunID(id string, born int64) string {
+	if born == 0 {
+		return id
+	}
+	return id + "." + strconv.FormatInt(born, runIDBase)
+}
+
 // View is the state that a request is decided on.
 type View struct {
 	// Config is nil until the first configuration has been read.
@@ -220,8 +247,19 @@
 	TargetsRevision uint64
 }
 
-// Usable reports whether requests can be served on the view.
-func (v *View) Usable() bool { return v.Config != nil && len(v.Targets) > 0 }
+// Usable reports whether requests can be served on the view: a service of the
+// configuration has a target.
+func (v *View) Usable() bool {
+	if v.Config == nil {
+		return false
+	}
+	for service := range v.Targets {
+		if v.Config.Services[service] != nil {
+			return true
+		}
+	}
+	return false
+}
 
 // Has reports whether target t is listed in v and not leaving.
 func (v *View) Has(t *Target) bool {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -75,3 +75,15 @@
 	k.ApplyTargets([]fleet.TargetChange{{ID: a.ID, Target: a}}, 1)
 	is.True(!k.View().Has(a))
 }
+
+// Targets of services that the configuration does not name, as an entry of another
+// program may state, serve nobody.
+func TestViewIsUsableWithATargetOfItsServices(t *testing.T) {
+	is := is.New(t)
+	k := fleet.NewKeeper()
+	k.SetConfig(fleet.NewConfig(1, nil, []*fleet.Service{{Name: "s"}}, fleet.Limits{}))
+	k.ApplyTargets([]fleet.TargetChange{{ID: "x", Target: &fleet.Target{ID: "x", Service: "unknown"}}}, 1)
+	is.True(!k.View().Usable())
+	k.ApplyTargets([]fleet.TargetChange{{ID: "a", Target: &fleet.Target{ID: "a", Service: "s"}}}, 2)
+	is.True(k.View().Usable())
+}
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -64,6 +64,13 @@
 	k.publishTargets(revision)
 }
 
+// Target returns a target that is known, or nil.
+func (k *Keeper) Target(id string) *Target {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.targets[id]
+}
+
 // Listed returns the ids of all targets known.
 func (k *Keeper) Listed() []string {
 	k.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -203,7 +203,7 @@
 	listed := make(map[string]bool)
 	for _, ts := range v.Targets {
 		for _, t := range ts {
-			listed[t.ID] = true
+			listed[t.RunID()] = true
 		}
 	}
 	has := func(id string) bool { return listed[id] }
@@ -296,7 +296,7 @@
 
 // destination bounds a target's connections to this VM's share.
 func (g *Gateway) destination(v *fleet.View, t *fleet.Target, fresh bool) httpsend.Destination {
-	d := httpsend.Destination{ID: t.ID, Address: t.Address, Fresh: fresh}
+	d := httpsend.Destination{ID: t.RunID(), Address: t.Address, Fresh: fresh}
 	if s := v.Config.Services[t.Service]; s != nil && s.MaxConns > 0 {
 		d.MaxConns = max(s.MaxConns/(g.group.Size()+spareVMs), 1)
 	}
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -84,7 +84,7 @@
 	}
 	out, err = x.decode(ctx, s, next, &prefilled{target: choice.Target, handle: handle})
 	if out == refused {
-		x.g.placer.Blame(choice.Target.ID, time.Now())
+		x.g.placer.Blame(choice.Target.RunID(), time.Now())
 	}
 	return out, next.Target, err
 }
--- a/internal/gateway/ready_test.go
+++ b/internal/gateway/ready_test.go
@@ -36,7 +36,7 @@
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	keeper := fleet.NewKeeper()
-	is.True(keeper.SetConfig(fleet.NewConfig(1, nil, nil, fleet.Limits{})))
+	is.True(keeper.SetConfig(fleet.NewConfig(1, nil, []*fleet.Service{{Name: "s"}}, fleet.Limits{})))
 	keeper.ApplyTargets([]fleet.TargetChange{{ID: "i-a", Target: &fleet.Target{ID: "i-a", Service: "s"}}}, 1)
 	is.True(keeper.View().Usable())
 	log := telemetry.NewLogger(&bytes.Buffer{}, "test", "vm-1")
--- a/internal/place/cache.go
+++ b/internal/place/cache.go
@@ -59,6 +59,7 @@
 
 // Use is one request that a target was given, or one that it failed.
 type Use struct {
+	// Target is the run of the target.
 	Target string
 	// Parts is the hashes of the prompt's parts that other prompts may share.
 	Parts []uint64
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -43,14 +43,14 @@
 	if best == nil {
 		return Choice{}, false
 	}
-	p.tell(Use{Target: best.ID}, now)
+	p.tell(Use{Target: best.RunID()}, now)
 	ticket := p.begin(best, Work{Running: 1}, now)
 	ticket.way = plainCall
 	return Choice{Target: best, Expected: least, Ticket: ticket}, true
 }
 
 func (p *Placer) plainPrice(t *fleet.Target, now time.Time) time.Duration {
-	load := float64(p.total(t.ID).Running+1) / float64(max(t.Slots, 1))
+	load := float64(p.total(t.RunID()).Running+1) / float64(max(t.Slots, 1))
 	price := time.Duration(load * load * float64(p.profile(t.Service).PlainTime()))
 	return price + p.remote(t) + p.unsound(p.at(t), now)
 }
@@ -126,7 +126,7 @@
 func (p *Placer) Commit(c Choice, q *Prompt, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.noteUse(c.Target.ID, q, q.Tokens-c.Cached, now)
+	p.noteUse(c.Target.RunID(), q, q.Tokens-c.Cached, now)
 	p.occupyLink(q, now)
 }
 
@@ -148,7 +148,7 @@
 		if t.Stage == fleet.Prefill || !p.usable(t, tried) {
 			continue
 		}
-		s := e.seat(p.total(t.ID), openSlots(t))
+		s := e.seat(p.total(t.RunID()), openSlots(t))
 		s.price += p.remote(t) + p.unsound(p.at(t), now) + p.scatter()
 		if near != "" && t.DataCentre != near {
 			s.price += p.cfg.RemotePenalty
@@ -173,9 +173,9 @@
 	if t == nil {
 		return Choice{}, false
 	}
-	p.noteUse(t.ID, q, q.Tokens, now)
+	p.noteUse(t.RunID(), q, q.Tokens, now)
 	p.occupyLink(q, now)
 	ticket := p.begin(t, Work{Running: 1, Streams: e.streams(q), Tokens: q.Tokens + q.Output/2}, now)
-	ticket.way, ticket.prompt, ticket.waits, ticket.beside = goOn, q, s.wait > 0, p.total(t.ID).Running-1
+	ticket.way, ticket.prompt, ticket.waits, ticket.beside = goOn, q, s.wait > 0, p.total(t.RunID()).Running-1
 	return Choice{Target: t, Expected: s.wait, Ticket: ticket}, true
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -161,7 +161,7 @@
 
 // at returns the state of a target that is weighed now; the caller holds p.mu.
 func (p *Placer) at(t *fleet.Target) *state {
-	s := p.state(t.ID)
+	s := p.state(t.RunID())
 	if s.stage != t.Stage {
 		s.stage, s.slowdown = t.Stage, 1
 	}
@@ -208,7 +208,7 @@
 	sum := 0.0
 	for _, t := range targets {
 		if t.Stage != fleet.Prefill {
-			sum += e.filled(t, p.total(t.ID))
+			sum += e.filled(t, p.total(t.RunID()))
 		}
 	}
 	return sum
--- a/internal/place/ticket.go
+++ b/internal/place/ticket.go
@@ -94,9 +94,9 @@
 
 // begin counts work at a target; the caller holds p.mu.
 func (p *Placer) begin(t *fleet.Target, w Work, now time.Time) *Ticket {
-	s := p.state(t.ID)
+	s := p.state(t.RunID())
 	s.own = s.own.Plus(w)
-	return &Ticket{placer: p, id: t.ID, service: t.Service, work: w, began: now}
+	return &Ticket{placer: p, id: t.RunID(), service: t.Service, work: w, began: now}
 }
 
 // End takes the request off the target's account and notes how it went.
--- a/internal/place/weigh.go
+++ b/internal/place/weigh.go
@@ -98,7 +98,7 @@
 // weigh reckons what prefilling r's prompt at t takes. It returns false where t must
 // not read it; the caller holds p.mu.
 func (p *Placer) weigh(t *fleet.Target, r reading) (weighed, bool) {
-	s, load, e, q := p.at(t), p.total(t.ID), r.engines, r.prompt
+	s, load, e, q := p.at(t), p.total(t.RunID()), r.engines, r.prompt
 	w := weighed{work: Work{Prefills: 1, Tokens: q.Tokens}, ahead: load.ahead(), beside: load.Running, rest: e.WayTime()}
 	if !e.off.Cache {
 		w.cached = s.cache.held(q, cacheShare*float64(e.spec.KVTokens-load.Tokens))
--- a/internal/stages/controller.go
+++ b/internal/stages/controller.go
@@ -107,7 +107,8 @@
 	log     *telemetry.Logger
 
 	mu sync.Mutex
-	// open holds the journal's rows, by engine.
+	// open holds the journal's rows, by run of the engine: a run that has ended takes
+	// its orders with it.
 	open map[string]*openOrder
 
 	// load is the streams at each engine.
@@ -165,7 +166,7 @@
 func (c *Controller) Changing(t *fleet.Target) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	o := c.open[t.ID]
+	o := c.open[t.RunID()]
 	return o != nil && o.row.Stage != t.Stage && c.clock()-o.seen < unknownWithin
 }
 
@@ -223,7 +224,7 @@
 	var out []Change
 	for _, ch := range PlanAll(v, c.want, c.load) {
 		c.mu.Lock()
-		busy := c.open[ch.Target.ID] != nil || c.elsewhere(ch.Target.ID)
+		busy := c.open[ch.Target.RunID()] != nil || c.elsewhere(ch.Target.RunID())
 		c.mu.Unlock()
 		if !busy {
 			out = append(out, ch)
@@ -299,7 +300,7 @@
 	}
 	for _, ts := range v.Targets {
 		for _, t := range ts {
-			if t.ID == id {
+			if t.RunID() == id {
 				return t.Stage == o.row.Stage
 			}
 		}
@@ -364,7 +365,7 @@
 		if err != nil {
 			panic("stages: encode row: " + err.Error())
 		}
-		txn.Puts = append(txn.Puts, store.Put{Key: KeyPrefix + ch.Target.ID, Value: value})
+		txn.Puts = append(txn.Puts, store.Put{Key: KeyPrefix + ch.Target.RunID(), Value: value})
 	}
 	if err := c.commit(ctx, t, txn); err != nil {
 		c.log.Warn(telemetry.EventOrderRefused, telemetry.F("journal", "write"), telemetry.F("cause", err))
@@ -372,7 +373,7 @@
 	}
 	c.mu.Lock()
 	for _, ch := range changes {
-		c.open[ch.Target.ID] = &openOrder{row: row{Holder: c.cfg.VM, Fence: t.Fence, Stage: ch.Stage}, seen: c.clock()}
+		c.open[ch.Target.RunID()] = &openOrder{row: row{Holder: c.cfg.VM, Fence: t.Fence, Stage: ch.Stage}, seen: c.clock()}
 	}
 	c.mu.Unlock()
 	kernel.Sleep(ctx, settle)
@@ -397,7 +398,7 @@
 	}
 	err = c.engines.Order(call, ch.Target, o, still)
 	c.mu.Lock()
-	if open := c.open[ch.Target.ID]; open != nil {
+	if open := c.open[ch.Target.RunID()]; open != nil {
 		open.unknown = errors.Is(err, ErrUnknown)
 	}
 	c.mu.Unlock()
--- a/internal/stages/plan.go
+++ b/internal/stages/plan.go
@@ -138,7 +138,7 @@
 			candidates = append(candidates, t)
 		}
 	}
-	sort.SliceStable(candidates, func(i, j int) bool { return load(candidates[i].ID) < load(candidates[j].ID) })
+	sort.SliceStable(candidates, func(i, j int) bool { return load(candidates[i].RunID()) < load(candidates[j].RunID()) })
 	var out []Change
 	for _, t := range candidates[:min(abs(want-have), len(candidates))] {
 		out = append(out, Change{Target: t, Stage: to})
--- a/internal/stages/stages_test.go
+++ b/internal/stages/stages_test.go
@@ -395,3 +395,20 @@
 	is.True(c.Changing(engine("1", "a", fleet.Decode)))
 	is.True(!c.Changing(engine("1", "a", fleet.Prefill)))
 }
+
+// An engine that starts again under its id has forgotten its orders: what stood open for
+// the run before holds it up no longer, and it is ordered anew.
+func TestEngineBornAgainIsOrderedAnew(t *testing.T) {
+	is := is.New(t)
+	e := &engines{silent: true}
+	k := newKeeper() // not told of the change
+	c := newController("a", k, store.NewMemory(), e, clock)
+	start(t, c)
+	eventually(t, "orders", func() bool { return len(e.given()) == 2 })
+	again := engine(e.given()[0].engine, "a", fleet.Decode)
+	again.Born, again.Run = 1000, fleet.RunID(again.ID, 1000)
+	is.True(c.Changing(engine(again.ID, "a", fleet.Decode)))
+	k.ApplyTargets([]fleet.TargetChange{{ID: again.ID, Target: again}}, 2)
+	eventually(t, "it is ordered anew", func() bool { return len(e.given()) == 3 })
+	is.Equal(e.given()[2].engine, again.ID)
+}
--- a/internal/watch/fleet.go
+++ b/internal/watch/fleet.go
@@ -67,16 +67,10 @@
 			changes = f.remove(changes, row.Key)
 			continue
 		}
-		t, err := f.decode.Target(row.Key, row.Value)
-		if err != nil {
-			f.log.Warn(telemetry.EventBadRow, telemetry.F("key", row.Key), telemetry.F("revision", row.Version), telemetry.F("cause", err))
-			continue
+		present[row.Key] = true
+		if change, ok := f.entry(row); ok {
+			changes = append(changes, change)
 		}
-		present[t.ID] = true
-		f.revive(t.ID)
-		f.log.Info(telemetry.EventTargets, telemetry.F("target", t.ID), telemetry.F("service", t.Service), telemetry.F("address", t.Address),
-			telemetry.F("leaving", t.Leaving), telemetry.F("stage", string(t.Stage)), telemetry.F("revision", row.Version))
-		changes = append(changes, fleet.TargetChange{ID: t.ID, Target: t})
 	}
 	if full {
 		for _, id := range f.keeper.Listed() {
@@ -88,6 +82,31 @@
 	f.keeper.ApplyTargets(changes, rows.Revision)
 }
 
+// entry takes in the entry of one target. One that another program wrote, or that cannot
+// be read, names no target to use, whatever stood there before. It returns false where
+// nothing changes. The caller holds f.mu.
+func (f *Fleet) entry(row store.Row) (fleet.TargetChange, bool) {
+	known := f.keeper.Target(row.Key)
+	t, err := f.decode.Target(row.Key, row.Value)
+	if err != nil {
+		f.log.Warn(telemetry.EventBadRow, telemetry.F("key", row.Key), telemetry.F("revision", row.Version), telemetry.F("listed", known != nil), telemetry.F("cause", err))
+		f.revive(row.Key)
+		return fleet.TargetChange{ID: row.Key}, known != nil
+	}
+	fields := []telemetry.Field{
+		telemetry.F("target", t.ID), telemetry.F("service", t.Service), telemetry.F("address", t.Address), telemetry.F("leaving", t.Leaving),
+		telemetry.F("stage", string(t.Stage)), telemetry.F("born", t.Born), telemetry.F("revision", row.Version),
+	}
+	if known != nil && t.Born != 0 && t.Born < known.Born {
+		// A write of the run before that was carried out late.
+		f.log.Warn(telemetry.EventTargets, append(fields, telemetry.F("stale", true), telemetry.F("known_born", known.Born))...)
+		return fleet.TargetChange{}, false
+	}
+	f.revive(t.ID)
+	f.log.Info(telemetry.EventTargets, fields...)
+	return fleet.TargetChange{ID: t.ID, Target: t}, true
+}
+
 // remove drops a target, at once or, where its entry may have lapsed only
 // because the store was away, a little later. The caller holds f.mu.
 func (f *Fleet) remove(changes []fleet.TargetChange, id string) []fleet.TargetChange {
