A VM knows its group before it takes duties; starts write the store slowly

Cause: each VM that starts took itself for a sentinel until it had heard two better ones, and wrote its record at once with all others: the store refuses writes that would wait for over a second. Change: members are listed first; a listed VM counts as up until it had time to be heard; a restarted VM whose record stands writes nothing; a first start is spread over 2 s; in a large group the members are listed once a second by all together.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,7 +96,10 @@
 		}
 		return telemetry.NewAdmin(string(cfg.MetricsListen), m), nil
 	})
-	k.Register(ModuleStore, func(*kernel.Kernel) (any, error) { return a.Store(cfg.Store), nil })
+	k.Register(ModuleStore, func(k *kernel.Kernel) (any, error) {
+		log, err := kernel.Get[*telemetry.Logger](k, ModuleLog)
+		return loggedStore{Store: a.Store(cfg.Store), log: log}, err
+	})
 	k.Register(ModuleKeeper, func(*kernel.Kernel) (any, error) { return fleet.NewKeeper(), nil })
 	k.Register(ModuleLink, func(k *kernel.Kernel) (any, error) {
 		log, err := kernel.Get[*telemetry.Logger](k, ModuleLog)
@@ -116,7 +119,11 @@
 	k.Register(ModulePeers, func(k *kernel.Kernel) (any, error) {
 		g := &kernel.Getter{Kernel: k}
 		self := peers.Member{VM: cfg.VM, Address: string(cfg.PeerAddress), DataCentre: cfg.DataCentre, LinkMbps: cfg.LinkMbps}
-		return peers.New(self, time.Now().UnixNano(), kernel.Need[Store](g, ModuleStore), kernel.Need[*telemetry.Logger](g, ModuleLog)), g.Err
+		group := peers.New(self, time.Now().UnixNano(), kernel.Need[Store](g, ModuleStore), kernel.Need[*telemetry.Logger](g, ModuleLog))
+		if cfg.FirstStart {
+			group.SetFirstStart()
+		}
+		return group, g.Err
 	})
 	k.Register(ModulePlacer, func(k *kernel.Kernel) (any, error) { return providePlacer(k, cfg) })
 	k.Register(ModuleStats, func(k *kernel.Kernel) (any, error) {
@@ -178,7 +185,7 @@
 	}
 	controller := kernel.Need[*stages.Controller](g, ModuleStages)
 	placer := place.New(pc, group, func(t *fleet.Target) bool {
-		stage, ok := group.Changing(t.ID)
+		stage, ok := group.Changing(t.RunID())
 		return controller.Changing(t) || (ok && stage != t.Stage)
 	})
 	group.SetPlacer(placer)
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -92,6 +92,8 @@
 	a, b := r.running, *next
 	deferral := settings.MechanismDeferral
 	a.Off, b.Off = without(a.Off, deferral), without(b.Off, deferral)
+	// It speaks of the start that was.
+	a.FirstStart = b.FirstStart
 	a.Grace, a.RetryRatio, a.RetryBurst, a.RetryWindow, a.LogLinesPerS = b.Grace, b.RetryRatio, b.RetryBurst, b.RetryWindow, b.LogLinesPerS
 	return !reflect.DeepEqual(a, b)
 }
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"garnethoist.org/garnethoist/internal/kernel"
 	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/telemetry"
@@ -14,35 +17,83 @@
 const (
 	// KeyPrefix is where members stand in the store.
 	KeyPrefix = "vm/"
-	// registerBackoff is the wait between tries to write one's own record.
-	registerBackoff = 300 * time.Millisecond
-	registerTimeout = 2 * time.Second
+	// Waits between calls that fail, which grow and are spread: a store that refuses
+	// too many calls would be called as often again by as many VMs.
+	firstRegisterWait = 300 * time.Millisecond
+	maxRegisterWait   = 3 * time.Second
+	registerTimeout   = 2 * time.Second
+	// registerSpread is the time over which the VMs of a group that starts for the
+	// first time write their records. The store carries out some 150 writes a second,
+	// one after another, and refuses those that would wait for over a second: 300 VMs
+	// at once would be refused several times each.
+	registerSpread = 2 * time.Second
 	// How often the members are listed: soon after the start, when others start
 	// too, and seldom later, as a new VM tells all that it has listed.
 	firstList = 3 * time.Second
 	laterList = 30 * time.Second
+	// listPerVM makes it seldomer in a large group: all VMs together list once in it.
+	listPerVM = time.Second
 )
 
-// register writes this VM's record until it stands, and then lists the others'.
+// register sees to it that this VM's record stands, and lists the others', again and
+// again.
 func (p *Peers) register(ctx context.Context) {
+	p.join(ctx)
+	close(p.joined)
+	p.hello()
+	kernel.Sleep(ctx, firstList)
+	if !p.PassesOn() {
+		p.relist(ctx)
+	}
+	for ctx.Err() == nil {
+		kernel.Sleep(ctx, max(laterList, time.Duration(p.Size())*listPerVM))
+		p.relist(ctx)
+	}
+}
+
+// join writes this VM's record, unless it stands, and lists the members after that: of
+// two VMs that register at once, one at least finds the other.
+func (p *Peers) join(ctx context.Context) {
+	if p.firstStart {
+		kernel.Sleep(ctx, rand.N(registerSpread))
+	} else {
+		p.until(ctx, p.list)
+		if p.registered() {
+			return
+		}
+	}
+	p.until(ctx, p.write)
+	p.until(ctx, p.list)
+}
+
+func (p *Peers) relist(ctx context.Context) {
+	p.until(ctx, p.list)
+	p.hello()
+}
+
+// registered reports whether this VM's record was listed as it must stand: a restarted
+// process finds the one of the process before.
+func (p *Peers) registered() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.members[p.self.VM].Member == p.self
+}
+
+// write writes this VM's record.
+func (p *Peers) write(ctx context.Context) error {
 	value, err := json.Marshal(p.self)
 	if err != nil {
-		// Only strings are encoded.
+		// Only strings and numbers are encoded.
 		panic("peers: encode member: " + err.Error())
 	}
-	p.until(ctx, func(call context.Context) error {
-		_, err := p.table.Commit(call, store.Txn{Puts: []store.Put{{Key: KeyPrefix + p.self.VM, Value: value}}})
-		return err
-	})
-	for wait := firstList; ctx.Err() == nil; wait = laterList {
-		p.until(ctx, p.list)
-		p.hello()
-		kernel.Sleep(ctx, wait)
-	}
+	_, err = p.table.Commit(ctx, store.Txn{Puts: []store.Put{{Key: KeyPrefix + p.self.VM, Value: value}}})
+	return err
 }
 
 // until calls f until it succeeds.
 func (p *Peers) until(ctx context.Context, f func(context.Context) error) {
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval, wait.MaxInterval = firstRegisterWait, maxRegisterWait
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, registerTimeout)
 		err := f(call)
@@ -50,7 +101,7 @@
 		if err == nil {
 			return
 		}
-		kernel.Sleep(ctx, registerBackoff)
+		kernel.Sleep(ctx, wait.NextBackOff())
 	}
 }
 
@@ -103,7 +154,11 @@
 func (p *Peers) learn(m Member, addr netip.AddrPort) {
 	p.mu.Lock()
 	known, ok := p.members[m.VM]
-	p.members[m.VM] = listed{Member: m, addr: addr}
+	since := known.since
+	if known.addr != addr {
+		since = time.Now()
+	}
+	p.members[m.VM] = listed{Member: m, addr: addr, since: since}
 	p.mu.Unlock()
 	if !ok || known.addr != addr {
 		p.log.Info(telemetry.EventPeerState, telemetry.F("peer", m.VM), telemetry.F("address", m.Address))
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -87,6 +87,9 @@
 	followed    []Followed
 	orders      Orders
 	conn        *net.UDPConn
+	firstStart  bool
+	// joined is closed once the other members have been listed.
+	joined chan struct{}
 
 	mu      sync.Mutex
 	members map[string]listed
@@ -109,6 +112,8 @@
 type listed struct {
 	Member
 	addr netip.AddrPort
+	// since is when it was first heard of, at this address.
+	since time.Time
 }
 
 // heardState is what one VM, or one data centre's relay, said last.
@@ -133,9 +138,18 @@
 		members: make(map[string]listed), heard: make(map[string]*heardState), centres: make(map[string]*heardState),
 		sums:    make(map[string]place.Work),
 		inGrace: make(map[int]bool), announced: make(map[string]time.Time),
+		joined: make(chan struct{}),
 	}
 }
 
+// Joined is closed once this VM stands in the store and has listed the others: what
+// depends on the group's size or on this VM's duties is not known before.
+func (p *Peers) Joined() <-chan struct{} { return p.joined }
+
+// SetFirstStart says that the whole group starts for the first time, so that no record
+// can stand in the store yet; it is called before Start.
+func (p *Peers) SetFirstStart() { p.firstStart = true }
+
 // SetPlacer sets the placer that reports are about; it is called before Start.
 func (p *Peers) SetPlacer(placer Placer) { p.placer = placer }
 
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -34,18 +34,29 @@
 	return a.VM < b.VM
 }
 
-// rank is this VM's place among those of its data centre that are heard; the
-// caller holds p.mu.
+// rank is this VM's place among those of its data centre that are up, as far as is
+// known; the caller holds p.mu.
 func (p *Peers) rank() int {
 	n := 0
-	for _, s := range p.heard {
-		if s.fresh() && before(s.from, p.self) {
+	for _, m := range p.members {
+		if m.VM != p.self.VM && m.DataCentre == p.self.DataCentre && p.up(m) && before(m.Member, p.self) {
 			n++
 		}
 	}
 	return n
 }
 
+// up reports whether a VM of this data centre is taken for up: it is heard, or has been
+// listed so short a time ago that it need not have been heard. Else each VM of a group
+// that starts would take the duties of all, and call the store for them. The caller
+// holds p.mu.
+func (p *Peers) up(m listed) bool {
+	if s := p.heard[m.VM]; s != nil {
+		return s.fresh()
+	}
+	return time.Since(m.since) <= maxAge
+}
+
 // relays reports whether this VM is its data centre's relay.
 func (p *Peers) relays() bool {
 	p.mu.Lock()
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -22,6 +22,8 @@
 	PeerAddress Addr `json:"peer_address"`
 	// Store is the platform's store.
 	Store Platform `json:"store"`
+	// FirstStart says that the whole system starts for the first time.
+	FirstStart bool `json:"first_start"`
 	// MemoryMB is the memory that the process may use.
 	MemoryMB int64 `json:"memory_mb"`
 	// FileDescriptors is how many the process may open; 0 is the kernel's limit.
--- a/internal/watch/offer_test.go
+++ b/internal/watch/offer_test.go
@@ -21,6 +21,8 @@
 	passed   []store.Delta
 }
 
+func (*large) Joined() <-chan struct{} { return joined }
+
 func (g *large) Sentinel() bool { return g.sentinel.Load() }
 func (g *large) Size() int      { return 1 }
 func (g *large) PassesOn() bool { return true }
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -40,6 +40,9 @@
 	// grace of the word and a sentinel's own gap, news still take less than the
 	// two seconds that the strictest installation allows.
 	askGap = 800 * time.Millisecond
+	// joinWait is how long the first call waits for the group to be known: above the
+	// time over which the VMs of a group that starts register.
+	joinWait = 3 * time.Second
 	// Waits between calls that fail; a process that has just lost the store
 	// asks soon, one that waits for long asks seldom.
 	firstBackoff = 50 * time.Millisecond
@@ -108,6 +111,8 @@
 
 // Group is the VMs that follow the same store.
 type Group interface {
+	// Joined is closed once the group is known.
+	Joined() <-chan struct{}
 	// Sentinel reports whether this VM is one of the few that watch closely.
 	Sentinel() bool
 	// Size counts the VMs.
@@ -239,7 +244,21 @@
 	return nil
 }
 
+// awaitGroup waits until the group is known, so that only its sentinels watch the
+// store: every VM would take itself for one else. Where the members cannot be listed the
+// VM goes on alone.
+func (t *Table) awaitGroup(ctx context.Context) {
+	timer := time.NewTimer(joinWait)
+	defer timer.Stop()
+	select {
+	case <-t.group.Joined():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 func (t *Table) follow(ctx context.Context) {
+	t.awaitGroup(ctx)
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval, wait.MaxInterval = firstBackoff, maxBackoff
 	for ctx.Err() == nil {
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -69,9 +69,18 @@
 	t.Fatal("not within 5 s")
 }
 
+// joined is closed: the group is known.
+var joined = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
 // alone is the group of one VM.
 type alone struct{}
 
+func (alone) Joined() <-chan struct{} { return joined }
+
 func (alone) Sentinel() bool { return true }
 func (alone) Size() int      { return 1 }
 func (alone) PassesOn() bool { return false }
