Choices level what is not known yet; sessions stay with their caches

Change: the work that others placed since their reports (rate of told uses times the age of what is known) fills the cheapest ways to a level; a way below it is drawn by its distance (Dahlin 1999); the target that holds the request's whole session is taken where it is not above that level.

--- a/internal/gateway/deferral_test.go
+++ b/internal/gateway/deferral_test.go
@@ -37,7 +37,7 @@
 	b.work = w
 }
 
-func (*backlog) Interval() time.Duration { return 0 }
+func (*backlog) Age() time.Duration { return 0 }
 
 // late returns a request for an engine that others keep busy.
 func late(others place.Others) *exchange {
--- a/internal/gateway/ready_test.go
+++ b/internal/gateway/ready_test.go
@@ -21,7 +21,7 @@
 
 func (oneVM) Work(string) place.Work { return place.Work{} }
 
-func (oneVM) Interval() time.Duration { return time.Second }
+func (oneVM) Age() time.Duration { return time.Second }
 
 // newest is the knowledge of a VM that nobody is ahead of.
 type newest struct{}
--- a/internal/model/placed.go
+++ b/internal/model/placed.go
@@ -42,8 +42,8 @@
 // Work implements place.Others.
 func (v *view) Work(id string) place.Work { return v.work[id] }
 
-// Interval implements place.Others.
-func (*view) Interval() time.Duration { return reportInterval }
+// Age implements place.Others.
+func (*view) Age() time.Duration { return reportInterval / 2 }
 
 // NewPlaced places with the product's own placer on each VM of the site.
 func NewPlaced(s *Site, f Fleet, admit Admission, random *rand.Rand) Policy {
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -14,6 +14,9 @@
 	"garnethoist.org/garnethoist/internal/telemetry"
 )
 
+// gapSamples is how many of the last gaps between reports the usual one rests on.
+const gapSamples = 8
+
 // maxDatagram bounds a datagram, below what UDP allows.
 const maxDatagram = 60 << 10
 
@@ -47,6 +50,7 @@
 	var nextSummary time.Time
 	for ; ctx.Err() == nil; kernel.Sleep(ctx, p.Interval()) {
 		p.expire()
+		p.measureAge()
 		r := p.ownReport()
 		relays := p.relays()
 		if relays && !time.Now().Before(nextSummary) {
@@ -200,6 +204,7 @@
 	var before map[string]place.Work
 	if s != nil {
 		before = s.work
+		next.gap = s.gap + (next.at.Sub(s.at)-s.gap)/gapSamples
 	}
 	p.replace(before, next.work)
 	all[key] = next
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -88,6 +89,7 @@
 	orders      Orders
 	conn        *net.UDPConn
 	firstStart  bool
+	age         atomic.Int64
 	// joined is closed once the other members have been listed.
 	joined chan struct{}
 
@@ -123,10 +125,12 @@
 	incarnation int64
 	number      uint64
 	at          time.Time
-	work        map[string]place.Work
-	newest      []uint64
-	readAt      []time.Time
-	changing    map[string]fleet.Stage
+	// gap is the usual time between what it said.
+	gap      time.Duration
+	work     map[string]place.Work
+	newest   []uint64
+	readAt   []time.Time
+	changing map[string]fleet.Stage
 }
 
 func (s *heardState) fresh() bool { return time.Since(s.at) <= maxAge }
@@ -223,8 +227,31 @@
 	return n
 }
 
-// Interval is the time between this VM's reports while they change: what is
-// known of the others' work is half as old on average.
+// Age implements place.Others: how old what is known of the others' work is on average.
+func (p *Peers) Age() time.Duration { return time.Duration(p.age.Load()) }
+
+// measureAge reckons the age of what the others said: half of the time between their
+// reports and, for other data centres, half of that between their summaries as well.
+func (p *Peers) measureAge() {
+	report := float64(p.Interval()) / 2
+	own, size := p.neighbours(), p.Size()
+	p.mu.Lock()
+	var summaries, centres float64
+	for _, s := range p.centres {
+		if s.fresh() {
+			summaries += float64(s.gap) / 2
+			centres++
+		}
+	}
+	p.mu.Unlock()
+	age := report
+	if centres > 0 && size > 1 {
+		age += summaries / centres * float64(size-own) / float64(size-1)
+	}
+	p.age.Store(int64(age))
+}
+
+// Interval is the time between this VM's reports while they change.
 func (p *Peers) Interval() time.Duration {
 	return max(minInterval, time.Duration(p.neighbours())*intervalPerVM)
 }
--- a/internal/peers/report.go
+++ b/internal/peers/report.go
@@ -70,6 +70,7 @@
 	Parts   []uint64
 	Missing int
 	Failed  bool
+	Reads   bool
 }
 
 // item is a place.Work on the wire.
@@ -104,7 +105,7 @@
 func usesOf(uses []place.Use) []use {
 	out := make([]use, 0, len(uses))
 	for _, u := range uses {
-		out = append(out, use{Target: u.Target, Parts: u.Parts, Missing: u.Missing, Failed: u.Failed})
+		out = append(out, use{Target: u.Target, Parts: u.Parts, Missing: u.Missing, Failed: u.Failed, Reads: u.Reads})
 	}
 	return out
 }
@@ -112,7 +113,7 @@
 func placeUses(uses []use) []place.Use {
 	out := make([]place.Use, 0, len(uses))
 	for _, u := range uses {
-		out = append(out, place.Use{Target: u.Target, Parts: u.Parts, Missing: u.Missing, Failed: u.Failed})
+		out = append(out, place.Use{Target: u.Target, Parts: u.Parts, Missing: u.Missing, Failed: u.Failed, Reads: u.Reads})
 	}
 	return out
 }
--- a/internal/place/cache.go
+++ b/internal/place/cache.go
@@ -63,19 +63,20 @@
 	Target string
 	// Parts is the hashes of the prompt's parts that other prompts may share.
 	Parts []uint64
-	// Missing is the prompt's tokens that were new to the target.
+	// Missing is the prompt's tokens that were new to the target, and Reads says that it
+	// reads them itself; else they are moved to it.
 	Missing int
+	Reads   bool
 	// Failed says that an earlier request to the target has failed.
 	Failed bool
 }
 
-// noteUse takes in a use of this VM's own; the caller holds p.mu.
-func (p *Placer) noteUse(target string, q *Prompt, missing int, now time.Time) {
-	var parts []uint64
+// noteUse takes in a use of this VM's own, but for its parts; the caller holds p.mu.
+func (p *Placer) noteUse(u Use, q *Prompt, now time.Time) {
 	for _, part := range q.sharedParts() {
-		parts = append(parts, part.Hash)
+		u.Parts = append(u.Parts, part.Hash)
 	}
-	p.tell(Use{Target: target, Parts: parts, Missing: missing}, now)
+	p.tell(u, now)
 }
 
 // tell takes in a use of this VM's own and keeps it for the others; the caller
@@ -114,6 +115,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, u := range uses {
-		p.state(u.Target).take(u, now)
+		s := p.state(u.Target)
+		s.take(u, now)
+		if u.Reads {
+			p.inflow(s.service).add(p.profile(s.service).ReadTime(u.Missing, 0), now)
+		}
 	}
 }
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -67,7 +67,10 @@
 func (p *Placer) Read(targets []*fleet.Target, spec *fleet.EngineSpec, q *Prompt, tried Tried, now time.Time) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := reading{engines: p.engines(targets, spec), prompt: q, tried: tried, now: now, keepPauses: !p.cfg.Off.Pauses}
+	if len(targets) == 0 {
+		return Choice{}, false
+	}
+	r := reading{service: targets[0].Service, engines: p.engines(targets, spec), prompt: q, tried: tried, now: now, keepPauses: !p.cfg.Off.Pauses}
 	r.next, r.apart = p.bestDecode(p.decoders(targets), r.engines, "", tried, now)
 	best, chosen := p.bestRead(p.thin(targets, q), r)
 	if best.Target == nil {
@@ -84,8 +87,21 @@
 	return best, true
 }
 
+// pickWay returns the way to take: the cheapest to the session's cache, where that is not
+// above the level of the others, or a way that is drawn. The caller holds p.mu.
+func (p *Placer) pickWay(ways []weighed, s *spread, q *Prompt) int {
+	shared := q.sharedTokens()
+	for _, i := range s.order[:s.reached] {
+		if shared > 0 && ways[i].cached >= shared && s.stays(i) {
+			return i
+		}
+	}
+	return s.draw(p.random.Float64())
+}
+
 // reading is a prompt to be prefilled.
 type reading struct {
+	service string
 	engines engines
 	prompt  *Prompt
 	tried   Tried
@@ -98,12 +114,12 @@
 	keepPauses bool
 }
 
-// bestRead returns the cheapest way to prefill at one of the targets, and what it
-// was weighed at; the caller holds p.mu.
+// bestRead returns a way to prefill at one of the targets, and what it was weighed at:
+// the cheapest, as far as the others' work is known. The caller holds p.mu.
 func (p *Placer) bestRead(targets []*fleet.Target, r reading) (Choice, weighed) {
 	link := p.linkWait(r.now) + p.linkTime(r.prompt)
-	var best Choice
-	var chosen weighed
+	var ways []weighed
+	var prices []time.Duration
 	for _, t := range targets {
 		if !p.usable(t, r.tried) || (t.Stage == fleet.Prefill && !r.apart) {
 			continue
@@ -113,12 +129,14 @@
 			continue
 		}
 		w.expected += link
-		if best.Target == nil || w.price < chosen.price {
-			best = Choice{Target: t, Expected: w.expected, Own: w.own, Cached: w.cached, InPlace: t.Stage != fleet.Prefill}
-			chosen = w
-		}
+		ways, prices = append(ways, w), append(prices, w.price)
+	}
+	if len(ways) == 0 {
+		return Choice{}, weighed{}
 	}
-	return best, chosen
+	unseen := p.inflow(r.service).within(p.others.Age(), r.now)
+	w := ways[p.pickWay(ways, newSpread(prices, unseen), r.prompt)]
+	return Choice{Target: w.target, Expected: w.expected, Own: w.own, Cached: w.cached, InPlace: w.target.Stage != fleet.Prefill}, w
 }
 
 // Commit notes that the request of a choice is sent: the target has its prompt
@@ -126,7 +144,7 @@
 func (p *Placer) Commit(c Choice, q *Prompt, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.noteUse(c.Target.RunID(), q, q.Tokens-c.Cached, now)
+	p.noteUse(Use{Target: c.Target.RunID(), Missing: q.Tokens - c.Cached, Reads: true}, q, now)
 	p.occupyLink(q, now)
 }
 
@@ -173,7 +191,7 @@
 	if t == nil {
 		return Choice{}, false
 	}
-	p.noteUse(t.RunID(), q, q.Tokens, now)
+	p.noteUse(Use{Target: t.RunID(), Missing: q.Tokens}, q, now)
 	p.occupyLink(q, now)
 	ticket := p.begin(t, Work{Running: 1, Streams: e.streams(q), Tokens: q.Tokens + q.Output/2}, now)
 	ticket.way, ticket.prompt, ticket.waits, ticket.beside = goOn, q, s.wait > 0, p.total(t.RunID()).Running-1
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -43,6 +43,15 @@
 	return p.Parts[:len(p.Parts)-1]
 }
 
+// sharedTokens is the length of the shared parts.
+func (p *Prompt) sharedTokens() int {
+	tokens := 0
+	for _, part := range p.sharedParts() {
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
 // Work is what a target has in hand.
 type Work struct {
 	// Prefill is the time that its prefills in hand will take.
@@ -83,8 +92,9 @@
 
 // state is what is known of one target.
 type state struct {
-	own   Work
-	cache *cache
+	service string
+	own     Work
+	cache   *cache
 	// failures is the share of this VM's recent requests that failed, 0 to 1, and
 	// record counts those of all VMs.
 	failures float64
@@ -106,8 +116,8 @@
 // Others says what other VMs have in hand at a target.
 type Others interface {
 	Work(targetID string) Work
-	// Interval is the time between what they say.
-	Interval() time.Duration
+	// Age is how old what is known of their work is, on average.
+	Age() time.Duration
 }
 
 // Placer chooses targets. It is safe for concurrent use.
@@ -122,7 +132,9 @@
 	// profiles holds what is learned of each service's targets.
 	profiles map[string]*profile.Profile
 	uses     []Use
-	random   *rand.Rand
+	// inflows holds the prompts that each service's targets are given.
+	inflows map[string]*inflow
+	random  *rand.Rand
 	// linkFree is when this VM's link has sent what it was given.
 	linkFree time.Time
 }
@@ -136,7 +148,8 @@
 	return &Placer{
 		cfg: cfg, others: others, changing: changing,
 		states: make(map[string]*state), profiles: make(map[string]*profile.Profile),
-		random: rand.New(rand.NewPCG(seed, seed)),
+		inflows: make(map[string]*inflow),
+		random:  rand.New(rand.NewPCG(seed, seed)),
 	}
 }
 
@@ -159,9 +172,21 @@
 	return f
 }
 
+// inflow is what is known of the prompts that a service's targets are given by other
+// VMs; the caller holds p.mu.
+func (p *Placer) inflow(service string) *inflow {
+	f := p.inflows[service]
+	if f == nil {
+		f = &inflow{}
+		p.inflows[service] = f
+	}
+	return f
+}
+
 // at returns the state of a target that is weighed now; the caller holds p.mu.
 func (p *Placer) at(t *fleet.Target) *state {
 	s := p.state(t.RunID())
+	s.service = t.Service
 	if s.stage != t.Stage {
 		s.stage, s.slowdown = t.Stage, 1
 	}
@@ -217,11 +242,11 @@
 // scatter is a random price that keeps VMs which all know the same old numbers
 // from all choosing the same target; the caller holds p.mu.
 func (p *Placer) scatter() time.Duration {
-	return time.Duration(p.random.Float64() * scatterShare * float64(p.others.Interval()))
+	return time.Duration(p.random.Float64() * scatterShare * float64(p.others.Age()))
 }
 
-// scatterShare is the part of the reports' interval that scatter reaches.
-const scatterShare = 0.25
+// scatterShare is the part of the age of what is known that scatter reaches.
+const scatterShare = 0.5
 
 // total is a target's whole work in hand; the caller holds p.mu.
 func (p *Placer) total(id string) Work {
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -16,7 +16,7 @@
 
 func (o others) Work(id string) place.Work { return o[id] }
 
-func (o others) Interval() time.Duration { return 0 }
+func (o others) Age() time.Duration { return 0 }
 
 func unchanging(*fleet.Target) bool { return false }
 
--- a/internal/place/record.go
+++ b/internal/place/record.go
@@ -14,6 +14,11 @@
 	recordPrior = 4
 )
 
+// fading is what is left after dt of something that is forgotten over a memory.
+func fading(dt, memory time.Duration) float64 {
+	return math.Exp(-float64(dt) / float64(memory))
+}
+
 // record counts the sends to a target and its failures, of all VMs, of late.
 type record struct {
 	sent   float64
@@ -24,7 +29,7 @@
 // fade brings the counts to now.
 func (r *record) fade(now time.Time) {
 	if dt := now.Sub(r.at); dt > 0 {
-		keep := math.Exp(-float64(dt) / float64(recordMemory))
+		keep := fading(dt, recordMemory)
 		r.sent *= keep
 		r.failed *= keep
 		r.at = now
--- a/internal/place/weigh.go
+++ b/internal/place/weigh.go
@@ -80,7 +80,8 @@
 
 // weighed is one way to prefill a prompt.
 type weighed struct {
-	work Work
+	target *fleet.Target
+	work   Work
 	// cached is the prompt's tokens that the target holds.
 	cached int
 	// ahead is the prompts that the target has in hand before this one.
@@ -99,7 +100,7 @@
 // not read it; the caller holds p.mu.
 func (p *Placer) weigh(t *fleet.Target, r reading) (weighed, bool) {
 	s, load, e, q := p.at(t), p.total(t.RunID()), r.engines, r.prompt
-	w := weighed{work: Work{Prefills: 1, Tokens: q.Tokens}, ahead: load.ahead(), beside: load.Running, rest: e.WayTime()}
+	w := weighed{target: t, work: Work{Prefills: 1, Tokens: q.Tokens}, ahead: load.ahead(), beside: load.Running, rest: e.WayTime()}
 	if !e.off.Cache {
 		w.cached = s.cache.held(q, cacheShare*float64(e.spec.KVTokens-load.Tokens))
 	}
@@ -117,7 +118,7 @@
 	reading := time.Duration(float64(w.ahead+w.work.Prefill) * s.slowdown)
 	w.expected = reading + w.rest + extra.wait + p.remote(t)
 	price := reading + time.Duration(e.workPrice()*float64(w.work.Prefill)) + extra.price + p.remote(t)
-	w.price = time.Duration(float64(price)*s.tries(r.now)) + p.unsound(s, r.now) + p.scatter()
+	w.price = time.Duration(float64(price)*s.tries(r.now)) + p.unsound(s, r.now)
 	return w, true
 }
 
