--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -76,8 +76,8 @@
 
 type noOthers struct{}
 
-func (noOthers) Work(string) place.Work  { return place.Work{} }
-func (noOthers) Age() time.Duration { return 0 }
+func (noOthers) Work(string) place.Work { return place.Work{} }
+func (noOthers) Age() time.Duration     { return 0 }
 
 // A target that a stopping VM has waited for is not told to all VMs as failing.
 func TestStopDoesNotBlameTheTarget(t *testing.T) {
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -64,7 +64,7 @@
 		RetryWindow:  Duration(10 * time.Second),
 		RetryBurst:   40,
 		LogLinesPerS: 400,
-		PrefillShare: 0.5,
+		PrefillShare: 0.67,
 	}
 }
 
