--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -49,6 +49,9 @@
 	if !x.ran && (errkind.Is(last, errkind.CannotFinish) || errkind.Is(last, errkind.Stopping)) {
 		return last
 	}
+	if s.relaying && callerLeft(x.r.Context()) {
+		return errkind.Wrap(errkind.ClientGone, last, "the caller has gone")
+	}
 	if s.relaying && x.g.ending.Err() != nil {
 		return errkind.Wrap(errkind.StreamStopped, last, "this VM's stop ended the stream")
 	}
