The relay of a large data centre fans out; VMs report to the few on duty

With 60 VMs a data centre each VM sent and got some 800 datagrams a second. Change: from 32 VMs a data centre, where the relay's link is fast enough, VMs report to the relay and the VM behind it; the relay sends all one digest of all VMs' work, uses, news and ages. A VM takes its own part out. The group's size is the most that any heard VM has listed, and VMs greet all that they list, as not all hear each other.

--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -43,36 +43,54 @@
 	return true
 }
 
-// send reports to the VMs of this data centre and, where this VM is its relay,
-// to the other data centres.
+// send reports to the VMs of this data centre and, where this VM is its relay, sends
+// summaries to the other data centres and digests to its own.
 func (p *Peers) send(ctx context.Context) {
-	var own, summary sender
-	var nextSummary time.Time
+	var own, summary, digest sender
+	var nextSummary, nextDigest, nextEveryone time.Time
 	for ; ctx.Err() == nil; kernel.Sleep(ctx, p.Interval()) {
 		p.expire()
 		p.measureAge()
 		r := p.ownReport()
-		relays := p.relays()
-		if relays && !time.Now().Before(nextSummary) {
-			s := p.summary(r)
-			if summary.due(s) {
+		relays, fans := p.relays(), p.fans()
+		p.follow(fans && !relays)
+		p.setPending(r.Uses, relays)
+		now := time.Now()
+		if relays && !now.Before(nextSummary) {
+			if s := p.summary(r); summary.due(s) {
 				p.sendRemote(s)
-				nextSummary = time.Now().Add(p.pause(s))
+				nextSummary = now.Add(p.pause(s))
+			}
+		}
+		if relays && fans && !now.Before(nextDigest) {
+			if d := p.digest(r); digest.due(d) {
+				p.toAll(datagram{Report: d}, p.neighbourAddrs())
+				nextDigest = now.Add(p.pauseFor(d, digestShare))
 			}
-		} else {
-			p.setPending(r.Uses, relays)
 		}
 		if own.due(r) {
-			p.toAll(datagram{Report: r}, p.neighbourAddrs())
+			everyone := !now.Before(nextEveryone)
+			p.sendOwn(r, everyone)
+			if everyone {
+				nextEveryone = now.Add(quietInterval)
+			}
 		}
 	}
 }
 
+// sendOwn sends this VM's report.
+func (p *Peers) sendOwn(r *report, everyone bool) {
+	p.mu.Lock()
+	p.keepTold(workOf(r.Work))
+	p.mu.Unlock()
+	p.toAll(datagram{Report: r}, p.reportTo(everyone))
+}
+
 // ownReport returns this VM's report. It takes the uses from the placer.
 func (p *Peers) ownReport() *report {
 	r := &report{
 		From: p.self, Incarnation: p.incarnation, Work: itemsOf(p.placer.Own()),
-		Uses: usesOf(p.placer.TakeUses()), Changing: p.orders.Open(),
+		Uses: usesOf(p.placer.TakeUses(), mark(p.self.VM)), Changing: p.orders.Open(),
 	}
 	var readAt []time.Time
 	for _, f := range p.followed {
@@ -91,6 +109,11 @@
 func (p *Peers) addrsOf(dataCentre string) []netip.AddrPort {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.addrs(dataCentre)
+}
+
+// addrs is addrsOf for a caller that holds p.mu.
+func (p *Peers) addrs(dataCentre string) []netip.AddrPort {
 	to := make([]netip.AddrPort, 0, len(p.members))
 	for vm, m := range p.members {
 		if vm != p.self.VM && m.DataCentre == dataCentre {
@@ -159,13 +182,16 @@
 		return
 	}
 	if own := r.From.DataCentre == p.self.DataCentre; own == r.Summary {
-		// Reports are for the own data centre, summaries for the others.
+		// Reports and digests are for the own data centre, summaries for the others.
 		return
 	}
-	if !p.note(r, addr) {
+	taken, counts := p.note(r, addr)
+	if !taken {
 		return
 	}
-	p.placer.Observe(placeUses(r.Uses), time.Now())
+	if counts {
+		p.placer.Observe(placeUses(r.Uses, mark(p.self.VM)), time.Now())
+	}
 	p.learn(r.From, addr)
 	p.compare(r.Newest, r.readAt(time.Now()))
 	if r.Summary && !r.Forwarded {
@@ -180,25 +206,30 @@
 		p.toAll(datagram{Report: r}, []netip.AddrPort{relay})
 		return
 	}
+	if p.fans() {
+		// The next digest holds it.
+		return
+	}
 	r.Forwarded = true
 	p.toAll(datagram{Report: r}, p.neighbourAddrs())
 }
 
-// note remembers a report unless a newer one is known.
-func (p *Peers) note(r *report, addr netip.AddrPort) bool {
+// note remembers a report unless a newer one is known. It returns whether it was taken, and
+// whether it counts for what is known of the others' work.
+func (p *Peers) note(r *report, addr netip.AddrPort) (taken, counts bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all, key := p.heard, r.From.VM
-	if r.Summary {
+	if r.Summary || r.Digest {
 		all, key = p.centres, r.From.DataCentre
 	}
 	s := all[key]
 	if s != nil && s.fresh() && s.from.VM == r.From.VM &&
 		(r.Incarnation < s.incarnation || (r.Incarnation == s.incarnation && r.Number <= s.number)) {
-		return false
+		return false, false
 	}
 	next := &heardState{
-		from: r.From, addr: addr, incarnation: r.Incarnation, number: r.Number, at: time.Now(),
+		from: r.From, addr: addr, incarnation: r.Incarnation, number: r.Number, at: time.Now(), digest: r.Digest,
 		work: workOf(r.Work), newest: r.Newest, changing: r.Changing, readAt: r.readAt(time.Now()),
 	}
 	var before map[string]place.Work
@@ -206,10 +237,16 @@
 		before = s.work
 		next.gap = s.gap + (next.at.Sub(s.at)-s.gap)/gapSamples
 	}
-	p.replace(before, next.work)
-	all[key] = next
-	if !r.Summary {
-		p.keepUses(r.Uses)
+	if r.Digest {
+		p.noteRelay(r, addr)
+		next.work = p.others(next.work)
+	} else {
+		p.keepUses(r.Uses, !r.Summary)
 	}
-	return true
+	p.listed = max(p.listed, r.Listed)
+	if p.counts(next) {
+		p.replace(before, next.work)
+	}
+	all[key] = next
+	return true, p.counts(next)
 }
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -127,13 +127,13 @@
 	return nil
 }
 
-// hello tells the listed VMs of other data centres of this one, as reports do
-// not reach them: shares of common limits count it at once.
+// hello tells the listed VMs of this one, as reports do not reach all of them: shares of
+// common limits count it at once.
 func (p *Peers) hello() {
 	p.mu.Lock()
 	var to []netip.AddrPort
 	for _, m := range p.members {
-		if m.DataCentre != p.self.DataCentre {
+		if m.VM != p.self.VM {
 			to = append(to, m.addr)
 		}
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -95,14 +95,22 @@
 
 	mu      sync.Mutex
 	members map[string]listed
+	// listed is the most VMs that others have listed.
+	listed int
 	// heard holds the VMs of this data centre, and centres the other ones.
 	heard   map[string]*heardState
 	centres map[string]*heardState
 	// sums is the work of all of them at each target: it is asked for once for
 	// each target and request.
 	sums map[string]place.Work
-	// pendingUses is the uses that the relay has yet to tell other data centres.
+	// pendingUses is the uses that the relay has yet to tell other data centres, and
+	// digestUses those for its own.
 	pendingUses []use
+	digestUses  []use
+	// digested says that the others' work is read in the relay's digests, and told holds
+	// what this VM has reported to it of late.
+	digested bool
+	told     []told
 	// inGrace holds the followed tables of which others know a newer row that may
 	// still come, and announced when all VMs of a data centre were last sent a
 	// summary.
@@ -125,6 +133,8 @@
 	incarnation int64
 	number      uint64
 	at          time.Time
+	// digest says that it is of all VMs, this one included.
+	digest bool
 	// gap is the usual time between what it said.
 	gap      time.Duration
 	work     map[string]place.Work
@@ -201,11 +211,16 @@
 	return fleet.NoStage, false
 }
 
-// Size counts the VMs that the store lists, this one included. It does not
-// fall when one cannot be heard: shares of common limits stay safe.
+// Size counts the VMs that the store lists, this one included, as far as any VM that was
+// heard knows. It does not fall when one cannot be heard: shares of common limits stay safe.
 func (p *Peers) Size() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return max(p.count(), p.listed)
+}
+
+// count counts the VMs that this one knows; the caller holds p.mu.
+func (p *Peers) count() int {
 	n := len(p.members)
 	if _, ok := p.members[p.self.VM]; !ok {
 		n++
@@ -231,28 +246,33 @@
 func (p *Peers) Age() time.Duration { return time.Duration(p.age.Load()) }
 
 // measureAge reckons the age of what the others said: half of the time between their
-// reports and, for other data centres, half of that between their summaries as well.
+// reports and, where these come in the relay's digests or in other data centres' summaries,
+// half of that between those as well.
 func (p *Peers) measureAge() {
 	report := float64(p.Interval()) / 2
 	own, size := p.neighbours(), p.Size()
+	remote := float64(size-own) / float64(max(size-1, 1))
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.centres[p.self.DataCentre]; p.digested && s != nil {
+		p.age.Store(int64(report + float64(s.gap)/2 + remote*report))
+		return
+	}
 	var summaries, centres float64
-	for _, s := range p.centres {
+	for _, s := range p.elsewhere() {
 		if s.fresh() {
 			summaries += float64(s.gap) / 2
 			centres++
 		}
 	}
-	p.mu.Unlock()
-	age := report
-	if centres > 0 && size > 1 {
-		age += summaries / centres * float64(size-own) / float64(size-1)
-	}
-	p.age.Store(int64(age))
+	p.age.Store(int64(report + remote*summaries/max(centres, 1)))
 }
 
 // Interval is the time between this VM's reports while they change.
 func (p *Peers) Interval() time.Duration {
+	if p.fans() {
+		return fanInterval
+	}
 	return max(minInterval, time.Duration(p.neighbours())*intervalPerVM)
 }
 
@@ -285,10 +305,13 @@
 	defer p.mu.Unlock()
 	for _, all := range []map[string]*heardState{p.heard, p.centres} {
 		for _, s := range all {
-			if !s.fresh() && s.work != nil {
+			if s.fresh() || s.work == nil {
+				continue
+			}
+			if p.counts(s) {
 				p.replace(s.work, nil)
-				s.work = nil
 			}
+			s.work = nil
 		}
 	}
 }
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -2,12 +2,13 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"garnethoist.org/garnethoist/internal/fleet"
-	"garnethoist.org/garnethoist/internal/place"
 )
 
 const (
@@ -69,13 +70,7 @@
 func (p *Peers) relayAddr() (netip.AddrPort, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	first := p.self
-	var addr netip.AddrPort
-	for _, s := range p.heard {
-		if s.fresh() && before(s.from, first) {
-			first, addr = s.from, s.addr
-		}
-	}
+	addr := p.first()[0].addr
 	return addr, addr.IsValid()
 }
 
@@ -105,34 +100,42 @@
 	return n
 }
 
-// keepUses keeps uses for the next summary; the caller holds p.mu.
-func (p *Peers) keepUses(uses []use) {
-	if len(p.pendingUses) < maxPendingUses {
+// keepUses keeps uses for the next summary, where they are of this data centre, and for the
+// next digest. The caller holds p.mu.
+func (p *Peers) keepUses(uses []use, here bool) {
+	if here && len(p.pendingUses) < maxPendingUses {
 		p.pendingUses = append(p.pendingUses, uses...)
 	}
+	if len(p.digestUses) < maxPendingUses {
+		p.digestUses = append(p.digestUses, uses...)
+	}
 }
 
-// setPending keeps this VM's uses for the next summary where this VM makes one.
+// setPending keeps this VM's uses for the next summary and digest where this VM makes them.
 // Else all are dropped: the relay has them too.
 func (p *Peers) setPending(uses []use, relays bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !relays {
-		p.pendingUses = nil
+		p.pendingUses, p.digestUses = nil, nil
 		return
 	}
-	p.keepUses(uses)
+	p.keepUses(uses, true)
 }
 
 // pause is how long after a summary the next one waits: the relay of the other
 // data centre passes it on to each of its VMs, which may take a part of its link
 // only. In a large fleet summaries are large.
-func (p *Peers) pause(r *report) time.Duration {
+func (p *Peers) pause(r *report) time.Duration { return p.pauseFor(r, relayShare) }
+
+// pauseFor is how long a report to as many VMs as there are in this data centre takes up a
+// share of this VM's link.
+func (p *Peers) pauseFor(r *report, share float64) time.Duration {
 	if p.self.LinkMbps <= 0 {
 		return 0
 	}
 	bits := 8 * float64(len(encode(r))) * float64(p.neighbours())
-	us := bits / (relayShare * p.self.LinkMbps)
+	us := bits / (share * p.self.LinkMbps)
 	return min(time.Duration(us*float64(time.Microsecond)), maxPause)
 }
 
@@ -140,35 +143,37 @@
 func (p *Peers) summary(own *report) *report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	r := p.sumOf(own, slices.Collect(maps.Values(p.heard)))
+	r.Summary, r.Uses = true, p.pendingUses
+	p.pendingUses = nil
+	return r
+}
+
+// sumOf returns the sums of this VM's report and what others said; the caller holds p.mu.
+func (p *Peers) sumOf(own *report, others []*heardState) *report {
 	work := workOf(own.Work)
 	newest := append([]uint64(nil), own.Newest...)
 	// No row was newer than a copy's newest at its time, and none of the copies is
-	// newer than the summary's: the latest of the times holds for that.
+	// newer than the sum's: the latest of the times holds for that.
 	now := time.Now()
 	readAt := own.readAt(now)
 	changing := make(map[string]fleet.Stage, len(own.Changing))
-	add := func(w map[string]place.Work, n []uint64, c map[string]fleet.Stage) {
-		for target, more := range w {
-			work[target] = work[target].Plus(more)
-		}
-		for i := range min(len(newest), len(n)) {
-			newest[i] = max(newest[i], n[i])
+	maps.Copy(changing, own.Changing)
+	for _, s := range others {
+		if !s.fresh() {
+			continue
 		}
-		for engine, stage := range c {
-			changing[engine] = stage
+		for target, more := range s.work {
+			work[target] = work[target].Plus(more)
 		}
-	}
-	add(nil, nil, own.Changing)
-	for _, s := range p.heard {
-		if s.fresh() {
-			add(s.work, s.newest, s.changing)
-			readAt = latest(readAt, s.readAt)
+		for i := range min(len(newest), len(s.newest)) {
+			newest[i] = max(newest[i], s.newest[i])
 		}
+		maps.Copy(changing, s.changing)
+		readAt = latest(readAt, s.readAt)
 	}
-	r := &report{From: p.self, Incarnation: p.incarnation, Summary: true, Work: itemsOf(work), Newest: newest, Changing: changing}
-	r.AgesMS = agesOf(readAt, now)
-	r.Uses = append(p.pendingUses, own.Uses...)
-	p.pendingUses = nil
+	r := &report{From: p.self, Incarnation: p.incarnation, Work: itemsOf(work), Newest: newest, Changing: changing}
+	r.AgesMS, r.Listed = agesOf(readAt, now), p.count()
 	return r
 }
 
--- a/internal/peers/report.go
+++ b/internal/peers/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"hash/fnv"
 	"math"
 	"slices"
 	"time"
@@ -30,7 +31,10 @@
 	Number      uint64 `cbor:"3,keyasint"`
 	// Summary says that the report is about From's whole data centre, and
 	// Forwarded that the receiver's own relay has passed it on.
-	Summary   bool   `cbor:"4,keyasint,omitempty"`
+	Summary bool `cbor:"4,keyasint,omitempty"`
+	// Digest says that the report is about all VMs, those of From's data centre that it is
+	// sent to included.
+	Digest    bool   `cbor:"11,keyasint,omitempty"`
 	Forwarded bool   `cbor:"5,keyasint,omitempty"`
 	Work      []item `cbor:"6,keyasint"`
 	// Uses are the prompts given to targets since the last report.
@@ -42,6 +46,8 @@
 	// AgesMS is how long ago the store answered From, or a VM of its data centre,
 	// that no row of a followed table is newer than Newest.
 	AgesMS []uint32 `cbor:"10,keyasint,omitempty"`
+	// Listed is how many VMs From knows.
+	Listed int `cbor:"12,keyasint,omitempty"`
 }
 
 // agesOf returns how long ago times were, in milliseconds.
@@ -71,6 +77,8 @@
 	Missing int
 	Failed  bool
 	Reads   bool
+	// By tells the VM that gave it the prompt from others: digests come back to it.
+	By uint16
 }
 
 // item is a place.Work on the wire.
@@ -102,17 +110,30 @@
 	return work
 }
 
-func usesOf(uses []place.Use) []use {
+func usesOf(uses []place.Use, by uint16) []use {
 	out := make([]use, 0, len(uses))
 	for _, u := range uses {
-		out = append(out, use{Target: u.Target, Parts: u.Parts, Missing: u.Missing, Failed: u.Failed, Reads: u.Reads})
+		out = append(out, use{Target: u.Target, Parts: u.Parts, Missing: u.Missing, Failed: u.Failed, Reads: u.Reads, By: by})
 	}
 	return out
 }
 
-func placeUses(uses []use) []place.Use {
+// mark is a short mark of a VM in uses. Two VMs with one mark do not hear of each other's
+// uses in digests.
+func mark(vm string) uint16 {
+	h := fnv.New32a()
+	// A hash's Write returns no error.
+	_, _ = h.Write([]byte(vm))
+	return uint16(h.Sum32())
+}
+
+// placeUses returns the uses of other VMs than the one marked by own.
+func placeUses(uses []use, own uint16) []place.Use {
 	out := make([]place.Use, 0, len(uses))
 	for _, u := range uses {
+		if u.By == own {
+			continue
+		}
 		out = append(out, place.Use{Target: u.Target, Parts: u.Parts, Missing: u.Missing, Failed: u.Failed, Reads: u.Reads})
 	}
 	return out
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -83,6 +83,15 @@
 	}
 }
 
+// Positive returns w without what is below zero, as a difference of numbers of different
+// age may be.
+func (w Work) Positive() Work {
+	return Work{
+		Prefill: max(w.Prefill, 0), Running: max(w.Running, 0), Prefills: max(w.Prefills, 0),
+		Streams: max(w.Streams, 0), Tokens: max(w.Tokens, 0),
+	}
+}
+
 // ahead is the time that the prefills in hand keep one more waiting: the one that is
 // being read is half done on average.
 func (w Work) ahead() time.Duration {
