--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -51,7 +51,7 @@
 	t.Helper()
 	is := is.New(t)
 	cfg.VMs, cfg.Engines, cfg.Plains, cfg.Callers = 3, engines, 3, 8
-	cfg.Bin, cfg.Dir = binDir, t.TempDir()
+	cfg.Bin, cfg.Dir = binDir, keptDir(t)
 	r, err := soak.Run(context.Background(), cfg)
 	is.NoErr(err)
 	var text strings.Builder
@@ -61,6 +61,26 @@
 	return r
 }
 
+// keptDir returns a folder that stays where the test fails: the VMs' lines are all that
+// tells the cause of a failure seen once.
+func keptDir(t *testing.T) string {
+	t.Helper()
+	dir, err := os.MkdirTemp("", "garnet-soak-")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("the VMs' lines are in %s", dir)
+			return
+		}
+		if err := os.RemoveAll(dir); err != nil {
+			t.Error(err)
+		}
+	})
+	return dir
+}
+
 // engines is the number of model engines; the targets of plain calls come after
 // them.
 const engines = 4
