--- a/internal/stages/controller.go
+++ b/internal/stages/controller.go
@@ -224,9 +224,9 @@
 	var out []Change
 	for _, ch := range PlanAll(v, c.want, c.load) {
 		c.mu.Lock()
-		busy := c.open[ch.Target.RunID()] != nil || c.elsewhere(ch.Target.RunID())
+		open := c.open[ch.Target.RunID()] != nil
 		c.mu.Unlock()
-		if !busy {
+		if !open && !c.elsewhere(ch.Target.RunID()) {
 			out = append(out, ch)
 		}
 	}
@@ -247,6 +247,8 @@
 	if len(targets) == 0 {
 		return 0
 	}
+	// Placement answers under its own lock, under which it calls Changing.
+	demand := c.demand(targets)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.peaks[targets[0].Service]
@@ -254,7 +256,7 @@
 		p = &peak{}
 		c.peaks[targets[0].Service] = p
 	}
-	return int(math.Ceil(p.take(c.demand(targets), c.clock()) / decodeUse))
+	return int(math.Ceil(p.take(demand, c.clock()) / decodeUse))
 }
 
 // peak is the most that was needed of late.
--- a/internal/stages/stages_test.go
+++ b/internal/stages/stages_test.go
@@ -412,3 +412,28 @@
 	eventually(t, "it is ordered anew", func() bool { return len(e.given()) == 3 })
 	is.Equal(e.given()[2].engine, again.ID)
 }
+
+// Placement asks whether an engine changes while it holds its own lock, and is asked by the
+// controller how many engines decode: neither may wait for the other.
+func TestControllerHoldsNoLockWhileItAsksForDemand(t *testing.T) {
+	k := newKeeper()
+	c := newController("a", k, store.NewMemory(), &engines{keeper: []*fleet.Keeper{k}}, clock)
+	var asked, stuck atomic.Bool
+	c.SetDemand(func([]*fleet.Target) float64 {
+		answered := make(chan struct{})
+		go func() {
+			c.Changing(engine("1", "a", fleet.Decode))
+			close(answered)
+		}()
+		select {
+		case <-answered:
+		case <-time.After(time.Second):
+			stuck.Store(true)
+		}
+		asked.Store(true)
+		return 0
+	})
+	start(t, c)
+	eventually(t, "the demand is asked for", asked.Load)
+	is.New(t).True(!stuck.Load())
+}
