The soak's check of cut answers leaves out those whose caller's time is over

Why it is narrowed: the trace of a failed soak (request q145, ms=2000, deadline 2,000 ms, context deadline exceeded) shows an answer that ended at its caller's own time limit, which the users' pages allow (LOST: not counted where the time limit was reached). Two rows hold both sides of the bound.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -221,8 +221,9 @@
 		r.cut = at
 		return
 	}
-	// The store's disturbances excuse nothing.
-	broken := len(r.runs) == 1 && r.ending != Spoiled && c.undisturbed(r.sent, at, r.vm, r.runs[0])
+	// The store's disturbances excuse nothing. An answer that is not whole when its caller's
+	// time is over ends there (users' pages).
+	broken := at-r.sent < callTimeout && len(r.runs) == 1 && r.ending != Spoiled && c.undisturbed(r.sent, at, r.vm, r.runs[0])
 	c.check(Uncut, !broken, at, "%s on %s: %v did not break off, the caller got a part", id, r.vm, r.runs)
 }
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -83,6 +83,16 @@
 			c.Ended("q", soak.Spoiled)
 			c.Answered("q", soak.Answer{Cut: true}, s)
 		}, ""},
+		{"cut when its caller's time is over", func(c *soak.Checker) {
+			c.Ran("q", "e1", "", s)
+			c.Ended("q", soak.HungUp)
+			c.Answered("q", soak.Answer{Cut: true}, s/2+2*s)
+		}, ""},
+		{"cut just before its caller's time is over", func(c *soak.Checker) {
+			c.Ran("q", "e1", "", s)
+			c.Ended("q", soak.HungUp)
+			c.Answered("q", soak.Answer{Cut: true}, s/2+2*s-time.Millisecond)
+		}, soak.Uncut},
 		{"cut by the VM's kill", func(c *soak.Checker) {
 			c.Disturbed("vm", s/2, s)
 			c.Ran("q", "e1", "", s)
