--- a/internal/soak/deal.go
+++ b/internal/soak/deal.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"syscall"
 	"time"
@@ -29,6 +30,10 @@
 	// upAfter is when a started process has come to its first line of code,
 	// before which the kernel ends it on SIGHUP whatever that line says.
 	upAfter = 200 * time.Millisecond
+	// rebornAfter is how long a target that starts again is away, and heartbeat the time
+	// between its writes of its entry.
+	rebornAfter = 300 * time.Millisecond
+	heartbeat   = 1200 * time.Millisecond
 	// rollGap is the pause between two stops of a roll: with four VMs all are
 	// stopping for a second or two, so that requests come to the end of each.
 	rollGap = 300 * time.Millisecond
@@ -85,6 +90,10 @@
 		w.leave(ctx, s)
 	case Crash:
 		w.crash(ctx, s)
+	case Reborn:
+		w.rebear(ctx, s)
+	case Foreign:
+		w.foreign(ctx, s)
 	case Change:
 		w.change()
 	case Storm:
@@ -263,6 +272,40 @@
 	w.replace(s, e)
 }
 
+// rebear ends a target without a word and starts it again under its id.
+func (w *world) rebear(ctx context.Context, s *slot) {
+	e := w.take(s)
+	if e == nil {
+		return
+	}
+	w.check.Disturbed(e.ID, w.now(), w.now()+settled)
+	e.Close()
+	kernel.Sleep(ctx, rebornAfter)
+	if err := w.fillAs(s, e.ID); err != nil {
+		w.count("target_not_started")
+	}
+}
+
+// foreign has another program write entries: of targets that there are not, and over the
+// entry of one that there is, which writes its own again with its next heartbeat.
+func (w *world) foreign(ctx context.Context, s *slot) {
+	s.mu.Lock()
+	e := s.engine
+	sound := platformtest.At(e.Row(s.service, s.dataCentre()), s.link.Addr())
+	s.mu.Unlock()
+	for i, entry := range platformtest.ForeignEntries(sound) {
+		w.store.PutBytes(platformtest.TableTargets, fmt.Sprintf("foreign-%d", i), entry)
+	}
+	w.check.Disturbed(e.ID, w.now(), w.now()+settled)
+	w.store.PutBytes(platformtest.TableTargets, e.ID, []byte("{"))
+	kernel.Sleep(ctx, heartbeat)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.engine == e && !s.away {
+		w.list(s, e)
+	}
+}
+
 // replace puts a new target at the address of an old one.
 func (w *world) replace(s *slot, old *platformtest.Engine) {
 	w.check.Disturbed(old.ID, w.now(), w.now()+settled)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -32,6 +32,11 @@
 	TargetFault Kind = "target_fault"
 	Leave       Kind = "target_leaves"
 	Crash       Kind = "target_crashes"
+	// Reborn: a target crashes and starts again under its id. Foreign: another program
+	// writes entries, also over those of targets, which write theirs again. Both are dealt
+	// by histories only: what is drawn for a seed stays as it was when it failed.
+	Reborn  Kind = "target_reborn"
+	Foreign Kind = "foreign_entries"
 	// Of the configuration: one change, or several in quick succession.
 	Change Kind = "config_change"
 	Storm  Kind = "config_storm"
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -109,6 +109,26 @@
 	}
 }
 
+// Targets start again under their ids in the middle of their work, and another program
+// writes into their list, while VMs are stopped and killed.
+func TestTargetsBornAgainAndForeignEntries(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	history := []soak.Fault{
+		{Kind: soak.Foreign, At: 2 * time.Second, Index: 0},
+		{Kind: soak.Reborn, At: 3 * time.Second, Index: 1},
+		{Kind: soak.Reborn, At: 4 * time.Second, Index: engines},
+		{Kind: soak.Kill, At: 5 * time.Second, Index: 0},
+		{Kind: soak.Reborn, At: 5500 * time.Millisecond, Index: 2},
+		{Kind: soak.Foreign, At: 6 * time.Second, Index: engines + 1},
+		{Kind: soak.Reborn, At: 6500 * time.Millisecond, Index: 2},
+		{Kind: soak.Stop, At: 7 * time.Second, Index: 1},
+		{Kind: soak.Reborn, At: 7500 * time.Millisecond, Index: 0},
+	}
+	run(t, soak.Config{Seed: 1, Length: 13 * time.Second, Faults: history, Ports: proc.NewPorts()})
+}
+
 func TestPlanFollowsItsSeed(t *testing.T) {
 	is := is.New(t)
 	is.True(reflect.DeepEqual(soak.Plan(7, time.Minute), soak.Plan(7, time.Minute)))
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -143,16 +143,25 @@
 // fill starts a new target at a slot and lists it.
 func (w *world) fill(s *slot) error {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.life++
+	id := fmt.Sprintf("t%d-%d", s.index, s.life)
+	s.mu.Unlock()
+	return w.fillAs(s, id)
+}
+
+// fillAs starts a target under an id at a slot and lists it.
+func (w *world) fillAs(s *slot, id string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	stage := ""
 	if s.service == platformtest.ServiceModel {
 		stage = "decode"
 	}
-	e, err := platformtest.NewEngineAt(s.address, fmt.Sprintf("t%d-%d", s.index, s.life), stage)
+	e, err := platformtest.NewEngineAt(s.address, id, stage)
 	if err != nil {
 		return err
 	}
+	e.Born = time.Now().UnixMilli()
 	e.Observe(observer{w: w, s: s})
 	gap := eventGap
 	if s.index%3 == 0 {
