--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -243,7 +243,7 @@
 	} else {
 		p.keepUses(r.Uses, !r.Summary)
 	}
-	p.listed = max(p.listed, r.Listed)
+	p.mostListed = max(p.mostListed, r.Listed)
 	if p.counts(next) {
 		p.replace(before, next.work)
 	}
--- a/internal/peers/fan.go
+++ b/internal/peers/fan.go
@@ -23,8 +23,8 @@
 	fanMbpsPerVM = 2.0
 	// duties is how many VMs of a data centre are told everything: the relay, and the one
 	// that takes its place. One more is heard by all, should both be lost at once.
-	duties    = 2
-	announced = duties + 1
+	duties     = 2
+	heardByAll = duties + 1
 	// fanInterval is the time between reports, and between digests, in such a data centre.
 	fanInterval = 20 * time.Millisecond
 	// digestShare is the part of the relay's link that digests may take.
@@ -71,7 +71,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	up := p.first()
-	if everyone && slices.ContainsFunc(up[:min(announced, len(up))], func(m listed) bool { return m.VM == p.self.VM }) {
+	if everyone && slices.ContainsFunc(up[:min(heardByAll, len(up))], func(m listed) bool { return m.VM == p.self.VM }) {
 		return p.addrs(p.self.DataCentre)
 	}
 	var to []netip.AddrPort
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -95,8 +95,8 @@
 
 	mu      sync.Mutex
 	members map[string]listed
-	// listed is the most VMs that others have listed.
-	listed int
+	// mostListed is the most VMs that any VM that was heard has listed.
+	mostListed int
 	// heard holds the VMs of this data centre, and centres the other ones.
 	heard   map[string]*heardState
 	centres map[string]*heardState
@@ -216,7 +216,7 @@
 func (p *Peers) Size() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return max(p.count(), p.listed)
+	return max(p.count(), p.mostListed)
 }
 
 // count counts the VMs that this one knows; the caller holds p.mu.
--- a/internal/soak/deal.go
+++ b/internal/soak/deal.go
@@ -91,7 +91,7 @@
 	case Crash:
 		w.crash(ctx, s)
 	case Reborn:
-		w.rebear(ctx, s)
+		w.restart(ctx, s)
 	case Foreign:
 		w.foreign(ctx, s)
 	case Change:
@@ -272,8 +272,8 @@
 	w.replace(s, e)
 }
 
-// rebear ends a target without a word and starts it again under its id.
-func (w *world) rebear(ctx context.Context, s *slot) {
+// restart ends a target without a word and starts it again under its id.
+func (w *world) restart(ctx context.Context, s *slot) {
 	e := w.take(s)
 	if e == nil {
 		return
