--- a/internal/peers/news.go
+++ b/internal/peers/news.go
@@ -13,7 +13,8 @@
 	// passOnFrom is the size of a group from which its sentinels pass on what
 	// they read, and the other VMs make no calls of their own: below it the
 	// calls saved are worth less than what each VM knows from the store itself.
-	passOnFrom = 24
+	// 19 VMs made 803 calls on a calm day as each watched for itself, 476 so.
+	passOnFrom = 12
 )
 
 // PassesOn reports whether the sentinels of the group pass on what they read.
