Digests are used wherever they come; the order of duties stands once

Cause: read again as a newcomer: a VM judged by its own list whether its relay sends digests. One that had missed a few greetings of a data centre near 32 VMs would have waited for reports that nobody sends it, until the members are listed again (295 s at 295 VMs). And the order of duties was written twice, in rank and in first. Change: a VM that hears digests uses them; whether to send them is still judged by the relay's own list, so that a slow relay does not go on with them. rank is the place in first; order is one comparison. Test: TestDigestsAreUsedWhereTheyCome failed before (10 s without the others' work), passes now with the rest of the package (15.9 s).

--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -53,7 +53,7 @@
 		p.measureAge()
 		r := p.ownReport()
 		relays, fans := p.relays(), p.fans()
-		p.follow(fans && !relays)
+		p.follow(!relays && (fans || p.hearsDigests()))
 		p.setPending(r.Uses, relays)
 		now := time.Now()
 		if relays && !now.Before(nextSummary) {
--- a/internal/peers/fan.go
+++ b/internal/peers/fan.go
@@ -41,12 +41,7 @@
 			up = append(up, m)
 		}
 	}
-	slices.SortFunc(up, func(a, b listed) int {
-		if before(a.Member, b.Member) {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(up, func(a, b listed) int { return order(a.Member, b.Member) })
 	return up
 }
 
@@ -62,11 +57,20 @@
 	return p.first()[0].LinkMbps >= fanMbpsPerVM*float64(n)
 }
 
+// hearsDigests reports whether digests come here. A VM that knows too few others to expect
+// them must use them all the same: it hears of the others in no other way.
+func (p *Peers) hearsDigests() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.centres[p.self.DataCentre]
+	return s != nil && s.fresh()
+}
+
 // reportTo returns where this VM's report goes: to the VMs on duty, or to all of the data
 // centre. A VM on duty, or next to it, tells all the others from time to time that it is
 // up; everyone says then says true.
 func (p *Peers) reportTo(everyone bool) []netip.AddrPort {
-	if !p.fans() {
+	if !p.fans() && !p.hearsDigests() {
 		return p.neighbourAddrs()
 	}
 	p.mu.Lock()
--- a/internal/peers/fan_test.go
+++ b/internal/peers/fan_test.go
@@ -1,6 +1,7 @@
 package peers_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -111,3 +112,31 @@
 	})
 	is.True(large[2].peers.Sentinel())
 }
+
+// short lists only a part of the members.
+type short struct {
+	store.Table
+	most int
+}
+
+func (s short) List(ctx context.Context, prefix string) ([]store.Record, error) {
+	records, err := s.Table.List(ctx, prefix)
+	return records[:min(s.most, len(records))], err
+}
+
+// A VM that knows too few others to expect digests uses those that come: it hears from the
+// relay only what the others have in hand.
+func TestDigestsAreUsedWhereTheyCome(t *testing.T) {
+	table := store.NewMemory()
+	large, small := startLarge(t, table)
+	for _, v := range append(large, small...) {
+		defer v.stop(t)
+	}
+	late := startIn(t, "a", "a99", 20, short{table, 10}, nil)
+	defer late.stop(t)
+	busy := large[fanCentre-1] // not among those that it lists
+	eventually(t, "the others' work is known", func() bool {
+		busy.placer.set(map[string]place.Work{"e1": {Running: 4}})
+		return late.peers.Work("e1").Running == 4
+	})
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -270,7 +270,7 @@
 
 // Interval is the time between this VM's reports while they change.
 func (p *Peers) Interval() time.Duration {
-	if p.fans() {
+	if p.fans() || p.hearsDigests() {
 		return fanInterval
 	}
 	return max(minInterval, time.Duration(p.neighbours())*intervalPerVM)
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -26,25 +26,16 @@
 	largeCentre = 5
 )
 
-// before orders the VMs of a data centre for its duties: those with the faster
-// link first, then by name.
-func before(a, b Member) bool {
-	if c := cmp.Compare(b.LinkMbps, a.LinkMbps); c != 0 {
-		return c < 0
-	}
-	return a.VM < b.VM
+// order compares the VMs of a data centre for its duties: those with the faster
+// link come first, then by name.
+func order(a, b Member) int {
+	return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(a.VM, b.VM))
 }
 
 // rank is this VM's place among those of its data centre that are up, as far as is
 // known; the caller holds p.mu.
 func (p *Peers) rank() int {
-	n := 0
-	for _, m := range p.members {
-		if m.VM != p.self.VM && m.DataCentre == p.self.DataCentre && p.up(m) && before(m.Member, p.self) {
-			n++
-		}
-	}
-	return n
+	return slices.IndexFunc(p.first(), func(m listed) bool { return m.VM == p.self.VM })
 }
 
 // up reports whether a VM of this data centre is taken for up: it is heard, or has been
