--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 # and wants an otherwise idle machine; no test depends on it.
 BENCH = go test -run '^$$' -benchtime=1x -timeout 30m
 bench:
-	@$(BENCH) -bench Figures ./internal/route ./internal/limit ./internal/roles 2>&1 | grep '^figure'
+	@$(BENCH) -bench Figures ./internal/route ./internal/limit ./internal/roles ./internal/place 2>&1 | grep '^figure'
 	@go test -run '^$$' -bench 'Pick|Observe|Accounts|CopyEvents' ./internal/route ./internal/roles ./internal/limit ./internal/relay | ./scripts/figures.sh
 	@go test -count=1 -run 'TestSpread|TestLeavingTarget' -v ./internal/member | grep '^figure'
 	@$(BENCH) -bench 'Relay|Control|Succession' ./internal/proc 2>&1 | grep '^figure'
--- a/internal/place/stale_test.go
+++ b/internal/place/stale_test.go
@@ -15,11 +15,17 @@
 
 // crowd replays a burst on many VMs that hear of each other's work late.
 type crowd struct {
-	t       *testing.T
+	t       testing.TB
 	random  *rand.Rand
 	engines []*fleet.Target
-	age     time.Duration
-	told    time.Duration
+	// sessions is how many sessions ask in turn at random.
+	sessions int
+	// age is how late VMs hear of each other, and told what the placers take it for: none
+	// has them choose the cheapest.
+	age  time.Duration
+	told time.Duration
+	// among returns the engines that a prompt is weighed at; nil is all.
+	among   candidates
 	placers []*place.Placer
 	// past holds what each VM had in hand at each step, and uses what it told then.
 	past [][]map[string]place.Work
@@ -41,6 +47,9 @@
 	refused int
 }
 
+// candidates chooses the engines that a session's prompt is weighed at.
+type candidates func(c *crowd, session uint64) []*fleet.Target
+
 type sent struct {
 	ticket *place.Ticket
 	at     time.Time
@@ -50,11 +59,13 @@
 	crowdVMs     = 60
 	crowdEngines = 30
 	crowdStep    = 10 * time.Millisecond
-	// crowdPerStep prompts come in a step: 0.6 of what the engines read.
-	crowdPerStep  = 7
-	crowdSessions = 300
-	readPerToken  = 4 * time.Microsecond
-	// crowdOverload prompts come in a step of a burst: 1.5 times what the engines read.
+	// crowdPerStep prompts come in a step: 0.84 of what the engines read while they hold
+	// none of them, 0.26 where they hold all shared parts.
+	crowdPerStep      = 7
+	sessionsPerEngine = 10
+	readPerToken      = 4 * time.Microsecond
+	// crowdOverload prompts come in a step of a burst: 1.5 times what the engines read where
+	// they hold all shared parts.
 	crowdOverload  = 40
 	crowdObjective = 250 * time.Millisecond
 	crowdPatience  = 2 * time.Second
@@ -80,15 +91,23 @@
 	return h.c.sums[at][id].Minus(h.c.past[at][h.vm][id])
 }
 
-func newCrowd(t *testing.T, age, told time.Duration) *crowd {
-	c := &crowd{t: t, random: rand.New(rand.NewPCG(1, 2)), age: age, told: told, free: make(map[string]time.Time), now: time.Unix(1000, 0)}
-	for i := range crowdEngines {
-		c.engines = append(c.engines, engine(fmt.Sprintf("p%02d", i), fleet.Prefill))
+func newCrowd(t testing.TB, age, told time.Duration) *crowd {
+	return newCrowdOf(t, crowdVMs, crowdEngines, age, told)
+}
+
+// newCrowdOf returns a crowd of as many VMs before as many engines that read.
+func newCrowdOf(t testing.TB, vms, engines int, age, told time.Duration) *crowd {
+	c := &crowd{
+		t: t, random: rand.New(rand.NewPCG(1, 2)), age: age, told: told, sessions: sessionsPerEngine * engines,
+		free: make(map[string]time.Time), now: time.Unix(1000, 0),
+	}
+	for i := range engines {
+		c.engines = append(c.engines, engine(fmt.Sprintf("p%03d", i), fleet.Prefill))
 	}
 	decode := engine("d", fleet.Decode)
 	decode.Slots = 100000
 	c.engines = append(c.engines, decode)
-	for vm := range crowdVMs {
+	for vm := range vms {
 		cfg := place.DefaultConfig("a")
 		cfg.Seed = uint64(vm + 1)
 		c.placers = append(c.placers, place.New(cfg, heard{c, vm}, unchanging))
@@ -153,8 +172,8 @@
 
 // ask has one prompt of some session come to some VM.
 func (c *crowd) ask() {
-	session := uint64(100 + c.random.IntN(crowdSessions))
-	c.look(&asking{vm: c.random.IntN(crowdVMs), at: c.now, prompt: &place.Prompt{
+	session := uint64(100 + c.random.IntN(c.sessions))
+	c.look(&asking{vm: c.random.IntN(len(c.placers)), at: c.now, prompt: &place.Prompt{
 		Tokens: 9000, Output: 10, MaxOutput: 20,
 		Parts: []place.Part{{Hash: 1, Tokens: 2500}, {Hash: session, Tokens: 3700}, {Hash: c.random.Uint64(), Tokens: 2800}},
 	}})
@@ -174,7 +193,11 @@
 	p := c.placers[a.vm]
 	asked := place.Asked{Objective: crowdObjective, Waited: c.now.Sub(a.at), Held: c.now.Sub(a.at), Left: crowdPatience - c.now.Sub(a.at), Random: c.random.Float64()}
 	a.prompt.MaxWait = asked.MaxWait()
-	choice, ok := p.Read(c.engines, spec, a.prompt, nil, c.now)
+	engines := c.engines
+	if c.among != nil {
+		engines = c.among(c, a.prompt.Parts[1].Hash)
+	}
+	choice, ok := p.Read(engines, spec, a.prompt, nil, c.now)
 	if !ok {
 		c.t.Fatal("no way")
 	}
