--- a/internal/peers/fan.go
+++ b/internal/peers/fan.go
@@ -9,21 +9,22 @@
 	"garnethoist.org/garnethoist/internal/place"
 )
 
-// In a large data centre the VMs report to the few that stand first for its duties, and
-// the relay sends all of them one digest of what it knows: of its own data centre and of
-// the others. Were each to report to all, 60 VMs would exchange 47,000 datagrams a second, by
-// their interval. With 21 VMs a data centre the processes' time was 35.9 s so, 43.9 s before
-// (99 VMs, 28 s of a day, one play each).
+// In a large data centre the VMs send their reports to the relay and its standby only, and
+// the relay sends every VM one digest of the work of all data centres. If each VM reported to
+// each, 60 VMs would exchange 47,000 datagrams a second (by their interval). Measured with 99
+// VMs, 21 a data centre, over 28 s: the processes took 35.9 s of processor time with digests
+// and 43.9 s without.
 
 const (
-	// fanFrom is the size of a data centre from which its relay fans out: below it
-	// everyone hears everyone within 40 ms.
+	// fanFrom is the size of a data centre from which its relay sends digests. Below it
+	// each VM hears each other one every 40 ms or more often.
 	fanFrom = 32
-	// fanMbpsPerVM is the link that a relay needs for each VM of its data centre: a digest
-	// of 10 KB each 80 ms, by half of it.
+	// fanMbpsPerVM is the bandwidth that the relay needs for each VM: half of it carries a
+	// digest of 10 KB every 80 ms.
 	fanMbpsPerVM = 2.0
-	// duties is how many VMs of a data centre are told everything: the relay, and the one
-	// that takes its place. One more is heard by all, should both be lost at once.
+	// duties is the number of VMs that receive all reports: the relay and its standby.
+	// heardByAll VMs send heartbeats to the whole data centre, so that a successor is known
+	// when the relay and its standby fail together.
 	duties     = 2
 	heardByAll = duties + 1
 	// fanInterval is the time between reports, and between digests, in such a data centre.
@@ -32,8 +33,8 @@
 	digestShare = 0.5
 )
 
-// first returns the VMs of this data centre that are up, this one included, in the order of
-// their duties; the caller holds p.mu.
+// first returns the live VMs of this data centre, this one included, in the order in which
+// they become relay; the caller holds p.mu.
 func (p *Peers) first() []listed {
 	up := []listed{{Member: p.self}}
 	for _, m := range p.members {
@@ -45,8 +46,8 @@
 	return up
 }
 
-// fans reports whether the relay of this data centre sends digests, so that the VMs need
-// not report to each other.
+// fans reports whether the relay of this data centre sends digests, as far as this VM can
+// tell from the members it knows.
 func (p *Peers) fans() bool {
 	n := p.neighbours()
 	if n < fanFrom {
@@ -57,8 +58,8 @@
 	return p.first()[0].LinkMbps >= fanMbpsPerVM*float64(n)
 }
 
-// hearsDigests reports whether digests come here. A VM that knows too few others to expect
-// them must use them all the same: it hears of the others in no other way.
+// hearsDigests reports whether a recent digest has arrived. A VM whose member list is
+// incomplete must use it too, because nothing else tells it about the other VMs.
 func (p *Peers) hearsDigests() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -66,9 +67,9 @@
 	return s != nil && s.fresh()
 }
 
-// reportTo returns where this VM's report goes: to the VMs on duty, or to all of the data
-// centre. A VM on duty, or next to it, tells all the others from time to time that it is
-// up; everyone says then says true.
+// reportTo returns the destinations of this VM's report: the relay and its standby, or the
+// whole data centre where no digests are sent. If everyone is true, the VMs that are heard by
+// all report to the whole data centre as a heartbeat.
 func (p *Peers) reportTo(everyone bool) []netip.AddrPort {
 	if !p.fans() && !p.hearsDigests() {
 		return p.neighbourAddrs()
@@ -88,7 +89,7 @@
 	return to
 }
 
-// digest returns what is known of all VMs, own being this VM's report.
+// digest returns the work of all VMs of all data centres; own is this VM's report.
 func (p *Peers) digest(own *report) *report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -98,7 +99,7 @@
 	return r
 }
 
-// elsewhere is what the other data centres said; the caller holds p.mu.
+// elsewhere returns the last summary of each other data centre; the caller holds p.mu.
 func (p *Peers) elsewhere() []*heardState {
 	var out []*heardState
 	for dataCentre, s := range p.centres {
@@ -109,13 +110,13 @@
 	return out
 }
 
-// told remembers what this VM has reported of late, as the relay's digests hold it too.
+// told is a recent report of this VM. Digests contain it, so it is subtracted from them.
 type told struct {
 	at   time.Time
 	work map[string]place.Work
 }
 
-// keepTold remembers a report that is sent now; the caller holds p.mu.
+// keepTold records a report that is being sent; the caller holds p.mu.
 func (p *Peers) keepTold(work map[string]place.Work) {
 	p.told = append(p.told, told{time.Now(), work})
 	if len(p.told) > maxTold {
@@ -123,11 +124,11 @@
 	}
 }
 
-// maxTold bounds the reports that are remembered: those of the time that a digest takes.
+// maxTold is the number of own reports kept: more than are sent while a digest is on its way.
 const maxTold = 16
 
-// others takes this VM's own part out of a digest's work: what it had reported before the
-// digest was made. The caller holds p.mu.
+// others subtracts this VM's own work, as reported before the digest was made, from the work
+// of a digest. The caller holds p.mu.
 func (p *Peers) others(work map[string]place.Work) map[string]place.Work {
 	var own map[string]place.Work
 	made := time.Now().Add(-fanInterval / 2)
@@ -144,8 +145,8 @@
 	return work
 }
 
-// follow chooses where the work of others is read: in the digests of the relay, or in
-// everyone's reports.
+// follow selects the source of the others' work: the relay's digests, or the reports and
+// summaries of the VMs themselves.
 func (p *Peers) follow(digests bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -163,12 +164,11 @@
 	}
 }
 
-// counts reports whether what was heard counts for the sums: digests hold all else. The
-// caller holds p.mu.
+// counts reports whether s is added to the sums. A digest already contains all reports and
+// summaries, so only one of the two kinds is added. The caller holds p.mu.
 func (p *Peers) counts(s *heardState) bool { return s.digest == p.digested }
 
-// noteRelay notes that the relay of this data centre is up, as its digest says; the caller
-// holds p.mu.
+// noteRelay records that the sender of a digest is alive; the caller holds p.mu.
 func (p *Peers) noteRelay(r *report, addr netip.AddrPort) {
 	s := p.heard[r.From.VM]
 	if s == nil {
--- a/internal/place/admit.go
+++ b/internal/place/admit.go
@@ -68,27 +68,28 @@
 	return a.Left
 }
 
-// idleWait is the wait for a target's prompts up to which it counts as idle.
+// idleWait returns the queueing time up to which a target counts as idle.
 func idleWait(objective time.Duration) time.Duration {
 	return time.Duration(idleShare * float64(objective))
 }
 
-// maxWait is the wait for others' prompts with which a request is sent: it is on time, or
-// the target counts as idle.
+// maxWait returns the longest queueing time at which a request is sent: the answer is still
+// on time, or the target counts as idle.
 func (a Asked) maxWait(own time.Duration) time.Duration {
 	own = min(own, time.Duration(ownShare*float64(a.Objective)))
 	return max(time.Duration(onTimeShare*float64(a.Objective))-a.Waited-own, idleWait(a.Objective))
 }
 
-// MaxWait is the same for a request whose own reading is not known yet.
+// MaxWait is maxWait before the time to read the prompt is known.
 func (a Asked) MaxWait() time.Duration { return a.maxWait(0) }
 
-// turn reports whether a request that has been deferred goes now.
+// turn reports whether a deferred request may be sent now.
 //
-// Load pattern: a burst has left hundreds of requests waiting on as many VMs, and one
-// engine becomes idle. All VMs see it on the same report and send: of what late
-// prompts had ahead of them, 0.85 had been sent within the 25 ms before (lines of 99 VMs). So
-// each goes with the probability that fills the room once, of those that look meanwhile.
+// Load pattern: after a burst, hundreds of requests are deferred on as many VMs. When one
+// engine becomes idle, all VMs learn it from the same report and send at once: of the prompt
+// tokens ahead of late prompts, 0.85 had been sent within the previous 25 ms (logs of 99 VMs).
+// Each request is therefore sent with the probability at which the requests that look during
+// the age of a report fill the free capacity once.
 func turn(c Choice, a Asked) bool {
 	if a.Queue <= 0 {
 		return true
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -6,27 +6,27 @@
 	"garnethoist.org/garnethoist/internal/fleet"
 )
 
-// queuePrefix begins the name under which the requests that VMs keep waiting for a service
-// are told to each other, as if they were work in hand at a target of that name.
+// queuePrefix marks the pseudo target under which VMs report the deferred requests of a
+// service, so that reports and summaries add them up like other work.
 const queuePrefix = "queue/"
 
-// Wait notes that this VM keeps a request of a service waiting, whose reading will take own,
-// until its ticket ends.
+// Wait counts a deferred request of a service until its ticket ends; own is the time that
+// reading its prompt takes.
 func (p *Placer) Wait(service string, own time.Duration) *Ticket {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.begin(&fleet.Target{ID: queuePrefix + service, Service: service}, Work{Prefill: own, Prefills: 1}, time.Time{})
 }
 
-// Waiting is what all VMs keep waiting for a service.
+// Waiting returns the deferred requests of a service on all VMs.
 func (p *Placer) Waiting(service string) Work {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.total(queuePrefix + service)
 }
 
-// room is how much reading fills a service's targets up to a wait, less what others have
-// placed unseen.
+// room returns the reading time that can be added to the targets before each reaches the
+// given wait, minus the work placed by others that is not reported yet.
 func room(ways []weighed, wait, unseen time.Duration) time.Duration {
 	var sum time.Duration
 	for _, w := range ways {
--- a/internal/place/spread.go
+++ b/internal/place/spread.go
@@ -6,17 +6,17 @@
 	"time"
 )
 
-// spread chooses among ways whose prices are the costs as far as they are known here.
+// spread picks one of several ways to serve a request, given prices computed from stale load.
 //
-// Load pattern: many VMs, each with few requests, that know each other's work only as it
-// was some time ago. Were the cheapest chosen, all would choose the same target until
-// they hear of each other. So unseen, the work that others have placed meanwhile, is taken
-// to fill the cheapest targets up to one level, and a way below it is drawn with the
-// probability that levels them (Dahlin, Interpreting Stale Load Information, 1999). With
-// fresh knowledge this is the cheapest, with old knowledge a random one.
+// Load pattern: many VMs with few requests each see each other's work with a delay. If each
+// picked the cheapest target, all would pick the same one until the next report. The work
+// placed by others since then, unseen, is therefore assumed to fill the cheapest targets up
+// to a common level, and a way below that level is drawn with a probability proportional to
+// its distance from it (Dahlin, Interpreting Stale Load Information, 1999). With fresh load
+// this is the cheapest way; the staler the load, the more evenly ways are drawn.
 type spread struct {
 	price []time.Duration
-	// order is the ways by price; reached of them are below level.
+	// order holds the indexes of the ways by price; the first reached are below level.
 	order   []int
 	level   time.Duration
 	reached int
@@ -33,7 +33,7 @@
 	return s
 }
 
-// fill sets the level to which unseen fills the cheapest ways.
+// fill computes the level up to which the unseen work fills the cheapest ways.
 func (s *spread) fill() {
 	sum := s.unseen
 	for n, i := range s.order {
@@ -58,36 +58,36 @@
 	return s.order[0]
 }
 
-// stays reports whether way i, whose target alone holds the request's session, is worth
-// taking: others have no reason to choose it, so that it has its even part of the unseen
-// work only.
+// stays reports whether way i, whose target has the request's session cached, should be
+// taken. Other requests have no reason to prefer that target, so it is assumed to have
+// received an average share of the unseen work.
 func (s *spread) stays(i int) bool {
 	return s.price[i]+s.unseen/time.Duration(len(s.price)) <= s.level
 }
 
-// inflow measures how much work a service's targets are given, by all VMs.
+// inflow is a moving average of the work that other VMs place at a service's targets.
 type inflow struct {
-	// rate is work in time units a second, as of at.
+	// rate is the reading time placed per unit of time, as of at.
 	rate float64
 	at   time.Time
 }
 
-// inflowMemory is the time over which inflow is averaged: a burst lasts some seconds.
+// inflowMemory is the time constant of the average. Bursts last for seconds.
 const inflowMemory = time.Second
 
-// add takes in work that was given to a target now.
+// add records work placed at now.
 func (f *inflow) add(work time.Duration, now time.Time) {
 	f.fade(now)
 	f.rate += float64(work) / float64(inflowMemory)
 }
 
-// within is the work that comes within a time.
+// within returns the work expected to be placed during span.
 func (f *inflow) within(span time.Duration, now time.Time) time.Duration {
 	f.fade(now)
 	return time.Duration(f.rate * float64(span))
 }
 
-// fade brings the rate to now.
+// fade decays the rate to now.
 func (f *inflow) fade(now time.Time) {
 	if dt := now.Sub(f.at); dt > 0 {
 		f.rate *= fading(dt, inflowMemory)
