make demo shows garnet-node, the program that users run

Cause: the README and make demo showed the product's own daemons first, which no user runs. Change: internal/demo starts three garnet-nodes before stand-ins, serves long prompts, short ones and calls that may run once, adds a route, stops a VM, kills one, and prints the line that explains a failed request; make demo-own shows the product's own deployment as before. Left: a burn report in it, and the change through garnetctl.

--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,19 @@
-.PHONY: all build demo test check generate bench fuzz soak
+.PHONY: all build demo demo-own test check generate bench fuzz soak
 
 all: build
 
 build:
 	go build -o bin/ ./cmd/...
 
-# Starts everything on loopback, serves a few requests and stops it again.
+# Starts garnet-nodes on loopback before stand-ins, serves a mix that shifts, changes the
+# configuration, stops a VM and kills one.
 demo: build
 	./bin/garnet-demo --bin bin
 
+# The same for the product's own deployment, in short.
+demo-own: build
+	./bin/garnet-demo --bin bin --own
+
 # Formatting, vet, staticcheck and every test with the race detector.
 test: check
 	@./scripts/test.sh
--- a/cmd/garnet-demo/main.go
+++ b/cmd/garnet-demo/main.go
@@ -1,7 +1,7 @@
-// Command garnet-demo shows the whole path on loopback: it starts the programs
-// and stand-ins as separate processes, applies a table, makes one language
-// request and one call that may not be repeated, prints the answers and the
-// status, and stops all that it started.
+// Command garnet-demo shows the whole path on loopback, with programs and stand-ins as
+// separate processes that it stops again: garnet-node while the mix shifts, the configuration
+// changes and VMs are lost, or with --own the product's own deployment, to which it applies a
+// table and makes one language request and one call that may not be repeated.
 package main
 
 import (
@@ -18,11 +18,13 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 
+	"garnethoist.org/garnethoist/internal/demo"
 	"garnethoist.org/garnethoist/internal/proc"
 )
 
 type options struct {
 	Bin string `long:"bin" default:"bin" value-name:"DIR" description:"folder of the programs"`
+	Own bool   `long:"own" description:"show the product's own deployment"`
 }
 
 const (
@@ -61,6 +63,14 @@
 	defer os.RemoveAll(dir)
 	ctx, cancel := context.WithTimeout(context.Background(), demoTimeout)
 	defer cancel()
+	if !opts.Own {
+		return demo.Run(ctx, demo.Config{Bin: opts.Bin, Dir: dir, Out: os.Stdout})
+	}
+	return runOwn(ctx, opts, dir)
+}
+
+// runOwn shows the product's own deployment.
+func runOwn(ctx context.Context, opts options, dir string) error {
 	cluster := proc.NewCluster(dir, opts.Bin, proc.NewPorts())
 	defer cluster.StopAll(stopGrace)
 	l, err := proc.NewLayout(cluster, proc.Shape{Engines: 3, Plains: 1, VMs: shape})
