--- a/cmd/garnet-model/main.go
+++ b/cmd/garnet-model/main.go
@@ -1,5 +1,6 @@
-// Command garnet-model plays days of a simulated fleet of model engines under
-// several policies, in virtual time, and writes a report and a plot for each.
+// Command garnet-model plays days of a fleet of model engines under several policies, in
+// virtual time, and writes a report and a plot for each. With --live it plays them on the
+// wall clock with garnet-node processes, and prints service by size.
 package main
 
 import (
@@ -14,11 +15,16 @@
 )
 
 type options struct {
-	Day    string   `long:"day" required:"true" description:"file of an installation and its days"`
-	Name   string   `long:"name" description:"name of one day; all days of the file where it is not given"`
-	Policy []string `long:"policy" description:"policy to play; may be given several times, all where it is not given"`
-	Seed   uint64   `long:"seed" default:"1" description:"seed of the requests and of random choices"`
-	Out    string   `long:"out" default:"model" description:"folder for the reports and plots"`
+	Day     string   `long:"day" required:"true" description:"file of an installation and its days"`
+	Name    string   `long:"name" description:"name of one day; all days of the file where it is not given"`
+	Policy  []string `long:"policy" description:"policy to play; may be given several times, all where it is not given"`
+	Seed    uint64   `long:"seed" default:"1" description:"seed of the requests and of random choices"`
+	Speed   float64  `long:"speed" default:"1" description:"speed of the engines, as a part of what the file says"`
+	Traffic float64  `long:"traffic" default:"1" description:"traffic, as a part of what the file says"`
+	Until   float64  `long:"until" description:"end each day after so many seconds"`
+	Live    string   `long:"live" description:"folder of the programs: play on the wall clock with garnet-node processes"`
+	Busy    float64  `long:"busy" description:"share of the time for which the processes are stopped, with --live"`
+	Out     string   `long:"out" default:"model" description:"folder for the reports and plots"`
 }
 
 // exitError is the exit code where the days could not be played.
@@ -40,6 +46,7 @@
 	if err != nil {
 		return err
 	}
+	site.Scale(o.Speed, o.Traffic)
 	if len(o.Policy) == 0 {
 		o.Policy = model.PolicyNames()
 	}
@@ -51,7 +58,8 @@
 		if o.Name != "" && d.Name != o.Name {
 			continue
 		}
-		if err := play(o, site, d); err != nil {
+		d.Until(o.Until)
+		if err := o.play(site, d); err != nil {
 			return errors.Wrap(err, d.Name)
 		}
 	}
@@ -61,6 +69,13 @@
 	return err
 }
 
+func (o options) play(site *model.Site, d *model.Day) error {
+	if o.Live != "" {
+		return playLive(o, site, d)
+	}
+	return play(o, site, d)
+}
+
 // play plays one day and writes its report and plot.
 func play(o options, site *model.Site, d *model.Day) error {
 	r, err := model.NewReport(site, d, o.Seed, o.Policy)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -51,6 +51,10 @@
 	deferredFor time.Duration
 	// longestGap is the longest pause between two writes of a stream's events.
 	longestGap time.Duration
+	// seat is what the choice of the engine that runs the request rests on, and eventPause
+	// the mean time between the events that it has made.
+	seat       *place.Seat
+	eventPause time.Duration
 	// lastEvent is the id of the last event of a stream that the caller has.
 	lastEvent string
 	// stop is what a stopping VM weighed when it took or refused the request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,6 +119,7 @@
 	endingNow context.CancelFunc
 	inFlight  atomic.Int64
 	waits     waits
+	sizes     sizes
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -194,6 +194,7 @@
 	if p != nil {
 		d.Handle = p.handle
 	}
+	x.seat = &c.Seat
 	resp, out, err := x.send(ctx, c.Target, d, c.Ticket)
 	if out != sentNothing {
 		x.arrivals++
@@ -212,6 +213,7 @@
 		return x.relayFailure(s, c, resp)
 	}
 	err = s.relay(resp)
+	x.eventPause = s.pause()
 	switch {
 	case err == nil:
 		x.note(c.Target, strconv.Itoa(resp.Status), nil)
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -34,6 +34,7 @@
 	fields := append(x.fields(), telemetry.F("ms", took.Milliseconds()))
 	if err == nil {
 		x.g.stats.Request(x.status, "", took)
+		x.countSize(telemetry.EventRequestServed)
 		x.g.log.Info(telemetry.EventRequestServed, fields...)
 		return
 	}
@@ -43,9 +44,17 @@
 	if e.Answer().Outcome == errkind.NotRun {
 		event = telemetry.EventRequestRefused
 	}
+	x.countSize(event)
 	x.g.log.Warn(event, append(fields, telemetry.F("kind", e.Kind), telemetry.F("cause", e.Error()))...)
 }
 
+// countSize counts a generation by its size.
+func (x *exchange) countSize(event telemetry.Event) {
+	if p := x.meta.Prompt; p != nil && x.route != nil {
+		x.g.stats.Generation(x.route.Name, x.g.sizes.take(x.route.Name, p), event)
+	}
+}
+
 // fields returns what the log line tells of the request and of the beliefs that
 // it was decided on.
 func (x *exchange) fields() []telemetry.Field {
@@ -73,6 +82,12 @@
 	if x.deferredFor > 0 {
 		fields = append(fields, telemetry.F("deferred_ms", x.deferredFor.Milliseconds()))
 	}
+	if s := x.seat; s != nil {
+		fields = append(fields, telemetry.F("beside", s.Beside), telemetry.F("longest_ms", s.Longest.Milliseconds()))
+	}
+	if x.eventPause > 0 {
+		fields = append(fields, telemetry.F("event_us", x.eventPause.Microseconds()))
+	}
 	if x.longestGap > 0 {
 		fields = append(fields, telemetry.F("gap_ms", x.longestGap.Milliseconds()))
 	}
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"garnethoist.org/garnethoist/internal/errkind"
+	"garnethoist.org/garnethoist/internal/telemetry"
 )
 
 // Stats counts requests by route and outcome.
@@ -17,6 +18,7 @@
 	requests metric.Int64Counter
 	seconds  metric.Float64Histogram
 	handles  metric.Int64Counter
+	bySize   metric.Int64Counter
 }
 
 // NewStats returns the gateway's instruments.
@@ -30,7 +32,11 @@
 		return nil, errors.Wrap(err, "duration histogram")
 	}
 	handles, err := m.Int64Counter("garnet_handles_not_freed", metric.WithDescription("KV cache handles whose freeing call failed"))
-	return &Stats{requests: requests, seconds: seconds, handles: handles}, errors.Wrap(err, "handles counter")
+	if err != nil {
+		return nil, errors.Wrap(err, "handles counter")
+	}
+	bySize, err := m.Int64Counter("garnet_generations_by_size", metric.WithDescription("requests to model engines by outcome and by their size among the last ones of their route"))
+	return &Stats{requests: requests, seconds: seconds, handles: handles, bySize: bySize}, errors.Wrap(err, "size counter")
 }
 
 // Request counts one request; kind is empty for an answer of a target.
@@ -40,5 +46,13 @@
 	s.seconds.Record(context.Background(), took.Seconds(), set)
 }
 
+// Generation counts one request to a model engine by its size and how it ended.
+func (s *Stats) Generation(route string, b bands, event telemetry.Event) {
+	s.bySize.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(
+		attribute.String("route", route), attribute.String("prompt", string(b.prompt)),
+		attribute.String("answer", string(b.answer)), attribute.String("outcome", string(event)),
+	)))
+}
+
 // HandleLost counts a handle that could not be freed.
 func (s *Stats) HandleLost() { s.handles.Add(context.Background(), 1) }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -92,6 +92,14 @@
 	s.events += n
 }
 
+// pause is the mean time between the events of the present target.
+func (s *stream) pause() time.Duration {
+	if s.events < 2 {
+		return 0
+	}
+	return s.wroteAt.Sub(s.firstAt) / time.Duration(s.events-1)
+}
+
 // end completes the answer. Bytes behind the last event belong to the body.
 func (s *stream) end(resp *httpsend.Response) error {
 	s.head(resp)
--- a/internal/model/bound.go
+++ b/internal/model/bound.go
@@ -136,8 +136,8 @@
 	sum, n := 0.0, 0
 	for _, dc := range s.DataCentres {
 		for k := range dc.Engines {
-			part := 1 / s.timeFactor(n)
-			if suppose.FixedStages && k >= s.prefillers(dc) {
+			part := 1 / s.TimeFactor(n)
+			if suppose.FixedStages && k >= s.Prefillers(dc) {
 				part /= inPlaceSlowdown
 			}
 			sum += part
--- a/internal/model/day.go
+++ b/internal/model/day.go
@@ -104,6 +104,8 @@
 	Worth      float64 `json:"worth"`
 	LateWorth  float64 `json:"late_worth"`
 	Priority   int     `json:"priority"`
+	// Resumable answers may go on at another engine.
+	Resumable bool `json:"resumable,omitempty"`
 	// Plain calls go to other services and are taken as served in time.
 	Plain bool `json:"plain,omitempty"`
 	// Own is the prompt's own tokens, Chain its shared parts, Events the events
@@ -239,13 +241,13 @@
 	return nil, errors.Errorf("no day %q", name)
 }
 
-// prefillers is how many engines of a data centre prefill at first.
-func (s *Site) prefillers(dc DataCentre) int {
+// Prefillers is how many engines of a data centre prefill at first.
+func (s *Site) Prefillers(dc DataCentre) int {
 	return min(max(int(s.Engine.PrefillShare*float64(dc.Engines)), 1), dc.Engines-1)
 }
 
-// timeFactor is how much longer the n-th engine takes.
-func (s *Site) timeFactor(n int) float64 {
+// TimeFactor is how much longer the n-th engine takes.
+func (s *Site) TimeFactor(n int) float64 {
 	if f := s.Engine.TimeFactors; len(f) > 0 {
 		return f[n%len(f)]
 	}
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -111,13 +111,13 @@
 	vm := 0
 	for i, dc := range w.site.DataCentres {
 		w.dcIndex[dc.Name] = i
-		prefill := w.site.prefillers(dc)
+		prefill := w.site.Prefillers(dc)
 		for k := range dc.Engines {
 			stage := fleet.Decode
 			if k < prefill {
 				stage = fleet.Prefill
 			}
-			w.addEngine(dc.Name, stage, w.site.timeFactor(len(w.engines)))
+			w.addEngine(dc.Name, stage, w.site.TimeFactor(len(w.engines)))
 		}
 		var callers []int
 		for range dc.Callers {
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -22,6 +22,16 @@
 	// and Age how old what is known of the others' work is.
 	Room time.Duration
 	Age  time.Duration
+	// Seat is what the choice of a decode target rests on.
+	Seat Seat
+}
+
+// Seat is what a run at a decode target was reckoned with.
+type Seat struct {
+	// Beside is the requests that the target ran, and Longest the time of the longest answer
+	// that the request may have, as fast as answers are made beside so many.
+	Beside  int
+	Longest time.Duration
 }
 
 // Tried holds the ids of targets that are not to be chosen again.
@@ -143,7 +153,7 @@
 	w := ways[p.pickWay(ways, newSpread(prices, unseen), r.prompt)]
 	return Choice{
 		Target: w.target, Expected: w.expected, Own: w.own, Cached: w.cached, InPlace: w.target.Stage != fleet.Prefill,
-		Room: room(ways, r.prompt.MaxWait, unseen), Age: age,
+		Room: room(ways, r.prompt.MaxWait, unseen), Age: age, Seat: r.engines.seatOf(w.beside, r.prompt),
 	}, w
 }
 
@@ -203,5 +213,5 @@
 	p.occupyLink(q, now)
 	ticket := p.begin(t, Work{Running: 1, Streams: e.streams(q), Tokens: q.Tokens + q.Output/2}, now)
 	ticket.way, ticket.prompt, ticket.waits, ticket.beside = goOn, q, s.wait > 0, p.total(t.RunID()).Running-1
-	return Choice{Target: t, Expected: s.wait, Ticket: ticket}, true
+	return Choice{Target: t, Expected: s.wait, Ticket: ticket, Seat: e.seatOf(ticket.beside, q)}, true
 }
--- a/internal/place/weigh.go
+++ b/internal/place/weigh.go
@@ -205,6 +205,12 @@
 	return max(int(min(bound, float64(open))), int(seatsShare*float64(open)), 1)
 }
 
+// seatOf states what a run beside others is reckoned with.
+func (e engines) seatOf(beside int, q *Prompt) Seat {
+	step := float64(e.TokenTimeAlone()) * (1 + profile.StepGrowth*float64(beside))
+	return Seat{Beside: beside, Longest: time.Duration(step * float64(q.MaxOutput))}
+}
+
 // filled is the part of a decode target that its runs fill, by slots and by memory.
 func (e engines) filled(t *fleet.Target, load Work) float64 {
 	slots := float64(load.Running) / float64(openSlots(t))
