--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: all build demo demo-own test check generate bench fuzz soak
+.PHONY: all build demo demo-own test check generate bench fuzz soak live
 
 all: build
 
@@ -54,3 +54,12 @@
 	go test -run '^$$' -fuzz FuzzEventReader -fuzztime $(FUZZTIME) ./internal/relay
 	go test -run '^$$' -fuzz FuzzVMList -fuzztime $(FUZZTIME) ./internal/gossip
 	go test -run '^$$' -fuzz FuzzDecodeTarget -fuzztime $(FUZZTIME) ./platform
+
+# Plays a day on the wall clock with garnet-node processes, with engines at a part of their
+# speed, and prints service by size; half a minute to two.
+SITE ?= examples/model/nairobi.jsonc
+DAY ?= quiet-1
+SPEED ?= 1
+BUSY ?= 0
+live: build
+	./bin/garnet-model --day $(SITE) --name $(DAY) --speed $(SPEED) --busy $(BUSY) --live bin --out live
--- a/internal/live/play.go
+++ b/internal/live/play.go
@@ -36,14 +36,18 @@
 		if ctx.Err() != nil {
 			break
 		}
-		asked.Go(func() { report.add(q, w.ask(ctx, i, q, class)) })
+		asked.Go(func() {
+			e, reply := w.ask(ctx, i, q, class)
+			report.add(q, e, reply)
+		})
 	}
 	asked.Wait()
+	report.lag = w.fleet.Lag()
 	return report
 }
 
 // ask has a caller send a request, and once more where it is refused.
-func (w *world) ask(ctx context.Context, number int, q *model.Request, class *model.Class) end {
+func (w *world) ask(ctx context.Context, number int, q *model.Request, class *model.Class) (end, platformtest.LiveReply) {
 	began := time.Now()
 	limit := millis(class.DeadlineMS)
 	for try := 0; ; try++ {
@@ -58,7 +62,7 @@
 			kernel.Sleep(ctx, min(reply.RetryAfter, left/heededShare))
 			continue
 		}
-		return endOf(w.cfg.Site, q, class, reply, sent, refused)
+		return endOf(w.cfg.Site, q, class, reply, sent, refused), reply
 	}
 }
 
--- a/internal/live/report.go
+++ b/internal/live/report.go
@@ -2,16 +2,17 @@
 
 import (
 	"cmp"
+	"context"
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
-	"time"
-
 	"garnethoist.org/garnethoist/internal/model"
 	"garnethoist.org/garnethoist/platform/platformtest"
 )
@@ -72,18 +73,38 @@
 
 	mu    sync.Mutex
 	ended [][]ended
+	// causes counts the failed requests by what their callers saw.
+	causes map[string]int
+	// lag is the most that engines were late as the host was busy.
+	lag time.Duration
 }
 
 func newReport(s *model.Site) *Report {
-	return &Report{site: s, ended: make([][]ended, len(s.Classes))}
+	return &Report{site: s, ended: make([][]ended, len(s.Classes)), causes: make(map[string]int)}
 }
 
-func (r *Report) add(q *model.Request, e end) {
+func (r *Report) add(q *model.Request, e end, reply platformtest.LiveReply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if e == failed {
+		r.causes[causeOf(reply)]++
+	}
 	r.ended[q.Class] = append(r.ended[q.Class], ended{request: q, end: e})
 }
 
+// causeOf says how a request failed for its caller.
+func causeOf(reply platformtest.LiveReply) string {
+	switch {
+	case errors.Is(reply.Err, context.DeadlineExceeded):
+		return "deadline"
+	case reply.Err != nil && reply.Events > 0:
+		return "broken_off"
+	case reply.Err != nil:
+		return "no_answer"
+	}
+	return strconv.Itoa(reply.Status)
+}
+
 // Tenths returns the share that was served of each tenth of a class by a measure, the
 // largest tenth first, and of the class as a whole.
 func (r *Report) Tenths(class int, m Measure) (tenths [10]float64, all float64) {
@@ -159,6 +180,7 @@
 			fmt.Fprintf(&b, " of %.2f\n", all)
 		}
 	}
+	fmt.Fprintf(&b, "failed by cause: %v; engines late by at most %s\n", r.causes, r.lag.Round(time.Millisecond))
 	for _, u := range r.Unserved() {
 		fmt.Fprintf(&b, "unserved: %s, %s by %s: %.2f of %.2f\n", u.Class, u.Band, u.Measure, u.Share, u.All)
 	}
--- a/internal/model/live.go
+++ b/internal/model/live.go
@@ -23,6 +23,8 @@
 	clock   clock
 	engines map[string]*engine
 	reads   Reads
+	// lag is the most that the clock has been behind the host's.
+	lag time.Duration
 }
 
 // Job is one request for a live engine.
@@ -104,10 +106,20 @@
 // catchUp runs what is due by now; the caller holds l.mu.
 func (l *Live) catchUp() {
 	now := time.Since(l.began)
+	if len(l.clock.queue) > 0 {
+		l.lag = max(l.lag, now-l.clock.queue[0].at)
+	}
 	l.clock.run(now)
 	l.clock.now = max(l.clock.now, now)
 }
 
+// Lag is the most that events have been late as the host was busy.
+func (l *Live) Lag() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lag
+}
+
 func (l *Live) wakeClock() {
 	select {
 	case l.changed <- struct{}{}:
