--- a/internal/live/play.go
+++ b/internal/live/play.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -11,12 +12,14 @@
 )
 
 const (
-	// leastPatience is the least time that callers wait for the next event of a stream, as
-	// far as neither the objective nor the pause allowed are long (platform's pages).
-	leastPatience = 2 * time.Second
-	// heededShare is the part of the time that a caller has left for which it heeds when
-	// to come back.
-	heededShare = 3
+	// Callers wait for the next event of a stream for the longest of two seconds, four
+	// objectives and eight of the pauses allowed (platform's pages).
+	leastPatience      = 2 * time.Second
+	patienceObjectives = 4
+	patiencePauses     = 8
+	// heededPart of the time that a caller has left is the most that it waits where it is told
+	// when to come back: a third.
+	heededPart = 3
 	// tries is how often a caller asks.
 	tries = 2
 )
@@ -50,16 +53,17 @@
 func (w *world) ask(ctx context.Context, number int, q *model.Request, class *model.Class) (end, platformtest.LiveReply) {
 	began := time.Now()
 	limit := millis(class.DeadlineMS)
+	patience := max(leastPatience, patienceObjectives*millis(class.AimMS), patiencePauses*millis(class.GapMS))
 	for try := 0; ; try++ {
 		sent := time.Since(began)
 		reply := w.callers.Ask(ctx, platformtest.LiveCall{
 			Address: string(w.vmOf(q, try).cfg.Listen), ID: tryID(number, try, q.Output), Route: class.Name, Prompt: q.Prompt,
-			Bytes: q.Prompt.BodyBytes, Timeout: limit - sent, Patience: max(leastPatience, 4*millis(class.AimMS), 8*millis(class.GapMS)),
+			Bytes: q.Prompt.BodyBytes, Timeout: limit - sent, Patience: patience,
 		})
-		refused := reply.Status == 503 || reply.Status == 429
+		refused := reply.Status == http.StatusServiceUnavailable || reply.Status == http.StatusTooManyRequests
 		left := limit - time.Since(began)
 		if refused && try+1 < tries && left > 0 {
-			kernel.Sleep(ctx, min(reply.RetryAfter, left/heededShare))
+			kernel.Sleep(ctx, min(reply.RetryAfter, left/heededPart))
 			continue
 		}
 		return endOf(w.cfg.Site, q, class, reply, sent, refused), reply
--- a/internal/live/report.go
+++ b/internal/live/report.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -32,7 +33,7 @@
 	switch {
 	case wasRefused:
 		return refused
-	case reply.Err != nil || reply.Status != 200 || reply.Events != q.Output/s.Engine.EventTokens:
+	case reply.Err != nil || reply.Status != http.StatusOK || reply.Events != q.Output/s.Engine.EventTokens:
 		return failed
 	case sent+reply.First > millis(class.AimMS) || (class.GapMS > 0 && reply.LongestGap > millis(class.GapMS)):
 		return late
--- a/internal/place/weigh.go
+++ b/internal/place/weigh.go
@@ -20,7 +20,7 @@
 	// spareSlots of each decode target are kept for the short runs of prompts
 	// prefilled elsewhere.
 	spareSlots = 4
-	// trifle is the part of that budget up to which a prompt is read anywhere.
+	// trifle is the part of the pause budget up to which a prompt is read anywhere.
 	trifle = 1.0 / 8
 	// secondSend is the part of the time of a second send that reading a prompt must
 	// take to be worth one: read in place it takes as long again.
@@ -38,9 +38,10 @@
 	*profile.Profile
 	spec *fleet.EngineSpec
 	off  Off
-	// long is the longest step at which the long answers that targets run end in time, or 0.
+	// long is the longest step at which the longest answers of the service end in time, or 0
+	// before any are known.
 	long time.Duration
-	// batch is what bounds the batches that the request may join.
+	// batch is what the request that is placed asks of the batch that it joins.
 	batch batch
 }
 
