--- a/internal/place/seats.go
+++ b/internal/place/seats.go
@@ -22,8 +22,8 @@
 	batchShare = 0.04
 	// seatsShare is the part of the slots that are filled whatever is reckoned for the longest
 	// answers: few are that long, and all others would be turned away for them. With engines
-	// at 0.6 of their speed 0.33 of the largest tenth were served at 0.6, of all 0.87; at 0.4
-	// 0.55 or more of what all were, and 0.02 less of what was owed was earned.
+	// at 0.6 of their speed 0.33 of the largest tenth were served at a share of 0.6, of all
+	// 0.87; at 0.4 half or more of what all were.
 	seatsShare = 0.4
 )
 
@@ -120,7 +120,7 @@
 
 // leavesTime reports whether a prompt may be read beside the streams of a decode target: in
 // the part of its time that the steps of the longest answers leave. Where only single pauses
-// were bounded, reading took a third of the time for as long as a burst of prompts lasted.
+// were bounded, a burst of prompts made all steps longer for as long as it lasted.
 func (e engines) leavesTime(s *state, load Work, prefill time.Duration, now time.Time) bool {
 	if load.Streams == 0 || !e.servesLongest(s) || prefill <= time.Duration(trifle*float64(e.pauseBudget())) {
 		return true
