Retry budget: a failing test for a burst that counts for too long

The window's count of requests fades exponentially; 37 in 100 of a burst still count when the span is over, so that more is saved up than the bound allows. In the field: a service gets more retries than its ratio and slack after a burst, by some in 100.

--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -1,6 +1,7 @@
 package retry_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -44,31 +45,65 @@
 // requests counted are those of the span or of the one before it.
 func TestNoSpanIsOverTheBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := retry.NewWindow(bound)
-		var requests, retries []time.Duration
-		now := time.Duration(0)
+		var phases []phase
 		for range rapid.IntRange(1, 12).Draw(t, "phases") {
 			gap := time.Duration(rapid.IntRange(1, 400).Draw(t, "gap")) * time.Millisecond
 			greed := rapid.IntRange(0, 3).Draw(t, "greed")
-			for range rapid.IntRange(1, 200).Draw(t, "requests") {
-				now += gap
-				w.Request(now)
-				requests = append(requests, now)
-				for range greed {
-					if w.Retry(now) {
-						retries = append(retries, now)
-					}
+			phases = append(phases, phase{gap: gap, greed: greed, requests: rapid.IntRange(1, 200).Draw(t, "requests")})
+		}
+		if broken := play(phases); broken != "" {
+			t.Fatal(broken)
+		}
+	})
+}
+
+// A burst of requests was counted for longer than the span after it, as the count faded
+// instead of ending: 17 retries came in a span of 54 requests, where 15.8 are allowed and the
+// check adds 1. Drawn in a run of the test above (rapid seed 6034037910942258090).
+func TestBurstIsForgottenAfterTheSpan(t *testing.T) {
+	broken := play([]phase{
+		{gap: time.Millisecond, requests: 47},
+		{gap: 8 * time.Millisecond, requests: 135},
+		{gap: 384 * time.Millisecond, requests: 25},
+		{gap: 169 * time.Millisecond, greed: 1, requests: 54},
+	})
+	if broken != "" {
+		t.Fatal(broken)
+	}
+}
+
+// phase is requests at a fixed gap, each of which asks for so many retries.
+type phase struct {
+	gap      time.Duration
+	greed    int
+	requests int
+}
+
+// play runs the phases and returns what breaks the bound, or nothing.
+func play(phases []phase) string {
+	w := retry.NewWindow(bound)
+	var requests, retries []time.Duration
+	now := time.Duration(0)
+	for _, p := range phases {
+		for range p.requests {
+			now += p.gap
+			w.Request(now)
+			requests = append(requests, now)
+			for range p.greed {
+				if w.Retry(now) {
+					retries = append(retries, now)
 				}
 			}
 		}
-		for _, from := range retries {
-			extra := count(retries, from, from+bound.Span)
-			most := max(count(requests, from, from+bound.Span), count(requests, from-bound.Span, from), count(requests, from-bound.Span/2, from+bound.Span/2))
-			if float64(extra) > bound.Slack+bound.Ratio*float64(most)+1 {
-				t.Fatalf("%d retries in a span of %d requests from %s", extra, most, from)
-			}
+	}
+	for _, from := range retries {
+		extra := count(retries, from, from+bound.Span)
+		most := max(count(requests, from, from+bound.Span), count(requests, from-bound.Span, from), count(requests, from-bound.Span/2, from+bound.Span/2))
+		if float64(extra) > bound.Slack+bound.Ratio*float64(most)+1 {
+			return fmt.Sprintf("%d retries in a span of %d requests from %s", extra, most, from)
 		}
-	})
+	}
+	return ""
 }
 
 func count(at []time.Duration, from, to time.Duration) int {
