--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -210,7 +210,7 @@
 	if s == nil || s.Engine == nil {
 		return 0
 	}
-	return p.Decoding(targets, s.Engine)
+	return p.Decoding(targets, s.Engine, time.Now())
 }
 
 func provideStages(k *kernel.Kernel, cfg *settings.Node, a Adapter) (any, error) {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -247,7 +247,7 @@
 }
 
 // Decoding is how many decode engines the runs in hand of a service fill.
-func (p *Placer) Decoding(targets []*fleet.Target, spec *fleet.EngineSpec) float64 {
+func (p *Placer) Decoding(targets []*fleet.Target, spec *fleet.EngineSpec, now time.Time) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.engines(targets, spec)
--- a/internal/place/seats_test.go
+++ b/internal/place/seats_test.go
@@ -141,3 +141,69 @@
 	is.True(beside > 0)
 	is.True(beside < 200)
 }
+
+// An answer of 200 events takes a quarter of a minute. What had ended told of short answers
+// and of the smaller batches of seconds ago, so that after a crash that gathered 90 streams
+// at each engine left, and for seconds after a start, long answers were reckoned wrongly:
+//
+//	event=request_failed beside=36 longest_ms=16633 event_us=72313 last_event=195
+//	event=request_failed beside=6 longest_ms=38350 event_us=64440 last_event=208
+//
+// The answers that are being made tell the pace of their batch within a second or two.
+func TestPaceIsLearnedWhileAnswersAreMade(t *testing.T) {
+	for _, pause := range []time.Duration{70 * time.Millisecond, 300 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) {
+			is := is.New(t)
+			o := others{"d1": {Running: 5, Streams: 5}}
+			p := newTaught(o)
+			d1 := wide("d1")
+			writes(p, o, d1, 5, 55*time.Millisecond, 2.4)
+			now := time.Now()
+			running := make([]*place.Ticket, 20)
+			for i := range running {
+				c, ok := p.Decode([]*fleet.Target{d1}, spec, hint(), "a", nil, now)
+				is.True(ok)
+				c.Ticket.First(now)
+				c.Ticket.Events(1, now)
+				running[i] = c.Ticket
+			}
+			o["d1"] = place.Work{Running: 60, Streams: 60}
+			for range 48 {
+				now = now.Add(pause)
+				for _, t := range running {
+					t.Events(1, now)
+				}
+			}
+			q := hint()
+			c, _ := p.Decode([]*fleet.Target{d1}, spec, q, "a", nil, now)
+			most := time.Duration(q.MaxOutput/59) * pause
+			t.Logf("the longest answer takes %s, and is reckoned to take %s", most, c.Seat.Longest)
+			is.True(c.Seat.Longest > most*8/10)
+			is.True(c.Seat.Longest < most*12/10)
+		})
+	}
+}
+
+// How many engines decode follows from what their runs fill. Counted by slots, 37 runs filled
+// 0.4 of an engine whose steps were already too long for the longest answers, so that while
+// these were lost another decode engine was ordered to prefill:
+//
+//	event=order_sent engine=i-3783467ec3 stage=prefill
+//	event=request_failed kind=stream_lost beside=33 event_us=70644 last_event=194
+func TestDecodingIsFilledBySeats(t *testing.T) {
+	is := is.New(t)
+	o := others{}
+	p := newTaught(o)
+	d1 := wide("d1")
+	writes(p, o, d1, 0, 55*time.Millisecond, 2.4)
+	writes(p, o, d1, 60, 78*time.Millisecond, 2.4)
+	o["d1"] = place.Work{Running: 36, Streams: 36}
+	targets := []*fleet.Target{d1}
+	now := time.Now()
+	c, _ := p.Decode(targets, spec, hint(), "a", nil, now)
+	c.Ticket.End(place.Neutral, now)
+	long := p.Decoding(targets, spec, now)
+	is.True(long > 0.9)
+	// Where no answer is long, slots count.
+	is.True(p.Decoding(targets, spec, now.Add(time.Minute)) < 0.5)
+}
--- a/internal/place/ticket.go
+++ b/internal/place/ticket.go
@@ -39,6 +39,8 @@
 	// that its batch was full.
 	beside int
 	waits  bool
+	// span is the part of the answer whose pace is being measured.
+	span span
 	// readBefore is what the target had been given to read beside streams when the answer
 	// began.
 	readBefore time.Duration
@@ -155,6 +157,25 @@
 	t.measureFirst(s, now)
 }
 
+// span is some events of an answer in a row.
+type span struct {
+	// began is when the event before them came; it is zero before the first event.
+	began  time.Time
+	events int
+	// beside is the requests that ran beside when it began, and read what the target had been
+	// given to read by then.
+	beside int
+	read   time.Duration
+}
+
+// Events notes that n more events of the answer have come.
+func (t *Ticket) Events(n int, now time.Time) {
+	if t == nil || t.ended || t.prompt == nil {
+		return
+	}
+	t.span.events += n
+}
+
 // Stream notes a whole answer: its events, and the time from its first to its last.
 func (t *Ticket) Stream(events int, span time.Duration) {
 	if t == nil || t.ended || t.prompt == nil || t.placer.cfg.Off.Profile {
