Steps are learned while answers are made, and reading beside is told apart

Cause: how long an event takes at an engine was learned from whole answers, the long ones of which take a quarter of a minute: it told of the batches of seconds ago, and at first of short answers only. And what was read beside was taken off as reckoned, so that where engines read much, too much or too little was left for the steps. Ruled out: noise of single streams (each VM was off for seconds, in one direction, after each restart). Change: each 16 events of a running answer are a sample; prompt tokens read beside are the third size of the fit, in place of a time taken off.

--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -212,6 +212,7 @@
 	if resp.Status != http.StatusOK {
 		return x.relayFailure(s, c, resp)
 	}
+	s.ticket = c.Ticket
 	err = s.relay(resp)
 	x.eventPause = s.pause()
 	c.Ticket.Length(s.events)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -10,6 +10,7 @@
 
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/httpsend"
+	"garnethoist.org/garnethoist/internal/place"
 )
 
 const (
@@ -23,6 +24,8 @@
 // off, from another that goes on behind the last event.
 type stream struct {
 	x *exchange
+	// ticket is the request at its present target.
+	ticket *place.Ticket
 	// relaying is set once the caller has the head of the answer.
 	relaying bool
 	// partial is an event that has not ended yet.
@@ -90,6 +93,7 @@
 		s.firstAt = now
 	}
 	s.events += n
+	s.ticket.Events(n, now)
 }
 
 // pause is the mean time between the events of the present target.
--- a/internal/model/jobs.go
+++ b/internal/model/jobs.go
@@ -123,6 +123,7 @@
 			x.firstAt = w.now
 			x.d.Ticket.First(epoch.Add(w.now))
 		}
+		x.d.Ticket.Events(1, epoch.Add(w.now))
 		if last {
 			x.d.Ticket.Length(n)
 			x.d.Ticket.Stream(n, w.now-x.firstAt)
--- a/internal/place/cache.go
+++ b/internal/place/cache.go
@@ -112,7 +112,7 @@
 	}
 	took := time.Duration(float64(p.profile(s.service).InPlaceTime(u.Missing, 0)) * s.slowdown)
 	s.reading.add(took, now)
-	s.read += took
+	s.read += u.Missing
 }
 
 // maxUses bounds the uses that wait to be told to other VMs.
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -214,6 +214,6 @@
 	p.noteUse(Use{Target: t.RunID(), Missing: q.Tokens}, q, now)
 	p.occupyLink(q, now)
 	ticket := p.begin(t, Work{Running: 1, Streams: e.streams(q), Tokens: q.Tokens + q.Output/2}, now)
-	ticket.way, ticket.prompt, ticket.waits, ticket.beside = goOn, q, s.wait > 0, p.total(t.RunID()).Running-1
-	return Choice{Target: t, Expected: s.wait, Ticket: ticket, Seat: e.seatOf(p.at(t), ticket.beside, q)}, true
+	ticket.way, ticket.prompt, ticket.waits, ticket.span.beside = goOn, q, s.wait > 0, p.total(t.RunID()).Running-1
+	return Choice{Target: t, Expected: s.wait, Ticket: ticket, Seat: e.seatOf(p.at(t), ticket.span.beside, q)}, true
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -119,10 +119,10 @@
 	// slowdown is how many times longer its work takes than the profile says, in its
 	// present stage.
 	slowdown float64
-	// reading is the rate at which a decode target is given prompts to read, and read all
-	// that it was given.
+	// reading is the rate at which a decode target is given prompts to read, and read the tokens
+	// of all that it was given.
 	reading inflow
-	read    time.Duration
+	read    int
 	// pace is how many times longer the steps of its answers take than the profile says.
 	pace  float64
 	stage fleet.Stage
--- a/internal/place/ticket.go
+++ b/internal/place/ticket.go
@@ -35,16 +35,13 @@
 	// takes besides reading.
 	ahead time.Duration
 	rest  time.Duration
-	// beside is the requests that the target ran when it was chosen, and waits says
-	// that its batch was full.
-	beside int
-	waits  bool
-	// span is the part of the answer whose pace is being measured.
-	span span
-	// readBefore is what the target had been given to read beside streams when the answer
-	// began.
-	readBefore time.Duration
-	began      time.Time
+	// waits says that the target's batch was full when it was chosen.
+	waits bool
+	// span is the part of the answer whose pace is being measured, and paced is set once one
+	// was.
+	span  span
+	paced bool
+	began time.Time
 	// measured is set once the time to the first event, or to the handle, was taken
 	// in.
 	measured bool
@@ -53,7 +50,7 @@
 
 // expect notes what the choice rests on.
 func (t *Ticket) expect(w weighed, q *Prompt) {
-	t.way, t.prompt, t.cached, t.ahead, t.rest, t.beside = readApart, q, w.cached, w.ahead, w.rest, w.beside
+	t.way, t.prompt, t.cached, t.ahead, t.rest, t.span.beside = readApart, q, w.cached, w.ahead, w.rest, w.beside
 	if w.work.Running > 0 {
 		t.way = readInPlace
 	}
@@ -153,7 +150,6 @@
 	over := Work{Prefill: t.work.Prefill, Prefills: t.work.Prefills}
 	s.own = s.own.Minus(over)
 	t.work = t.work.Minus(over)
-	t.readBefore = s.read
 	t.measureFirst(s, now)
 }
 
@@ -162,37 +158,68 @@
 	// began is when the event before them came; it is zero before the first event.
 	began  time.Time
 	events int
-	// beside is the requests that ran beside when it began, and read what the target had been
-	// given to read by then.
+	// beside is the requests that ran beside when it began, and read the prompt tokens that the
+	// target had been given to read by then.
 	beside int
-	read   time.Duration
+	read   int
 }
 
+// pacedSpan is the number of events after which the pace of an answer that is being made is
+// taken in: enough that a single late event tells little. Whole answers, of which the long ones
+// take a quarter of a minute, told only of batches of seconds ago: for a batch that had grown
+// from 5 to 80 requests 163 ms an event were reckoned where it took 70, or 300.
+const pacedSpan = 16
+
+// pacedEvents is the number of events from which a whole answer tells of its target's pace.
+const pacedEvents = 4
+
 // Events notes that n more events of the answer have come.
 func (t *Ticket) Events(n int, now time.Time) {
 	if t == nil || t.ended || t.prompt == nil {
 		return
 	}
 	t.span.events += n
+	first := t.span.began.IsZero()
+	if !first && t.span.events < pacedSpan {
+		return
+	}
+	p := t.placer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(t.id)
+	if !first {
+		t.measurePace(s, t.span.events, now.Sub(t.span.began))
+	}
+	t.span = span{began: now, beside: p.total(t.id).Running - 1, read: s.read}
 }
 
 // Stream notes a whole answer: its events, and the time from its first to its last.
-func (t *Ticket) Stream(events int, span time.Duration) {
+func (t *Ticket) Stream(events int, took time.Duration) {
 	if t == nil || t.ended || t.prompt == nil || t.placer.cfg.Off.Profile {
 		return
 	}
 	p := t.placer
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s, f := p.state(t.id), p.profile(t.service)
-	beside := (t.beside + p.total(t.id).Running - 1) / 2
-	// What was read beside is no part of the steps. It is reckoned, and may be too much.
-	span = max(span-(s.read-t.readBefore), span/2)
-	if events >= pacedEvents && !p.cfg.Off.Slowdown {
-		expected := float64(f.StepTime(beside)) * f.EventTokens() * float64(events-1)
-		s.pace = follow(s.pace, float64(span)/max(expected, 1))
+	if !t.paced && events >= pacedEvents {
+		t.measurePace(p.state(t.id), events-1, took)
 	}
-	f.ObserveStream(events, span, t.prompt.Output, beside)
+	p.profile(t.service).ObserveAnswer(events, t.prompt.Output)
+}
+
+// measurePace takes in that so many events came in took; the caller holds p.mu.
+func (t *Ticket) measurePace(s *state, events int, took time.Duration) {
+	p := t.placer
+	if p.cfg.Off.Profile {
+		return
+	}
+	t.paced = true
+	f := p.profile(t.service)
+	b := profile.Beside{Running: (t.span.beside + p.total(t.id).Running - 1) / 2, Read: float64(s.read-t.span.read) / float64(events)}
+	if !p.cfg.Off.Slowdown {
+		s.pace = follow(s.pace, float64(took)/max(float64(events)*float64(f.PauseBeside(b)), 1))
+	}
+	f.ObservePace(events, took, b)
 }
 
 // Length notes how many events an answer has had, whether it is whole or not.
@@ -206,9 +233,6 @@
 	p.profile(t.service).ObserveLength(events, t.prompt.MaxOutput)
 }
 
-// pacedEvents is the number of events from which a stream tells of its target's pace.
-const pacedEvents = 4
-
 // follow moves a factor that is learned of a target towards what one answer says.
 func follow(factor, ratio float64) float64 {
 	step := slowdownWeight * math.Log(max(ratio, minSlowdown/2)/factor)
--- a/internal/profile/profile.go
+++ b/internal/profile/profile.go
@@ -66,7 +66,7 @@
 	read  *fit
 	hop   *fit
 	event *fit
-	// step is the time between two events by the streams beside.
+	// step is the time between two events by what runs and is read beside.
 	step        *fit
 	eventTokens *fit
 	// atMost holds the most tokens that an event may hold by the length that answers have had.
@@ -81,7 +81,7 @@
 func New() *Profile {
 	read := newFit(vector{priorTokenMS, priorPairsMS, priorWayMS})
 	read.fixed = 2
-	step := newFit(vector{priorEventMS, priorEventMS * priorGrowth})
+	step := newFit(vector{priorEventMS, priorEventMS * priorGrowth, inPlaceFactor * priorTokenMS})
 	step.weight = stepSamples
 	return &Profile{
 		read: read, lengths: lengths{stretch: priorStretch}, atMost: newLeast(),
@@ -165,14 +165,17 @@
 
 // StepTime is the time of a decode step of a request beside so many others.
 func (p *Profile) StepTime(beside int) time.Duration {
-	return millis(p.step.at(besideSize(beside)) / p.EventTokens())
+	return millis(p.step.at(Beside{Running: beside}.size()) / p.EventTokens())
 }
 
+// PauseBeside is the time between two events of a stream by what is beside it.
+func (p *Profile) PauseBeside(b Beside) time.Duration { return millis(p.step.at(b.size())) }
+
 // MaxBeside is how many others may run beside a request for its steps to take no longer
 // than step; it is negative where they take longer alone.
 func (p *Profile) MaxBeside(step time.Duration) float64 {
 	ms := inMillis(step) * p.EventTokens()
-	return (ms - p.step.at(besideSize(0))) / p.step.at(vector{0, 1})
+	return (ms - p.step.at(one)) / p.step.at(vector{0, 1})
 }
 
 // StepGrowth is what one more request beside adds to a decode step.
@@ -187,26 +190,39 @@
 	}
 }
 
-func besideSize(beside int) vector { return vector{1, float64(max(beside, 0))} }
+// Beside is what an engine does beside a stream.
+type Beside struct {
+	// Running is the requests that it runs, and Read the prompt tokens that it reads between
+	// two events.
+	Running int
+	Read    float64
+}
+
+func (b Beside) size() vector { return vector{1, float64(max(b.Running, 0)), max(b.Read, 0)} }
 
 // Stretch is how many times as long as its caller expects an answer may well be.
 func (p *Profile) Stretch() float64 { return p.lengths.stretch }
 
-// ObserveStream takes in a whole stream: its events, the time from its first to its
-// last one, the tokens that its caller expected, and the requests that ran beside it.
-func (p *Profile) ObserveStream(events int, span time.Duration, expected, beside int) {
-	if events <= 0 {
+// ObserveAnswer takes in a whole answer: its events, and the tokens that its caller expected.
+func (p *Profile) ObserveAnswer(events, expected int) {
+	if events < tellingEvents {
 		return
 	}
-	if events >= tellingEvents {
-		p.eventTokens.add(sample{x: one, y: float64(expected) / float64(events), noise: 1})
-		p.lengths.add(float64(events) * p.EventTokens() / float64(max(expected, 1)))
-	}
-	if events > 1 {
-		pause := inMillis(span) / float64(events-1)
-		p.event.add(sample{x: one, y: pause, noise: 1})
-		p.step.add(sample{x: besideSize(beside), y: pause, noise: 1})
+	p.eventTokens.add(sample{x: one, y: float64(expected) / float64(events), noise: 1})
+	p.lengths.add(float64(events) * p.EventTokens() / float64(max(expected, 1)))
+}
+
+// ObservePace takes in the time of so many events of a stream in a row, and what was beside it.
+// Reading is a size of its own: taken off as reckoned, it left too much or too little for the
+// steps where engines read much, so that these seemed slow and were given still more to read.
+func (p *Profile) ObservePace(events int, took time.Duration, b Beside) {
+	if events <= 0 {
+		return
 	}
+	pause := inMillis(took) / float64(events)
+	p.step.add(sample{x: b.size(), y: pause, noise: 1})
+	reading := p.step.at(vector{2: b.size()[2]})
+	p.event.add(sample{x: one, y: max(pause-reading, pause/2), noise: 1})
 }
 
 // RunTime is how long a run keeps its slot at a decode engine on average: a full engine
--- a/internal/profile/profile_test.go
+++ b/internal/profile/profile_test.go
@@ -48,7 +48,7 @@
 	events := 1 + r.IntN(30)
 	span := float64(events-1) * e.eventTokens * e.stepMS * (1 + 0.1*r.Float64()) * trouble(r)
 	expected := float64(events) * e.eventTokens * math.Exp(0.5*r.NormFloat64())
-	p.ObserveStream(events, ms(span), int(expected+0.5), 0)
+	observeStream(p, events, ms(span), int(expected+0.5), 0)
 }
 
 // trouble is the factor by which one time in seven is spoiled.
@@ -139,7 +139,7 @@
 	before := p.ReadTime(1000, 0)
 	p.ObserveRead(1000, 1000, 0, time.Second)
 	p.ObserveRead(1000, 0, time.Second, time.Second)
-	p.ObserveStream(0, time.Second, 10, 0)
+	observeStream(p, 0, time.Second, 10, 0)
 	is.Equal(p.ReadTime(1000, 0), before)
 }
 
@@ -182,7 +182,7 @@
 			for range 200 {
 				beside := r.IntN(60)
 				step := 2 * (1 + growth*float64(beside))
-				p.ObserveStream(30, ms(29*10*step*(1+0.05*r.Float64())), 300, beside)
+				observeStream(p, 30, ms(29*10*step*(1+0.05*r.Float64())), 300, beside)
 			}
 			for _, beside := range []int{0, 30, 60} {
 				want := 2 * (1 + growth*float64(beside))
@@ -204,7 +204,7 @@
 	for range 400 {
 		expected := 1000.0
 		events := int(expected / 10 * math.Exp(0.5*r.NormFloat64()))
-		p.ObserveStream(events, time.Duration(events)*20*time.Millisecond, int(expected), 0)
+		observeStream(p, events, time.Duration(events)*20*time.Millisecond, int(expected), 0)
 	}
 	is.True(p.Stretch() > 1.5)
 	is.True(p.Stretch() < 2.4)
@@ -215,7 +215,7 @@
 	is := is.New(t)
 	p := profile.New()
 	for range 100 {
-		p.ObserveStream(100, 3*time.Second, 6500, 0)
+		observeStream(p, 100, 3*time.Second, 6500, 0)
 	}
 	is.True(math.Abs(p.EventTokens()-65) < 1e-6)
 	p.ObserveLength(200, 12000)
@@ -225,3 +225,31 @@
 	}
 	is.True(math.Abs(p.EventTokens()-65) < 1e-6) // the engines have been replaced since
 }
+
+// observeStream takes in a whole stream: its events, the time from its first to its last one,
+// the tokens that its caller expected, and the requests that ran beside it.
+func observeStream(p *profile.Profile, events int, took time.Duration, expected, beside int) {
+	p.ObservePace(events-1, took, profile.Beside{Running: beside})
+	p.ObserveAnswer(events, expected)
+}
+
+// What an engine reads between the events of a stream is told apart from its steps.
+func TestReadingBesideIsToldApart(t *testing.T) {
+	for _, readMS := range []float64{0.002, 0.02, 0.1} {
+		t.Run(fmt.Sprint(readMS), func(t *testing.T) {
+			is := is.New(t)
+			r, p := rand.New(rand.NewPCG(7, 7)), profile.New()
+			for range 200 {
+				b := profile.Beside{Running: r.IntN(60), Read: 600 * r.Float64()}
+				pause := 40*(1+0.006*float64(b.Running)) + readMS*b.Read
+				p.ObservePace(16, ms(16*pause*(1+0.1*(r.Float64()-0.5))), b)
+			}
+			for _, b := range []profile.Beside{{}, {Running: 60}, {Running: 30, Read: 500}} {
+				want := 40*(1+0.006*float64(b.Running)) + readMS*b.Read
+				got := inMS(p.PauseBeside(b))
+				t.Logf("%+v: %.3f of the true time", b, got/want)
+				is.True(math.Abs(got/want-1) < 0.1)
+			}
+		})
+	}
+}
