--- a/internal/place/seats_test.go
+++ b/internal/place/seats_test.go
@@ -1,6 +1,7 @@
 package place_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -184,6 +185,45 @@
 	}
 }
 
+// Two engines of a service, one 1.3 times slower. The slower one runs fewer answers, which take
+// longer all the same; taken for one engine, steps seemed not to grow with what runs beside. So
+// the faster one was given 50 to 60 answers at once, each reckoned to end in 13.6 s, and made an
+// event each 72 ms, of which the longest answer may take 70:
+//
+//	event=request_failed kind=client_gone ms=14999 beside=52 longest_ms=13765 last_event=210
+func TestGrowthIsLearnedOfEnginesThatDifferInSpeed(t *testing.T) {
+	is := is.New(t)
+	o := others{}
+	p := newTaught(o)
+	fast, slow := wide("fast"), wide("slow")
+	pause := func(t *fleet.Target, beside int) time.Duration {
+		ms := 53 + 0.35*float64(beside)
+		if t == slow {
+			ms *= 1.3
+		}
+		return time.Duration(ms * float64(time.Millisecond))
+	}
+	r := rand.New(rand.NewPCG(3, 3))
+	for range 20 {
+		for t, most := range map[*fleet.Target]int{fast: 60, slow: 25} {
+			beside := most - r.IntN(15)
+			writes(p, o, t, beside, pause(t, beside), 2.4)
+		}
+	}
+	for _, target := range []*fleet.Target{fast, slow} {
+		for _, beside := range []int{5, 30, 70} {
+			o[target.ID] = place.Work{Running: beside}
+			q := hint()
+			c, _ := p.Decode([]*fleet.Target{target}, spec, q, "a", nil, time.Now())
+			c.Ticket.End(place.Neutral, time.Now())
+			want := time.Duration(q.MaxOutput/59) * pause(target, beside)
+			t.Logf("%s beside %d: %s reckoned, %s it is", target.ID, beside, c.Seat.Longest, want)
+			is.True(c.Seat.Longest > want*9/10)
+			is.True(c.Seat.Longest < want*11/10)
+		}
+	}
+}
+
 // How many engines decode follows from what their runs fill. Counted by slots, 37 runs filled
 // 0.4 of an engine whose steps were already too long for the longest answers, so that while
 // these were lost another decode engine was ordered to prefill. Here the longest answers end in
