Growth of steps is learned per target's pace

Cause: see the test: two speeds fitted as one hid what runs beside. Ruled out: the host (engines late by 18 ms at most), the reading beside (a size of its own since). Change: a sample of steps is divided by its target's pace; a pace leaks 0.003 of its logarithm a sample, so that paces and profile cannot drift apart. Measured: TestGrowthIsLearnedOfEnginesThatDifferInSpeed failed before, 11.3 s reckoned for 11.1 s now, 19.7 for 20.5 at the slower engine.

--- a/internal/place/ticket.go
+++ b/internal/place/ticket.go
@@ -218,10 +218,17 @@
 	b := profile.Beside{Running: (t.span.beside + p.total(t.id).Running - 1) / 2, Read: float64(s.read-t.span.read) / float64(events)}
 	if !p.cfg.Off.Slowdown {
 		s.pace = follow(s.pace, float64(took)/max(float64(events)*float64(f.PauseBeside(b)), 1))
+		s.pace = math.Pow(s.pace, 1-paceLeak)
 	}
-	f.ObservePace(events, took, b)
+	// The slower targets of a service run fewer answers: with their times as they are, steps
+	// would seem to grow less, or not at all, with what runs beside.
+	f.ObservePace(events, time.Duration(float64(took)/s.pace), b)
 }
 
+// paceLeak is the part of its logarithm that a pace loses with each sample. The profile is
+// learned by the paces and they by the profile: without it both could drift apart.
+const paceLeak = 0.003
+
 // Length notes how many events an answer has had, whether it is whole or not.
 func (t *Ticket) Length(events int) {
 	if t == nil || t.prompt == nil || t.placer.cfg.Off.Profile {
