Shorter answers pay for the seats of targets that end the longest ones in time

Ruled out: growth of steps (learned since), the limits of seats themselves. Change: a price of 0.3 of a run's time for the last seat, in proportion to how much longer steps the answer bears; only where seats are fewer than slots.

--- a/internal/place/seats.go
+++ b/internal/place/seats.go
@@ -23,6 +23,10 @@
 	// batchShare is the price of joining a batch whose slots are all taken, as a
 	// part of the time that a run keeps its slot.
 	batchShare = 0.04
+	// leaveShare is the price of the seats at targets that are fast enough for the longest
+	// answers, to answers that end in time elsewhere too, as a part of the time that a run keeps
+	// its seat.
+	leaveShare = 0.3
 	// seatsShare is the part of the slots that are filled whatever is reckoned for the longest
 	// answers: few are that long, and all others would be turned away for them. With engines at
 	// 0.6 of their speed, in bursts, the largest tenth was served less than half as often as
@@ -160,6 +164,10 @@
 	run := float64(e.RunTime())
 	used := float64(load.Running) / float64(seats)
 	st := seat{price: time.Duration(used*used*batchShare*run) + e.overrun(s, load, now)}
+	if e.batch.step > e.long && seats < openSlots(t) {
+		spare := 1 - float64(e.long)/float64(e.batch.step)
+		st.price += time.Duration(spare * used * used * leaveShare * run)
+	}
 	if over := load.Running - seats; over >= 0 {
 		st.wait = time.Duration(float64(over+1) * run / float64(seats))
 		st.price += st.wait
