--- a/internal/place/seats_test.go
+++ b/internal/place/seats_test.go
@@ -224,6 +224,60 @@
 	}
 }
 
+// Two engines, one 1.3 times slower, too slow for the longest answers. In a burst of prompts
+// the reading that other VMs place unseen is worth more than a seat was, so that short answers
+// were dealt to both alike until the faster one's seats were taken, and long ones found none:
+// of 377 answers 85 were refused, most of the largest among them.
+func TestShorterAnswersLeaveTheFasterTarget(t *testing.T) {
+	is := is.New(t)
+	o := others{}
+	p := place.New(place.DefaultConfig("a"), late{o}, unchanging)
+	teach(p)
+	fast, slow := wide("fast"), wide("slow")
+	for range 3 {
+		writes(p, o, fast, 0, 55*time.Millisecond, 2.4)
+		writes(p, o, fast, 60, 78*time.Millisecond, 2.4)
+		writes(p, o, slow, 0, 74*time.Millisecond, 2.4)
+		writes(p, o, slow, 60, 105*time.Millisecond, 2.4)
+	}
+	o["fast"], o["slow"] = place.Work{Running: 16, Streams: 16}, place.Work{Running: 46, Streams: 46}
+	both := []*fleet.Target{fast, slow}
+	now := time.Now()
+	for range 100 {
+		run, _ := p.Decode(both, spec, hint(), "a", nil, now)
+		run.Ticket.End(place.Good, now.Add(5*time.Second))
+	}
+	elsewhere := engine("p1", fleet.Prefill)
+	c, _ := p.Read([]*fleet.Target{elsewhere, slow}, spec, session(1), nil, now)
+	c.Ticket.End(place.Neutral, now)
+	toFast := func(q *place.Prompt) (n int) {
+		for i := range 200 {
+			q.Parts = []place.Part{{Hash: uint64(1000 + i), Tokens: q.Tokens}}
+			now = now.Add(10 * time.Millisecond)
+			// Other VMs have prompts read elsewhere for 40 ms in each 10 ms.
+			p.Observe([]place.Use{{Target: elsewhere.ID, Missing: 10000, Reads: true}}, now)
+			c, _ := p.Read(both, spec, q, nil, now)
+			if c.Target == fast {
+				n++
+			}
+			c.Ticket.End(place.Neutral, now)
+		}
+		return n
+	}
+	long := toFast(hint())
+	short := hint()
+	short.Output, short.MaxOutput = 500, 500
+	few := toFast(short)
+	t.Logf("of 200 long answers %d go to the faster engine, of 200 short ones %d", long, few)
+	is.True(long > 150)
+	is.True(few < 50)
+}
+
+// late knows of others' work 30 ms late.
+type late struct{ others }
+
+func (late) Age() time.Duration { return 30 * time.Millisecond }
+
 // How many engines decode follows from what their runs fill. Counted by slots, 37 runs filled
 // 0.4 of an engine whose steps were already too long for the longest answers, so that while
 // these were lost another decode engine was ordered to prefill. Here the longest answers end in
