--- a/internal/place/seats.go
+++ b/internal/place/seats.go
@@ -18,7 +18,7 @@
 	// reckoning; the rest is for what the reckoning misses: steps are known to some in 100, and
 	// later requests join the batch. At 0.95 the largest tenth was served 0.60 times as often as
 	// all, at 0.9 0.65 times, at 0.85 0.59 times (means of 18 simulated days with engines at 0.6
-	// of their speed).
+	// of their speed and 0.3 of the slots filled at least).
 	streamShare = 0.9
 	// batchShare is the price of joining a batch whose slots are all taken, as a
 	// part of the time that a run keeps its slot.
@@ -186,15 +186,15 @@
 // given, and the faster ones had 25 streams beside where 15 let the longest end in time, as
 // short ones were 10 to 40 ms apart in price between both.
 func (e engines) overrun(s *state, load Work, now time.Time) time.Duration {
-	need := e.batch.step
-	if e.servesLongest(s) && (need == 0 || e.long < need) {
-		need = e.long
+	allowed := e.batch.step
+	if e.servesLongest(s) && (allowed == 0 || e.long < allowed) {
+		allowed = e.long
 	}
-	if need == 0 {
+	if allowed == 0 {
 		return 0
 	}
 	step := float64(e.StepTime(load.Running)) * s.pace / (1 - min(s.reading.share(now), mostReading))
-	return time.Duration(max(step/float64(need)-1, 0) * float64(e.batch.limit))
+	return time.Duration(max(step/float64(allowed)-1, 0) * float64(e.batch.limit))
 }
 
 // mostReading bounds the part of its time that a target is taken to read prompts for.
