--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -34,6 +34,12 @@
 	// arrivals counts the targets that the request reached or is on its way to,
 	// prefills excepted.
 	arrivals int
+	// reads counts the prefills that targets accepted, and drawn what was drawn from the
+	// retry budget.
+	reads int
+	drawn int
+	// brokenOff is set once a target broke off its answer, or gave none.
+	brokenOff bool
 	// unanswered is set once a send had no answer, or an overdue one: the next one
 	// is not to meet a silent connection too.
 	unanswered bool
@@ -157,7 +163,13 @@
 	if ctx.Err() != nil || x.arrivals >= x.route.MaxAttempts {
 		return false
 	}
-	return x.g.budget(x.service).Retry(time.Since(x.g.started))
+	if !x.g.budget(x.service).Retry(time.Since(x.g.started)) {
+		x.g.stats.Retry(x.service, retryDenied)
+		return false
+	}
+	x.drawn++
+	x.g.stats.Retry(x.service, retryDrawn)
+	return true
 }
 
 // giveUp returns the error for a request that no further target is asked for.
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -178,6 +178,7 @@
 	}
 	c.Ticket.End(place.Good, time.Now())
 	x.note(c.Target, "prefilled", nil)
+	x.reads++
 	return &handle, answered, nil
 }
 
@@ -227,6 +228,7 @@
 		c.Ticket.End(place.Neutral, time.Now())
 	default:
 		x.note(c.Target, "cut", err)
+		x.brokenOff = true
 		c.Ticket.End(place.Bad, time.Now())
 	}
 	return unknown, err
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -137,6 +137,7 @@
 		}
 		x.ran = x.ran || call.out != refused
 		x.unanswered = x.unanswered || call.out == unknown
+		x.brokenOff = x.brokenOff || (call.out == unknown && !x.endedHere())
 		if c.pending == 0 && (!x.ran || x.route.Repeatable()) && x.mayTryAgain(ctx) {
 			c.start()
 		}
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -70,6 +70,13 @@
 	if p := x.meta.Prompt; p != nil {
 		fields = append(fields, telemetry.F("prompt", p.Tokens), telemetry.F("output", p.Output), telemetry.F("max_output", p.MaxOutput))
 	}
+	if x.drawn > 0 || x.arrivals > 1 || x.reads > 1 {
+		fields = append(fields, telemetry.F("arrivals", x.arrivals), telemetry.F("reads", x.reads), telemetry.F("drawn", x.drawn))
+	}
+	if x.brokenOff {
+		request := x.identity()
+		fields = append(fields, telemetry.F("print", request.Print()))
+	}
 	if x.stop != nil {
 		fields = append(fields, telemetry.F("stop_ms", x.stop.left.Milliseconds()), telemetry.F("needed_ms", x.stop.needed.Milliseconds()))
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -64,6 +64,7 @@
 func (x *exchange) send(ctx context.Context, t *fleet.Target, d Directive, ticket *place.Ticket) (*httpsend.Response, outcome, error) {
 	resp, out, err := x.sendTo(ctx, x.destination(t, d), t, d, ticket)
 	x.unanswered = x.unanswered || out == unknown
+	x.brokenOff = x.brokenOff || (out == unknown && !x.endedHere())
 	return resp, out, err
 }
 
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -19,6 +19,7 @@
 	seconds  metric.Float64Histogram
 	handles  metric.Int64Counter
 	bySize   metric.Int64Counter
+	retries  metric.Int64Counter
 }
 
 // NewStats returns the gateway's instruments.
@@ -36,7 +37,11 @@
 		return nil, errors.Wrap(err, "handles counter")
 	}
 	bySize, err := m.Int64Counter("garnet_generations_by_size", metric.WithDescription("requests to model engines by outcome and by their size among the last ones of their route"))
-	return &Stats{requests: requests, seconds: seconds, handles: handles, bySize: bySize}, errors.Wrap(err, "size counter")
+	if err != nil {
+		return nil, errors.Wrap(err, "size counter")
+	}
+	retries, err := m.Int64Counter("garnet_retries", metric.WithDescription("sends to further targets that were asked of the retry budget"))
+	return &Stats{requests: requests, seconds: seconds, handles: handles, bySize: bySize, retries: retries}, errors.Wrap(err, "retries counter")
 }
 
 // Request counts one request; kind is empty for an answer of a target.
@@ -54,5 +59,21 @@
 	)))
 }
 
+// retryOutcome is what the retry budget said.
+type retryOutcome string
+
+// The outcomes.
+const (
+	retryDrawn  retryOutcome = "drawn"
+	retryDenied retryOutcome = "denied"
+)
+
+// Retry counts one question to a service's retry budget.
+func (s *Stats) Retry(service string, outcome retryOutcome) {
+	s.retries.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(
+		attribute.String("service", service), attribute.String("outcome", string(outcome)),
+	)))
+}
+
 // HandleLost counts a handle that could not be freed.
 func (s *Stats) HandleLost() { s.handles.Add(context.Background(), 1) }
--- /dev/null
+++ b/internal/quarantine/print_test.go
@@ -0,0 +1,65 @@
+package quarantine_test
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"garnethoist.org/garnethoist/internal/quarantine"
+)
+
+func request() quarantine.Request {
+	return quarantine.Request{Account: "a", Method: "POST", Host: "h.example", URI: "/long/x", Body: []byte("body")}
+}
+
+// Each attempt of a request has the same print, and nothing else has.
+func TestPrintTellsRequestsApart(t *testing.T) {
+	is := is.New(t)
+	first, again := request(), request()
+	is.Equal(first.Print(), again.Print())
+	is.Equal(first.Key(), again.Key())
+	changes := map[string]func(*quarantine.Request){
+		"account": func(r *quarantine.Request) { r.Account = "b" },
+		"method":  func(r *quarantine.Request) { r.Method = "PUT" },
+		"host":    func(r *quarantine.Request) { r.Host = "other.example" },
+		"uri":     func(r *quarantine.Request) { r.URI = "/long/y" },
+		"body":    func(r *quarantine.Request) { r.Body = []byte("boDy") },
+		// The same bytes, divided otherwise.
+		"moved": func(r *quarantine.Request) { r.Host, r.URI = "h.example/long", "/x" },
+	}
+	for name, change := range changes {
+		other := request()
+		change(&other)
+		if other.Print() == first.Print() {
+			t.Errorf("%s: the same print", name)
+		}
+	}
+}
+
+// The key leaves the body's content out: it is taken of each request while a suspect is
+// known, and the print only of those that share a suspect's key.
+func TestKeyLeavesOutTheBodysContent(t *testing.T) {
+	is := is.New(t)
+	a, b := request(), request()
+	b.Body = []byte("ydob")
+	is.Equal(a.Key(), b.Key())
+	b.Body = []byte("longer")
+	is.True(a.Key() != b.Key())
+}
+
+func BenchmarkPrint(b *testing.B) {
+	r := request()
+	r.Body = bytes.Repeat([]byte("x"), 40<<10)
+	for b.Loop() {
+		r.Print()
+	}
+}
+
+func BenchmarkKey(b *testing.B) {
+	r := request()
+	r.Body = bytes.Repeat([]byte("x"), 40<<10)
+	for b.Loop() {
+		r.Key()
+	}
+}
