Every send that reaches a target is counted and drawn at one place; a handle is kept for the next decode target

What callers saw: refusals and broken streams while kiln-assistant got more arrivals beyond the first than its retry budget allows.

Cause: arrivals were counted at five places, by outcome, and the budget was drawn before a round, not before a send. A round that met a decode target that was down drew nothing and began with the prompt again, though its handle was unused; a resumed or refused request that was read apart again made two arrivals for one draw; a draw was lost where no target was left to ask.

Change: sends.begin and settle stand around each send, on every path. A send beyond the first arrival needs a draw; one that reached nothing, or the first reading that is accepted, gives it back; draws that were not used return to the budget. A handle that nobody used goes to the next decode target, and a prompt is read apart once only: after that it is read in place, one arrival.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -12,7 +12,7 @@
 // admit decides on a choice. One that has been sent somewhere goes on, and a route
 // without an objective takes all.
 func (x *exchange) admit(c place.Choice) place.Verdict {
-	if x.arrivals > 0 || x.ran || x.route.Objective <= 0 {
+	if x.sends.arrivals > 0 || x.ran || x.route.Objective <= 0 {
 		return place.Send
 	}
 	asked := x.asked(time.Now())
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -13,6 +13,7 @@
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/place"
+	"garnethoist.org/garnethoist/internal/retry"
 )
 
 // exchange is one caller's request and its answer.
@@ -31,13 +32,10 @@
 
 	// tried holds the targets that are not to be chosen again.
 	tried place.Tried
-	// arrivals counts the targets that the request reached or is on its way to,
-	// prefills excepted.
-	arrivals int
-	// reads counts the prefills that targets accepted, and drawn what was drawn from the
-	// retry budget.
-	reads int
-	drawn int
+	// sends counts the sends of the request.
+	sends sends
+	// misses counts the targets that could not be reached.
+	misses int
 	// brokenOff is set once a target broke off its answer, or gave none.
 	brokenOff bool
 	// unanswered is set once a send had no answer, or an overdue one: the next one
@@ -104,7 +102,11 @@
 	defer cancel()
 	defer context.AfterFunc(x.g.ending, cancel)()
 	x.tried = place.Tried{}
-	x.g.budget(x.service).Request(time.Since(x.g.started))
+	x.g.budget(x.service).Request(x.g.sinceStart())
+	x.sends = sends{
+		budget: func() *retry.Window { return x.g.budget(x.service) }, clock: x.g.sinceStart, most: x.route.MaxAttempts,
+	}
+	defer x.sends.close()
 	if x.generates() {
 		return x.generate(ctx)
 	}
@@ -160,16 +162,12 @@
 // mayTryAgain reports whether another target may be asked, and draws on the
 // budget.
 func (x *exchange) mayTryAgain(ctx context.Context) bool {
-	if ctx.Err() != nil || x.arrivals >= x.route.MaxAttempts {
-		return false
-	}
-	if !x.g.budget(x.service).Retry(time.Since(x.g.started)) {
-		x.g.stats.Retry(x.service, retryDenied)
+	if ctx.Err() != nil {
 		return false
 	}
-	x.drawn++
-	x.g.stats.Retry(x.service, retryDrawn)
-	return true
+	may := x.sends.reserve()
+	x.g.stats.Retry(x.service, may)
+	return may
 }
 
 // giveUp returns the error for a request that no further target is asked for.
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -56,7 +56,7 @@
 			now := time.Now()
 			x := &exchange{
 				g: &Gateway{random: newRandom(), group: one{}, placer: place.New(place.DefaultConfig("a"), noOthers{}, nil)}, arrived: now, deadline: now.Add(2 * time.Second), view: &fleet.View{},
-				route: &fleet.Route{Objective: tc.objective, Patience: tc.patience}, arrivals: tc.arrivals,
+				route: &fleet.Route{Objective: tc.objective, Patience: tc.patience}, sends: sends{arrivals: tc.arrivals},
 				meta: Meta{Timeout: 2*time.Second - tc.waited},
 			}
 			x.g.waits.waited("", 2*time.Second)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -289,6 +289,9 @@
 	return retry.NewWindow(retry.WindowConfig{Ratio: l.RetryRatio, Slack: g.slack(), Span: l.RetryWindow})
 }
 
+// sinceStart is the retry budgets' clock.
+func (g *Gateway) sinceStart() time.Duration { return time.Since(g.started) }
+
 // slack is this VM's share of the retries at once.
 func (g *Gateway) slack() float64 {
 	return g.limits.Load().RetryBurst / float64(g.group.Size()+spareVMs)
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -20,7 +21,7 @@
 func (x *exchange) generate(ctx context.Context) error {
 	s := &stream{x: x}
 	var last error
-	for unreached := 0; unreached < maxUnreached && x.wanted(ctx); {
+	for x.wanted(ctx) {
 		if err := x.checkStop(); err != nil {
 			return err
 		}
@@ -35,9 +36,14 @@
 		}
 		x.tried[target.ID] = true
 		if out == sentNothing {
-			unreached++
+			if !x.missed() {
+				break
+			}
 			continue
 		}
+		if out == withheld {
+			break
+		}
 		x.ran = x.ran || out == unknown
 		if x.ran && !x.route.Resumable {
 			break
@@ -79,17 +85,34 @@
 	if err != nil {
 		return out, choice.Target, err
 	}
-	x.reload()
-	next, ok := x.chooseDecode(choice)
-	if !ok {
-		x.free(choice.Target, handle)
-		return refused, nil, errkind.New(errkind.NoTarget, "no decode engine can take the request")
-	}
-	out, err = x.decode(ctx, s, next, &prefilled{target: choice.Target, handle: handle})
-	if out == refused {
-		x.g.placer.Blame(choice.Target.RunID(), time.Now())
+	return x.goOn(ctx, s, choice, &prefilled{target: choice.Target, handle: handle})
+}
+
+// goOn asks decode targets to go on with a prompt that was read, until one is reached: a handle
+// that nobody has used is kept, so that the prompt is not read again for the next one.
+func (x *exchange) goOn(ctx context.Context, s *stream, read place.Choice, p *prefilled) (outcome, *fleet.Target, error) {
+	for {
+		x.reload()
+		next, ok := x.chooseDecode(read)
+		if !ok {
+			x.free(p.target, p.handle)
+			return refused, nil, errkind.New(errkind.NoTarget, "no decode engine can take the request")
+		}
+		out, err := x.decode(ctx, s, next, p)
+		if out == sentNothing && x.missed() && x.wanted(ctx) && x.checkStop() == nil {
+			x.tried[next.Target.ID] = true
+			continue
+		}
+		if out == refused {
+			x.g.placer.Blame(read.Target.RunID(), time.Now())
+		}
+		if err != nil {
+			// Without an answer it is not known whether the handle was taken; one that was is
+			// not there to be freed.
+			x.free(p.target, p.handle)
+		}
+		return out, next.Target, err
 	}
-	return out, next.Target, err
 }
 
 // spec returns what the configuration says of the service's engines, or nil where it
@@ -110,7 +133,7 @@
 			return place.Choice{}, errkind.New(errkind.NoTarget, "the service is not a model's any more")
 		}
 		x.meta.Prompt.MaxWait = x.asked(time.Now()).MaxWait()
-		c, ok := x.g.placer.Read(x.view.Targets[x.service], spec, x.meta.Prompt, x.tried, time.Now())
+		c, ok := x.g.placer.Read(x.view.Targets[x.service], spec, x.meta.Prompt, x.untried(), time.Now())
 		if !ok {
 			return c, errkind.New(errkind.NoTarget, "no engine can take the request")
 		}
@@ -133,6 +156,21 @@
 	}
 }
 
+// untried returns the targets that are not to be asked to read the prompt. One that was read
+// apart is read again in place only, by the target that then runs it: one arrival, not two.
+func (x *exchange) untried() place.Tried {
+	if x.sends.reads == 0 {
+		return x.tried
+	}
+	tried := maps.Clone(x.tried)
+	for _, t := range x.view.Targets[x.service] {
+		if t.Stage == fleet.Prefill {
+			tried[t.ID] = true
+		}
+	}
+	return tried
+}
+
 // chooseDecode chooses where a prompt goes on that another target has read.
 func (x *exchange) chooseDecode(read place.Choice) (place.Choice, bool) {
 	spec := x.spec()
@@ -156,9 +194,6 @@
 		if out == unknown {
 			out = refused
 		}
-		if out == refused {
-			x.arrivals++
-		}
 		return nil, out, err
 	}
 	defer resp.Close()
@@ -173,12 +208,10 @@
 	if err != nil {
 		x.note(c.Target, "prefill_failed", err)
 		c.Ticket.End(place.Bad, time.Now())
-		x.arrivals++
 		return nil, refused, err
 	}
 	c.Ticket.End(place.Good, time.Now())
 	x.note(c.Target, "prefilled", nil)
-	x.reads++
 	return &handle, answered, nil
 }
 
@@ -197,15 +230,7 @@
 	}
 	x.seat = &c.Seat
 	resp, out, err := x.send(ctx, c.Target, d, c.Ticket)
-	if out != sentNothing {
-		x.arrivals++
-	}
 	if err != nil {
-		if p != nil {
-			// Without an answer it is not known whether the handle was taken; one
-			// that was is not there to be freed.
-			x.free(p.target, p.handle)
-		}
 		return out, err
 	}
 	defer resp.Close()
@@ -243,7 +268,7 @@
 	if err != nil || s.relaying {
 		return unknown, errkind.New(errkind.TargetFailed, "the engine failed with status %d", resp.Status)
 	}
-	if x.route.Resumable && x.arrivals < x.route.MaxAttempts {
+	if x.route.Resumable && x.sends.arrivals < x.route.MaxAttempts {
 		return unknown, errkind.New(errkind.TargetFailed, "the engine failed with status %d", resp.Status)
 	}
 	return answered, x.deliver(&answer{status: resp.Status, header: resp.Header, body: body})
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -38,9 +38,10 @@
 
 // plainCall is one send of a plain request and how it ended.
 type plainCall struct {
-	answer *answer
-	out    outcome
-	err    error
+	sending sending
+	answer  *answer
+	out     outcome
+	err     error
 }
 
 // plainCalls are the sends of one plain request: one after the other, or two at
@@ -73,13 +74,21 @@
 		return
 	}
 	x.tried[choice.Target.ID] = true
-	x.arrivals++
+	sd, ok := x.sends.begin(false)
+	if !ok {
+		choice.Ticket.End(place.Neutral, time.Now())
+		return
+	}
 	c.pending++
 	if x.route.Kind == fleet.Idempotent {
 		c.overdue = time.After(time.Until(x.deadline) / overdueShare)
 	}
 	to := x.destination(choice.Target, Directive{})
-	go func() { c.ended <- x.callPlain(c.ctx, to, choice) }()
+	go func() {
+		call := x.callPlain(c.ctx, to, choice)
+		call.sending = sd
+		c.ended <- call
+	}()
 }
 
 // next returns the next call that ends, or false when an answer is overdue.
@@ -111,7 +120,6 @@
 	defer c.end(cancel)
 	var last error
 	var held *answer
-	unreached := 0
 	for c.start(); c.pending > 0; {
 		call, ended := c.next()
 		if !ended {
@@ -121,6 +129,7 @@
 			}
 			continue
 		}
+		x.sends.settle(call.sending, call.out)
 		if call.err == nil && !(call.answer.status >= http.StatusInternalServerError && x.route.Kind == fleet.Idempotent) {
 			return x.deliver(call.answer)
 		}
@@ -129,8 +138,7 @@
 		}
 		last = call.err
 		if call.out == sentNothing {
-			x.arrivals--
-			if unreached++; unreached < maxUnreached {
+			if x.missed() {
 				c.start()
 			}
 			continue
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -70,8 +70,8 @@
 	if p := x.meta.Prompt; p != nil {
 		fields = append(fields, telemetry.F("prompt", p.Tokens), telemetry.F("output", p.Output), telemetry.F("max_output", p.MaxOutput))
 	}
-	if x.drawn > 0 || x.arrivals > 1 || x.reads > 1 {
-		fields = append(fields, telemetry.F("arrivals", x.arrivals), telemetry.F("reads", x.reads), telemetry.F("drawn", x.drawn))
+	if s := &x.sends; s.drawn > 0 || s.arrivals > 1 || s.reads > 1 {
+		fields = append(fields, telemetry.F("arrivals", s.arrivals), telemetry.F("reads", s.reads), telemetry.F("drawn", s.drawn))
 	}
 	if x.brokenOff {
 		request := x.identity()
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -19,6 +19,8 @@
 const (
 	// sentNothing: the target was not reached.
 	sentNothing outcome = iota + 1
+	// withheld: the request was not to be sent to any further target.
+	withheld
 	// refused: the target states that it did not run the request.
 	refused
 	// unknown: the request was sent; whether it ran is not known.
@@ -60,9 +62,24 @@
 	return to
 }
 
+// errNoRetry: the request's attempts or the retry budget are used up.
+var errNoRetry = errors.New("gateway: no further attempt is allowed")
+
 // send sends the request to t once. resp is set when it was answered.
 func (x *exchange) send(ctx context.Context, t *fleet.Target, d Directive, ticket *place.Ticket) (*httpsend.Response, outcome, error) {
+	sd, ok := x.sends.begin(d.PrefillOnly)
+	if !ok {
+		x.note(t, "no_attempt_left", nil)
+		ticket.End(place.Neutral, time.Now())
+		return nil, withheld, errNoRetry
+	}
 	resp, out, err := x.sendTo(ctx, x.destination(t, d), t, d, ticket)
+	settled := out
+	if d.PrefillOnly && resp != nil && resp.Status != http.StatusOK {
+		// The target has the request and may not have taken it for a reading.
+		settled = unknown
+	}
+	x.sends.settle(sd, settled)
 	x.unanswered = x.unanswered || out == unknown
 	x.brokenOff = x.brokenOff || (out == unknown && !x.endedHere())
 	return resp, out, err
@@ -115,6 +132,13 @@
 	return unknown
 }
 
+// missed takes in that a target could not be reached, and reports whether another one may be
+// tried.
+func (x *exchange) missed() bool {
+	x.misses++
+	return x.misses < maxUnreached
+}
+
 // drain reads a short answer to its end, so that the connection can be kept.
 func drain(resp *httpsend.Response) {
 	defer resp.Close()
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "size counter")
 	}
-	retries, err := m.Int64Counter("garnet_retries", metric.WithDescription("sends to further targets that were asked of the retry budget"))
+	retries, err := m.Int64Counter("garnet_retries", metric.WithDescription("sends to further targets, by whether attempts and retry budget allowed them"))
 	return &Stats{requests: requests, seconds: seconds, handles: handles, bySize: bySize, retries: retries}, errors.Wrap(err, "retries counter")
 }
 
@@ -59,19 +59,10 @@
 	)))
 }
 
-// retryOutcome is what the retry budget said.
-type retryOutcome string
-
-// The outcomes.
-const (
-	retryDrawn  retryOutcome = "drawn"
-	retryDenied retryOutcome = "denied"
-)
-
-// Retry counts one question to a service's retry budget.
-func (s *Stats) Retry(service string, outcome retryOutcome) {
+// Retry counts whether a request might be sent to a further target.
+func (s *Stats) Retry(service string, allowed bool) {
 	s.retries.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(
-		attribute.String("service", service), attribute.String("outcome", string(outcome)),
+		attribute.String("service", service), attribute.Bool("allowed", allowed),
 	)))
 }
 
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -61,6 +61,13 @@
 	return true
 }
 
+// Return gives back a retry that was taken and not made.
+func (w *Window) Return(now time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tokens = min(w.tokens+1, w.limit(now))
+}
+
 // SetSlack changes the slack. What is saved up above it lapses; nothing is added.
 func (w *Window) SetSlack(slack float64) {
 	w.mu.Lock()
