Requests that end their targets are known at all VMs and kept from further targets

What callers saw: one request, sent again and again to any VM, ended 17 engines of kiln-assistant one after the other; 30 to 40 streams broke off with each.

Cause: nothing that a VM knows of a request outlived its exchange, and reports between VMs tell of targets and work only. Class: state that belongs to a thing that comes again was kept by the attempt.

Change: a request is known by a fingerprint of account, method, host, URI and body. Where a target breaks off and nothing listens at its address any more, the end is noted for the requests that it had begun to run within a second, or not yet. Ends are told to all VMs of all data centres at once, and again each second to three that are drawn; they are a set, so that lost, late and repeated words do no harm. After two ends a request is tried by one send at a time, at the target with the fewest requests, and not again by this system; after three it is refused at once with 503 quarantined, for 10 minutes, twice as long with each further end; it stands in the store for VMs that start when nobody is left to tell them. A good end anywhere clears it.

Memory: 8,192 requests, 1,024 of one account.

--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -30,6 +30,7 @@
 	InFlightLimited  Kind = "in_flight_limited"
 	CannotFinish     Kind = "cannot_finish"
 	NoTarget         Kind = "no_target"
+	Quarantined      Kind = "quarantined"
 	Stopping         Kind = "stopping"
 	NotReady         Kind = "not_ready"
 	TargetFailed     Kind = "target_failed"
@@ -89,6 +90,7 @@
 	InFlightLimited:  {Status: http.StatusTooManyRequests, Outcome: NotRun, RetryAfter: time.Second},
 	CannotFinish:     {Status: http.StatusServiceUnavailable, Outcome: NotRun, RetryAfter: time.Second},
 	NoTarget:         {Status: http.StatusServiceUnavailable, Outcome: NotRun, RetryAfter: 2 * time.Second},
+	Quarantined:      {Status: http.StatusServiceUnavailable, Outcome: NotRun, RetryAfter: time.Minute, CallerFault: true},
 	Stopping:         {Status: http.StatusServiceUnavailable, Outcome: NotRun, RetryAfter: time.Second},
 	NotReady:         {Status: http.StatusServiceUnavailable, Outcome: NotRun, RetryAfter: time.Second},
 	TargetFailed:     {Status: http.StatusBadGateway, Outcome: MayHaveRun, RetryAfter: time.Second},
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -13,6 +13,7 @@
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/place"
+	"garnethoist.org/garnethoist/internal/quarantine"
 	"garnethoist.org/garnethoist/internal/retry"
 )
 
@@ -34,6 +35,10 @@
 	tried place.Tried
 	// sends counts the sends of the request.
 	sends sends
+	// request tells it from others at every VM, and trial is set while it is a suspect that
+	// is being tried.
+	request quarantine.Request
+	trial   *quarantine.ID
 	// misses counts the targets that could not be reached.
 	misses int
 	// brokenOff is set once a target broke off its answer, or gave none.
@@ -98,6 +103,11 @@
 	if err := x.readBody(x.view.Config.Limits); err != nil {
 		return x.certain(err)
 	}
+	x.request = x.identity()
+	defer x.endTrial()
+	if err := x.checkQuarantine(); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	defer context.AfterFunc(x.g.ending, cancel)()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"github.com/gin-gonic/gin"
 	"github.com/pkg/errors"
+	"golang.org/x/sync/singleflight"
 
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/fleet"
@@ -88,6 +89,7 @@
 	Protocol    Protocol
 	Group       Group
 	Known       Knowledge
+	Quarantine  Quarantine
 	Client      *httpsend.Client
 	Log         *telemetry.Logger
 	Stats       *Stats
@@ -102,9 +104,13 @@
 	proto  Protocol
 	group  Group
 	known  Knowledge
-	client *httpsend.Client
-	log    *telemetry.Logger
-	stats  *Stats
+	// quarantine knows requests that end targets, and endChecks finds out whether a target
+	// that broke off has ended.
+	quarantine Quarantine
+	endChecks  singleflight.Group
+	client     *httpsend.Client
+	log        *telemetry.Logger
+	stats      *Stats
 
 	server *http.Server
 	served sync.WaitGroup
@@ -132,7 +138,7 @@
 // New returns a gateway; it does not listen yet.
 func New(p Parts, limits Limits) *Gateway {
 	g := &Gateway{
-		listen: p.Listen, keeper: p.Keeper, placer: p.Placer, proto: p.Protocol, group: p.Group, known: p.Known,
+		listen: p.Listen, keeper: p.Keeper, placer: p.Placer, proto: p.Protocol, group: p.Group, known: p.Known, quarantine: p.Quarantine,
 		client: p.Client, log: p.Log, stats: p.Stats, budgets: make(map[string]*retry.Window), random: newRandom(),
 		started: time.Now(), conns: newCallerConns(p.Descriptors, p.Client.Open, p.Log),
 	}
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -52,7 +52,7 @@
 			break
 		}
 	}
-	if !x.ran && (errkind.Is(last, errkind.CannotFinish) || errkind.Is(last, errkind.Stopping)) {
+	if !x.ran && notRun(last) {
 		return last
 	}
 	if s.relaying && callerLeft(x.r.Context()) {
@@ -67,6 +67,11 @@
 	return x.giveUp(ctx, last)
 }
 
+// notRun reports whether an error is a refusal that its caller is told as it is.
+func notRun(err error) bool {
+	return errkind.Is(err, errkind.CannotFinish) || errkind.Is(err, errkind.Stopping) || errkind.Is(err, errkind.Quarantined)
+}
+
 // generateOnce asks one decode target, after a prefill elsewhere where that is
 // the better way. target is nil when there is none to ask.
 func (x *exchange) generateOnce(ctx context.Context, s *stream) (outcome, *fleet.Target, error) {
@@ -160,7 +165,7 @@
 // apart is read again in place only, by the target that then runs it: one arrival, not two.
 func (x *exchange) untried() place.Tried {
 	if x.sends.reads == 0 {
-		return x.tried
+		return x.apart(x.tried)
 	}
 	tried := maps.Clone(x.tried)
 	for _, t := range x.view.Targets[x.service] {
@@ -168,7 +173,7 @@
 			tried[t.ID] = true
 		}
 	}
-	return tried
+	return x.apart(tried)
 }
 
 // chooseDecode chooses where a prompt goes on that another target has read.
@@ -247,13 +252,14 @@
 		x.note(c.Target, strconv.Itoa(resp.Status), nil)
 		c.Ticket.Stream(s.events, s.wroteAt.Sub(s.firstAt))
 		c.Ticket.End(place.Good, time.Now())
+		x.served()
 		return answered, nil
 	case x.endedHere():
 		x.note(c.Target, "ended", err)
 		c.Ticket.End(place.Neutral, time.Now())
 	default:
 		x.note(c.Target, "cut", err)
-		x.brokenOff = true
+		x.brokeOff(c.Target, err, s.ranFor(time.Now()))
 		c.Ticket.End(place.Bad, time.Now())
 	}
 	return unknown, err
@@ -265,6 +271,9 @@
 	body, err := readWhole(resp)
 	c.Ticket.End(place.Bad, time.Now())
 	x.note(c.Target, strconv.Itoa(resp.Status), err)
+	if err == nil {
+		x.served()
+	}
 	if err != nil || s.relaying {
 		return unknown, errkind.New(errkind.TargetFailed, "the engine failed with status %d", resp.Status)
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -39,6 +39,7 @@
 // plainCall is one send of a plain request and how it ended.
 type plainCall struct {
 	sending sending
+	target  *fleet.Target
 	answer  *answer
 	out     outcome
 	err     error
@@ -54,7 +55,7 @@
 	// overdue fires when the newest call's answer is overdue; nil where nothing
 	// may be asked for twice.
 	overdue <-chan time.Time
-	// stopped is why a stopping VM asked no further target.
+	// stopped is why no further target was asked.
 	stopped error
 }
 
@@ -69,14 +70,15 @@
 		return
 	}
 	x.reload()
-	choice, ok := x.g.placer.Plain(x.view.Targets[x.service], x.tried, rand.Uint64(), time.Now())
+	choice, ok := x.g.placer.Plain(x.view.Targets[x.service], x.apart(x.tried), rand.Uint64(), time.Now())
 	if !ok {
 		return
 	}
 	x.tried[choice.Target.ID] = true
-	sd, ok := x.sends.begin(false)
-	if !ok {
+	sd, err := x.begin(false)
+	if err != nil {
 		choice.Ticket.End(place.Neutral, time.Now())
+		c.stopped = err
 		return
 	}
 	c.pending++
@@ -130,6 +132,9 @@
 			continue
 		}
 		x.sends.settle(call.sending, call.out)
+		if call.err == nil {
+			x.served()
+		}
 		if call.err == nil && !(call.answer.status >= http.StatusInternalServerError && x.route.Kind == fleet.Idempotent) {
 			return x.deliver(call.answer)
 		}
@@ -145,7 +150,9 @@
 		}
 		x.ran = x.ran || call.out != refused
 		x.unanswered = x.unanswered || call.out == unknown
-		x.brokenOff = x.brokenOff || (call.out == unknown && !x.endedHere())
+		if call.out == unknown {
+			x.brokeOff(call.target, call.err, 0)
+		}
 		if c.pending == 0 && (!x.ran || x.route.Repeatable()) && x.mayTryAgain(ctx) {
 			c.start()
 		}
@@ -153,7 +160,7 @@
 	if held != nil {
 		return x.deliver(held)
 	}
-	if c.stopped != nil && !x.ran {
+	if c.stopped != nil && !x.ran && notRun(c.stopped) {
 		return c.stopped
 	}
 	return x.giveUp(ctx, last)
@@ -163,7 +170,7 @@
 func (x *exchange) callPlain(ctx context.Context, to httpsend.Destination, c place.Choice) plainCall {
 	resp, out, err := x.sendTo(ctx, to, c.Target, Directive{}, c.Ticket)
 	if err != nil {
-		return plainCall{out: out, err: err}
+		return plainCall{out: out, err: err, target: c.Target}
 	}
 	defer resp.Close()
 	body, err := readWhole(resp)
@@ -174,7 +181,7 @@
 			result = place.Neutral
 		}
 		c.Ticket.End(result, time.Now())
-		return plainCall{out: unknown, err: err}
+		return plainCall{out: unknown, err: err, target: c.Target}
 	}
 	x.note(c.Target, strconv.Itoa(resp.Status), nil)
 	result := place.Good
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -74,8 +74,7 @@
 		fields = append(fields, telemetry.F("arrivals", s.arrivals), telemetry.F("reads", s.reads), telemetry.F("drawn", s.drawn))
 	}
 	if x.brokenOff {
-		request := x.identity()
-		fields = append(fields, telemetry.F("print", request.Print()))
+		fields = append(fields, telemetry.F("print", x.request.Print()))
 	}
 	if x.stop != nil {
 		fields = append(fields, telemetry.F("stop_ms", x.stop.left.Milliseconds()), telemetry.F("needed_ms", x.stop.needed.Milliseconds()))
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -67,11 +67,11 @@
 
 // send sends the request to t once. resp is set when it was answered.
 func (x *exchange) send(ctx context.Context, t *fleet.Target, d Directive, ticket *place.Ticket) (*httpsend.Response, outcome, error) {
-	sd, ok := x.sends.begin(d.PrefillOnly)
-	if !ok {
-		x.note(t, "no_attempt_left", nil)
+	sd, err := x.begin(d.PrefillOnly)
+	if err != nil {
+		x.note(t, "withheld", err)
 		ticket.End(place.Neutral, time.Now())
-		return nil, withheld, errNoRetry
+		return nil, withheld, err
 	}
 	resp, out, err := x.sendTo(ctx, x.destination(t, d), t, d, ticket)
 	settled := out
@@ -81,7 +81,9 @@
 	}
 	x.sends.settle(sd, settled)
 	x.unanswered = x.unanswered || out == unknown
-	x.brokenOff = x.brokenOff || (out == unknown && !x.endedHere())
+	if out == unknown {
+		x.brokeOff(t, err, 0)
+	}
 	return resp, out, err
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -96,6 +96,14 @@
 	s.ticket.Events(n, now)
 }
 
+// ranFor is how long the present target has run the request: since its first event.
+func (s *stream) ranFor(now time.Time) time.Duration {
+	if s.events == 0 {
+		return 0
+	}
+	return now.Sub(s.firstAt)
+}
+
 // pause is the mean time between the events of the present target.
 func (s *stream) pause() time.Duration {
 	if s.events < 2 {
--- a/internal/httpsend/client.go
+++ b/internal/httpsend/client.go
@@ -141,6 +141,16 @@
 	return cn, nil
 }
 
+// Probe opens a connection to an address and closes it. Its error says why it could not be
+// opened.
+func (c *Client) Probe(ctx context.Context, address string) error {
+	nc, err := silence.Dialer(c.cfg.DialTimeout, c.cfg.Unacked).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "probe")
+	}
+	return errors.Wrap(nc.Close(), "close probe")
+}
+
 // bound sets how long written bytes may stay unacknowledged on cn.
 func (c *Client) bound(cn *conn, unacked time.Duration) error {
 	if unacked <= 0 {
--- a/internal/kernel/background.go
+++ b/internal/kernel/background.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/cenkalti/backoff/v5"
 )
 
 // Background owns a module's goroutines: it ends them and waits for them. Its
@@ -32,6 +34,30 @@
 	return nil
 }
 
+// Retrying bounds the calls of Until.
+type Retrying struct {
+	// First and Most bound the waits between calls, which grow and are spread.
+	First time.Duration
+	Most  time.Duration
+	// Timeout bounds each call.
+	Timeout time.Duration
+}
+
+// Until calls f until it succeeds or ctx ends.
+func Until(ctx context.Context, r Retrying, f func(context.Context) error) {
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval, wait.MaxInterval = r.First, r.Most
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, r.Timeout)
+		err := f(call)
+		cancel()
+		if err == nil {
+			return
+		}
+		Sleep(ctx, wait.NextBackOff())
+	}
+}
+
 // Every calls f at once and then at each interval until ctx ends.
 func Every(ctx context.Context, interval time.Duration, f func(context.Context)) {
 	ticker := time.NewTicker(interval)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"garnethoist.org/garnethoist/internal/lease"
 	"garnethoist.org/garnethoist/internal/peers"
 	"garnethoist.org/garnethoist/internal/place"
+	"garnethoist.org/garnethoist/internal/quarantine"
 	"garnethoist.org/garnethoist/internal/settings"
 	"garnethoist.org/garnethoist/internal/stages"
 	"garnethoist.org/garnethoist/internal/store"
@@ -23,25 +24,26 @@
 
 // Names of the node's modules.
 const (
-	ModuleWriter  = "telemetry.writer"
-	ModuleLog     = "telemetry.log"
-	ModuleMetrics = "telemetry.metrics"
-	ModuleAdmin   = "telemetry.admin"
-	ModuleStore   = "store.client"
-	ModuleLink    = "watch.link"
-	ModuleKeeper  = "fleet.keeper"
-	ModuleFleet   = "watch.fleet"
-	ModuleConfig  = "watch.config"
-	ModuleTargets = "watch.targets"
-	ModuleKnown   = "watch.knowledge"
-	ModulePeers   = "peers"
-	ModulePlacer  = "place.placer"
-	ModuleStats   = "gateway.stats"
-	ModuleReady   = "gateway.ready"
-	ModuleSender  = "httpsend.client"
-	ModuleStages  = "stages"
-	ModuleGateway = "gateway"
-	ModuleReload  = "node.reload"
+	ModuleWriter   = "telemetry.writer"
+	ModuleLog      = "telemetry.log"
+	ModuleMetrics  = "telemetry.metrics"
+	ModuleAdmin    = "telemetry.admin"
+	ModuleStore    = "store.client"
+	ModuleLink     = "watch.link"
+	ModuleKeeper   = "fleet.keeper"
+	ModuleFleet    = "watch.fleet"
+	ModuleConfig   = "watch.config"
+	ModuleTargets  = "watch.targets"
+	ModuleKnown    = "watch.knowledge"
+	ModulePeers    = "peers"
+	ModulePlacer   = "place.placer"
+	ModuleStats    = "gateway.stats"
+	ModuleReady    = "gateway.ready"
+	ModuleSender   = "httpsend.client"
+	ModuleStages   = "stages"
+	ModuleSuspects = "quarantine"
+	ModuleGateway  = "gateway"
+	ModuleReload   = "node.reload"
 )
 
 // Roots names the modules that the program is there for.
@@ -125,6 +127,16 @@
 		}
 		return group, g.Err
 	})
+	k.Register(ModuleSuspects, func(k *kernel.Kernel) (any, error) {
+		g := &kernel.Getter{Kernel: k}
+		group := kernel.Need[*peers.Peers](g, ModulePeers)
+		keeper := quarantine.NewKeeper(kernel.Need[Store](g, ModuleStore), kernel.Need[*telemetry.Logger](g, ModuleLog), time.Now)
+		if g.Err != nil {
+			return nil, g.Err
+		}
+		group.SetSuspects(keeper)
+		return keeper, nil
+	})
 	k.Register(ModulePlacer, func(k *kernel.Kernel) (any, error) { return providePlacer(k, cfg) })
 	k.Register(ModuleStats, func(k *kernel.Kernel) (any, error) {
 		m, err := kernel.Get[*telemetry.Metrics](k, ModuleMetrics)
@@ -246,7 +258,8 @@
 		Listen: string(cfg.Listen), Descriptors: descriptors, Keeper: kernel.Need[*fleet.Keeper](g, ModuleKeeper),
 		Placer: kernel.Need[*place.Placer](g, ModulePlacer), Protocol: a.Protocol, Group: group,
 		Known: kernel.Need[*watch.Knowledge](g, ModuleKnown), Client: client,
-		Log: kernel.Need[*telemetry.Logger](g, ModuleLog), Stats: kernel.Need[*gateway.Stats](g, ModuleStats),
+		Quarantine: kernel.Need[*quarantine.Keeper](g, ModuleSuspects),
+		Log:        kernel.Need[*telemetry.Logger](g, ModuleLog), Stats: kernel.Need[*gateway.Stats](g, ModuleStats),
 	}, gatewayLimits(cfg))
 	if g.Err != nil {
 		return nil, g.Err
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -51,6 +51,7 @@
 	for ; ctx.Err() == nil; kernel.Sleep(ctx, p.Interval()) {
 		p.expire()
 		p.measureAge()
+		p.tellSuspects(time.Now())
 		r := p.ownReport()
 		relays, fans := p.relays(), p.fans()
 		p.follow(!relays && (fans || p.hearsDigests()))
@@ -167,6 +168,8 @@
 			p.takeHello(*d.Hello)
 		case d.News != nil:
 			p.takeNews(d.News)
+		case d.Words != nil:
+			p.takeWords(d.Words)
 		case d.Report != nil && d.Report.From.VM != p.self.VM:
 			p.takeReport(d.Report)
 		}
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -7,8 +7,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
-
 	"garnethoist.org/garnethoist/internal/kernel"
 	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/telemetry"
@@ -17,11 +15,6 @@
 const (
 	// KeyPrefix is where members stand in the store.
 	KeyPrefix = "vm/"
-	// Waits between calls that fail, which grow and are spread: a store that refuses
-	// too many calls would be called as often again by as many VMs.
-	firstRegisterWait = 300 * time.Millisecond
-	maxRegisterWait   = 3 * time.Second
-	registerTimeout   = 2 * time.Second
 	// registerSpread is the time over which the VMs of a group that starts for the
 	// first time write their records. The store carries out some 150 writes a second,
 	// one after another, and refuses those that would wait for over a second: 300 VMs
@@ -35,6 +28,10 @@
 	listPerVM = time.Second
 )
 
+// registering spreads calls that fail: a store that refuses too many calls would be called as
+// often again by as many VMs.
+var registering = kernel.Retrying{First: 300 * time.Millisecond, Most: 3 * time.Second, Timeout: 2 * time.Second}
+
 // register sees to it that this VM's record stands, and lists the others', again and
 // again.
 func (p *Peers) register(ctx context.Context) {
@@ -57,17 +54,17 @@
 	if p.firstStart {
 		kernel.Sleep(ctx, rand.N(registerSpread))
 	} else {
-		p.until(ctx, p.list)
+		kernel.Until(ctx, registering, p.list)
 		if p.registered() {
 			return
 		}
 	}
-	p.until(ctx, p.write)
-	p.until(ctx, p.list)
+	kernel.Until(ctx, registering, p.write)
+	kernel.Until(ctx, registering, p.list)
 }
 
 func (p *Peers) relist(ctx context.Context) {
-	p.until(ctx, p.list)
+	kernel.Until(ctx, registering, p.list)
 	p.hello()
 }
 
@@ -90,21 +87,6 @@
 	return err
 }
 
-// until calls f until it succeeds.
-func (p *Peers) until(ctx context.Context, f func(context.Context) error) {
-	wait := backoff.NewExponentialBackOff()
-	wait.InitialInterval, wait.MaxInterval = firstRegisterWait, maxRegisterWait
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, registerTimeout)
-		err := f(call)
-		cancel()
-		if err == nil {
-			return
-		}
-		kernel.Sleep(ctx, wait.NextBackOff())
-	}
-}
-
 // list reads the members' records.
 func (p *Peers) list(ctx context.Context) error {
 	records, err := p.table.List(ctx, KeyPrefix)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -87,9 +87,12 @@
 	placer      Placer
 	followed    []Followed
 	orders      Orders
+	suspects    Suspects
 	conn        *net.UDPConn
 	firstStart  bool
 	age         atomic.Int64
+	// wordsAt is when words are told again; only the sending loop uses it.
+	wordsAt time.Time
 	// joined is closed once the other members have been listed.
 	joined chan struct{}
 
--- a/internal/peers/report.go
+++ b/internal/peers/report.go
@@ -18,6 +18,8 @@
 	News   *news   `cbor:"2,keyasint,omitempty"`
 	// Hello is a VM that has just listed the receiver.
 	Hello *Member `cbor:"3,keyasint,omitempty"`
+	// Words are of requests that end their targets.
+	Words *wordsFrom `cbor:"4,keyasint,omitempty"`
 }
 
 // report is the work in hand of one VM or, as a summary, of all VMs of one data
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -167,6 +167,30 @@
 	p.occupyLink(q, now)
 }
 
+// AllButQuietest returns tried and all other targets but the one that runs the fewest requests
+// and can be reached: one that may end with what it is given.
+func (p *Placer) AllButQuietest(targets []*fleet.Target, tried Tried) Tried {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var quietest *fleet.Target
+	least := 0
+	out := make(Tried, len(targets))
+	for _, t := range targets {
+		out[t.ID] = true
+		running := p.total(t.RunID()).Running
+		if t.Stage == fleet.Prefill || !p.usable(t, tried) || p.at(t).misses > 0 {
+			continue
+		}
+		if quietest == nil || running < least {
+			quietest, least = t, running
+		}
+	}
+	if quietest != nil {
+		delete(out, quietest.ID)
+	}
+	return out
+}
+
 func (p *Placer) usable(t *fleet.Target, tried Tried) bool {
 	return !t.Leaving && !tried[t.ID] && !p.changing(t)
 }
--- a/internal/place/ticket.go
+++ b/internal/place/ticket.go
@@ -124,9 +124,23 @@
 		s.failures += failureWeight * (1 - s.failures)
 		p.tell(Use{Target: t.id, Failed: true}, now)
 	case Unreachable:
-		wait := firstMiss << min(s.misses, maxDoubles)
-		s.misses++
-		s.retryAt = now.Add(min(wait, maxMiss))
+		s.miss(now)
+	}
+}
+
+// miss notes that the target could not be reached.
+func (s *state) miss(now time.Time) {
+	wait := firstMiss << min(s.misses, maxDoubles)
+	s.misses++
+	s.retryAt = now.Add(min(wait, maxMiss))
+}
+
+// Unreachable notes that a target is known to be down, so that no request finds it out.
+func (p *Placer) Unreachable(target string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.state(target); s.reachable(now) {
+		s.miss(now)
 	}
 }
 
--- /dev/null
+++ b/internal/quarantine/table.go
@@ -0,0 +1,364 @@
+package quarantine
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// suspectEnds is after how many ended targets a request counts as a suspect, and
+	// quarantineEnds after how many it is kept from all targets: with two, a request
+	// that stood twice beside the one at fault would be refused.
+	suspectEnds    = 2
+	quarantineEnds = 3
+	// Onset is how long after a request began to run an end of its target may be its
+	// doing: a target that ends later, with others at work, tells nothing of it.
+	Onset = time.Second
+	// firstTerm is how long the first quarantine lasts; each further end doubles it, up to
+	// maxTerm. Nothing tells when a target's fault has been mended, so that it is tried now
+	// and then; a try that fails costs all that runs on the target.
+	firstTerm = 10 * time.Minute
+	maxTerm   = 24 * time.Hour
+	// endMemory is how long the ends of a request that is in no quarantine are remembered.
+	endMemory = 10 * time.Minute
+	// maxEnds bounds the ends kept of one request: more would not lengthen its term.
+	maxEnds = 16
+	// maxEntries bounds the requests kept, some 300 bytes each, and maxPerAccount those
+	// of one client account. At a target's end up to a hundred become known.
+	maxEntries    = 8192
+	maxPerAccount = 1024
+	// maxNews bounds the words that wait to be told at once.
+	maxNews = 1024
+)
+
+// ID names a request in the table.
+type ID struct {
+	Account uint64
+	Key     uint64
+	Print   Print
+}
+
+// ID returns the request's name; it hashes the whole body.
+func (r *Request) ID() ID { return ID{Account: r.AccountKey(), Key: r.Key(), Print: r.Print()} }
+
+// end is the end of one run of a target under a request.
+type end struct {
+	at time.Time
+	// void is set once the request has had a good end elsewhere: it was not at fault.
+	void bool
+}
+
+// entry is what is known of one request. ends is by the hash of the target's run.
+type entry struct {
+	id   ID
+	ends map[uint64]end
+	// trials counts the sends of the request that are under way from here.
+	trials int
+}
+
+// valid counts the ends that count against the request.
+func (e *entry) valid() int {
+	n := 0
+	for _, end := range e.ends {
+		if !end.void {
+			n++
+		}
+	}
+	return n
+}
+
+// term is how long a request is kept from targets after the last of n ends.
+func term(n int) time.Duration {
+	if n < quarantineEnds {
+		return 0
+	}
+	return min(firstTerm<<min(n-quarantineEnds, maxEnds), maxTerm)
+}
+
+// until is when the quarantine ends.
+func (e *entry) until() time.Time { return e.newest().Add(term(e.valid())) }
+
+// forgotten is when the entry may be dropped: a request that comes again within as long
+// after its quarantine as it lasted goes on where it was.
+func (e *entry) forgotten() time.Time { return e.newest().Add(max(2*term(e.valid()), endMemory)) }
+
+// Verdict is what is known of a request.
+type Verdict struct {
+	// ID is set where something is known.
+	ID ID
+	// Ends is how many targets ended as they began to run the request.
+	Ends int
+	// Until is when its quarantine ends; it is zero where it is in none.
+	Until time.Time
+}
+
+// Suspect reports whether the request may end its target: it is sent on its own, and not
+// again by this system.
+func (v Verdict) Suspect() bool { return v.Ends >= suspectEnds }
+
+// Quarantined reports whether the request must not be sent at now.
+func (v Verdict) Quarantined(now time.Time) bool { return now.Before(v.Until) }
+
+// Table holds the requests under which targets have ended. It has no clock: times are of
+// one that also counts the time for which the machine is suspended. It is safe for
+// concurrent use.
+type Table struct {
+	// size is the number of entries, to be read without mu: mostly there are none.
+	size atomic.Int64
+
+	mu       sync.Mutex
+	entries  map[ID]*entry
+	keys     map[uint64]int
+	accounts map[uint64]int
+	news     []ID
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{entries: make(map[ID]*entry), keys: make(map[uint64]int), accounts: make(map[uint64]int)}
+}
+
+// find returns what is known of a request. The body is hashed only where a request that
+// may be the same one is known.
+func (t *Table) find(r *Request) (*entry, ID) {
+	if t.size.Load() == 0 {
+		return nil, ID{}
+	}
+	key := r.Key()
+	t.mu.Lock()
+	known := t.keys[key] > 0
+	t.mu.Unlock()
+	if !known {
+		return nil, ID{}
+	}
+	id := r.ID()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.entries[id], id
+}
+
+// Judge returns what is known of a request.
+func (t *Table) Judge(r *Request, now time.Time) Verdict {
+	e, id := t.find(r)
+	if e == nil {
+		return Verdict{}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !now.Before(e.forgotten()) {
+		return Verdict{}
+	}
+	v := Verdict{ID: id, Ends: e.valid()}
+	if until := e.until(); now.Before(until) {
+		v.Until = until
+	}
+	return v
+}
+
+// Try begins a send of a suspect, or returns false while another one of the same request is
+// under way: it could end its target as well. End must follow.
+func (t *Table) Try(id ID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[id]
+	if e == nil {
+		return true
+	}
+	if e.trials > 0 {
+		return false
+	}
+	e.trials++
+	return true
+}
+
+// Done ends a send that Try began.
+func (t *Table) Done(id ID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[id]; e != nil && e.trials > 0 {
+		e.trials--
+	}
+}
+
+// Ended notes that a run of a target ended as it began to run the request. It returns the
+// request's verdict, and whether this end put it into quarantine.
+func (t *Table) Ended(id ID, run string, now time.Time) (v Verdict, begins bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entry(id)
+	target := hashText(run)
+	if _, known := e.ends[target]; known {
+		return Verdict{ID: id, Ends: e.valid()}, false
+	}
+	before := e.valid()
+	t.note(e, target, end{at: now})
+	t.tell(id)
+	v = Verdict{ID: id, Ends: e.valid()}
+	if v.Ends >= quarantineEnds {
+		v.Until = e.until()
+	}
+	return v, v.Ends >= quarantineEnds && v.Ends > before
+}
+
+// Served notes that a target has run the request to its end: it is not at fault for the
+// ends that are known. It reports whether it was held to be.
+func (t *Table) Served(r *Request) bool {
+	e, id := t.find(r)
+	if e == nil {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e.valid() == 0 {
+		return false
+	}
+	for target, end := range e.ends {
+		end.void = true
+		e.ends[target] = end
+	}
+	t.tell(id)
+	return true
+}
+
+// Expire drops what is too old.
+func (t *Table) Expire(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, e := range t.entries {
+		if e.trials == 0 && !now.Before(e.forgotten()) {
+			t.drop(id)
+		}
+	}
+}
+
+// Size counts the requests that are known.
+func (t *Table) Size() int { return int(t.size.Load()) }
+
+// Quarantined counts the requests that are kept from targets at now.
+func (t *Table) Quarantined(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, e := range t.entries {
+		if now.Before(e.until()) {
+			n++
+		}
+	}
+	return n
+}
+
+// entry returns the entry of id, made where there is none; the caller holds t.mu.
+func (t *Table) entry(id ID) *entry {
+	if e := t.entries[id]; e != nil {
+		return e
+	}
+	switch {
+	case t.accounts[id.Account] >= maxPerAccount:
+		t.evict(id.Account)
+	case len(t.entries) >= maxEntries:
+		t.evict(t.largestAccount())
+	}
+	e := &entry{id: id, ends: make(map[uint64]end)}
+	t.entries[id] = e
+	t.keys[id.Key]++
+	t.accounts[id.Account]++
+	t.size.Store(int64(len(t.entries)))
+	return e
+}
+
+// note takes in an end; the caller holds t.mu.
+func (t *Table) note(e *entry, target uint64, n end) {
+	if known, ok := e.ends[target]; ok {
+		if known.at.Before(n.at) {
+			n.at = known.at
+		}
+		n.void = n.void || known.void
+	}
+	e.ends[target] = n
+	if len(e.ends) > maxEnds {
+		delete(e.ends, e.oldest())
+	}
+}
+
+// newest is when the last target ended under the request.
+func (e *entry) newest() time.Time {
+	var at time.Time
+	for _, end := range e.ends {
+		if end.at.After(at) {
+			at = end.at
+		}
+	}
+	return at
+}
+
+// oldest returns the end that counts least.
+func (e *entry) oldest() uint64 {
+	var oldest uint64
+	var at time.Time
+	for target, end := range e.ends {
+		if at.IsZero() || end.at.Before(at) {
+			oldest, at = target, end.at
+		}
+	}
+	return oldest
+}
+
+// evict drops the entry of an account that matters least, so that no account can crowd out
+// another's; the caller holds t.mu.
+func (t *Table) evict(account uint64) {
+	var least *entry
+	for _, e := range t.entries {
+		if e.id.Account == account && e.trials == 0 && (least == nil || matters(e, least) < 0) {
+			least = e
+		}
+	}
+	if least != nil {
+		t.drop(least.id)
+	}
+}
+
+// matters orders entries: those with more ends matter more, then newer ones.
+func matters(a, b *entry) int {
+	return cmp.Or(cmp.Compare(a.valid(), b.valid()), a.newest().Compare(b.newest()))
+}
+
+func (t *Table) largestAccount() uint64 {
+	var largest uint64
+	most := 0
+	for account, n := range t.accounts {
+		if n > most {
+			largest, most = account, n
+		}
+	}
+	return largest
+}
+
+// drop removes an entry; the caller holds t.mu.
+func (t *Table) drop(id ID) {
+	delete(t.entries, id)
+	if t.keys[id.Key]--; t.keys[id.Key] == 0 {
+		delete(t.keys, id.Key)
+	}
+	if t.accounts[id.Account]--; t.accounts[id.Account] == 0 {
+		delete(t.accounts, id.Account)
+	}
+	t.size.Store(int64(len(t.entries)))
+}
+
+// tell has other VMs told of an entry; the caller holds t.mu.
+func (t *Table) tell(id ID) {
+	if len(t.news) < maxNews && !slices.Contains(t.news, id) {
+		t.news = append(t.news, id)
+	}
+}
+
+func hashText(s string) uint64 {
+	h := fnv.New64a()
+	// A hash's Write returns no error.
+	_, _ = h.Write([]byte(s))
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/quarantine/table_test.go
@@ -0,0 +1,206 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"garnethoist.org/garnethoist/internal/quarantine"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// numbered returns the i-th request of an account.
+func numbered(account string, i int) quarantine.Request {
+	return quarantine.Request{Account: account, Method: "POST", Host: "h", URI: "/x", Body: fmt.Appendf(nil, "body %d", i)}
+}
+
+func TestThirdEndBeginsTheQuarantine(t *testing.T) {
+	is := is.New(t)
+	table := quarantine.NewTable()
+	r := numbered("a", 1)
+	is.Equal(table.Judge(&r, start).Ends, 0)
+	for i, want := range []bool{false, false, true} {
+		_, begins := table.Ended(r.ID(), fmt.Sprint("run", i), start)
+		is.Equal(begins, want)
+	}
+	v := table.Judge(&r, start)
+	is.True(v.Suspect() && v.Quarantined(start))
+	beside := numbered("a", 2)
+	is.True(!table.Judge(&beside, start).Suspect())
+	// Another account's request is another request.
+	same := numbered("b", 1)
+	is.True(!table.Judge(&same, start).Suspect())
+}
+
+// Several attempts of one request on one target end with it: that is one end.
+func TestOneRunCountsOnce(t *testing.T) {
+	is := is.New(t)
+	table := quarantine.NewTable()
+	r := numbered("a", 1)
+	for range 5 {
+		table.Ended(r.ID(), "run", start)
+	}
+	is.Equal(table.Judge(&r, start).Ends, 1)
+}
+
+// A prompt that many callers send alike stands at many ends that are not its doing. A good end
+// clears it, also of an end that this VM hears of later.
+func TestGoodEndClears(t *testing.T) {
+	is := is.New(t)
+	here, there := quarantine.NewTable(), quarantine.NewTable()
+	r := numbered("a", 1)
+	for i := range 3 {
+		here.Ended(r.ID(), fmt.Sprint("run", i), start)
+	}
+	there.Merge(here.News(start), start)
+	is.True(there.Served(&r))
+	here.Merge(there.News(start), start)
+	is.True(!here.Judge(&r, start).Quarantined(start))
+	// The old word comes again.
+	is.Equal(len(here.Merge(there.Words(10, start), start)), 0)
+	is.Equal(here.Judge(&r, start).Ends, 0)
+	is.True(!here.Served(&r)) // there is nothing more to clear
+}
+
+// A quarantine ends, and one more end after it makes it twice as long.
+func TestTermDoubles(t *testing.T) {
+	is := is.New(t)
+	table := quarantine.NewTable()
+	r := numbered("a", 1)
+	for i := range 3 {
+		table.Ended(r.ID(), fmt.Sprint("run", i), start)
+	}
+	first := table.Judge(&r, start).Until.Sub(start)
+	is.Equal(first, 10*time.Minute)
+	now := start.Add(first)
+	v := table.Judge(&r, now)
+	is.True(v.Suspect() && !v.Quarantined(now))
+	_, begins := table.Ended(r.ID(), "run3", now)
+	is.True(begins)
+	is.Equal(table.Judge(&r, now).Until.Sub(now), 2*first)
+	for i := range 100 {
+		table.Ended(r.ID(), fmt.Sprint("more", i), now)
+	}
+	is.Equal(table.Judge(&r, now).Until.Sub(now), 24*time.Hour)
+}
+
+// A suspect is tried by one send at a time.
+func TestSuspectIsTriedOnce(t *testing.T) {
+	is := is.New(t)
+	table := quarantine.NewTable()
+	r := numbered("a", 1)
+	id := r.ID()
+	table.Ended(id, "run0", start)
+	table.Ended(id, "run1", start)
+	is.True(table.Judge(&r, start).Suspect())
+	is.True(table.Try(id))
+	is.True(!table.Try(id))
+	table.Done(id)
+	is.True(table.Try(id))
+}
+
+func TestEndsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	table := quarantine.NewTable()
+	r := numbered("a", 1)
+	table.Ended(r.ID(), "run0", start)
+	later := start.Add(10 * time.Minute)
+	is.Equal(table.Judge(&r, later).Ends, 0)
+	words := table.Words(10, later)
+	table.Expire(later)
+	is.Equal(table.Size(), 0)
+	// Nor do others bring it back.
+	table.Merge(words, later)
+	is.Equal(table.Size(), 0)
+}
+
+// One account fills its own share, whatever it sends, and leaves the others' requests.
+func TestOneAccountDoesNotCrowdOutAnother(t *testing.T) {
+	is := is.New(t)
+	table := quarantine.NewTable()
+	mine := numbered("a", 1)
+	table.Ended(mine.ID(), "run", start)
+	deadly := numbered("b", 0)
+	table.Ended(deadly.ID(), "run0", start)
+	table.Ended(deadly.ID(), "run1", start)
+	for i := range 5000 {
+		other := numbered("b", i+1)
+		table.Ended(other.ID(), "run", start.Add(time.Duration(i)*time.Millisecond))
+	}
+	is.True(table.Size() <= 1025)
+	is.Equal(table.Judge(&mine, start).Ends, 1)
+	// Nor do an account's own harmless ones crowd out the one that is at fault.
+	is.Equal(table.Judge(&deadly, start).Ends, 2)
+	for i := range 20 {
+		for j := range 1000 {
+			other := numbered(fmt.Sprint("c", i), j)
+			table.Ended(other.ID(), "run", start)
+		}
+	}
+	is.True(table.Size() <= 8192)
+	is.Equal(table.Judge(&mine, start).Ends, 1)
+}
+
+// VMs that hear each other's words in any order, late and twice come to know the same.
+func TestWordsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tables := []*quarantine.Table{quarantine.NewTable(), quarantine.NewTable(), quarantine.NewTable()}
+		r := numbered("a", 1)
+		now := start
+		var words []quarantine.Word
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			table := tables[rapid.IntRange(0, 2).Draw(t, "vm")]
+			now = now.Add(time.Second)
+			switch rapid.IntRange(0, 2).Draw(t, "what") {
+			case 0:
+				table.Ended(r.ID(), fmt.Sprint("run", rapid.IntRange(0, 5).Draw(t, "run")), now)
+			case 1:
+				table.Served(&r)
+			case 2:
+				words = append(words, table.Words(10, now)...)
+			}
+			if len(words) > 0 && rapid.Bool().Draw(t, "hears") {
+				table.Merge(words[rapid.IntRange(0, len(words)-1).Draw(t, "word"):][:1], now)
+			}
+		}
+		for range 2 {
+			for _, from := range tables {
+				for _, to := range tables {
+					to.Merge(from.Words(10, now), now)
+				}
+			}
+		}
+		first := tables[0].Judge(&r, now)
+		for _, table := range tables[1:] {
+			if v := table.Judge(&r, now); v.Ends != first.Ends || !v.Until.Equal(first.Until) {
+				t.Fatalf("%+v and %+v", first, v)
+			}
+		}
+	})
+}
+
+func BenchmarkJudgeWithNothingKnown(b *testing.B) {
+	table := quarantine.NewTable()
+	r := numbered("a", 1)
+	r.Body = make([]byte, 40<<10)
+	for b.Loop() {
+		table.Judge(&r, start)
+	}
+}
+
+func BenchmarkJudgeBesideSuspects(b *testing.B) {
+	table := quarantine.NewTable()
+	for i := range 1000 {
+		other := numbered("b", i)
+		table.Ended(other.ID(), "run", start)
+	}
+	r := numbered("a", 1)
+	r.Body = make([]byte, 40<<10)
+	for b.Loop() {
+		table.Judge(&r, start)
+	}
+}
