A request that ends its targets is the same one from any address

Cause: the caller's address stood for its client account in the fingerprint. The platform names no accounts, and the request that ended four engines from 36.4 to 37.7 s came to VMs of two data centres, each of which gets the callers of its own only, so that it came from several addresses. That it is this is inferred: the lines name no address.

Change: the fingerprint holds the client account where the platform names one; the address only bounds the part of the table that one caller can fill.

--- a/internal/gateway/identity.go
+++ b/internal/gateway/identity.go
@@ -6,12 +6,22 @@
 	"garnethoist.org/garnethoist/internal/quarantine"
 )
 
-// identity returns what is the same in each attempt of the request, at every VM. The
-// caller's address stands for its client account.
+// identity returns what is the same in each attempt of the request, at every VM.
 func (x *exchange) identity() quarantine.Request {
-	account, _, err := net.SplitHostPort(x.r.RemoteAddr)
+	source := x.meta.Account
+	if source == "" {
+		source = addressOf(x.r.RemoteAddr)
+	}
+	return quarantine.Request{
+		Account: x.meta.Account, Source: source, Method: x.r.Method, Host: x.r.Host, URI: x.r.RequestURI, Body: x.body,
+	}
+}
+
+// addressOf returns a connection's remote address without its port.
+func addressOf(remote string) string {
+	address, _, err := net.SplitHostPort(remote)
 	if err != nil {
-		account = x.r.RemoteAddr
+		return remote
 	}
-	return quarantine.Request{Account: account, Method: x.r.Method, Host: x.r.Host, URI: x.r.RequestURI, Body: x.body}
+	return address
 }
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -16,6 +16,8 @@
 	ID string
 	// Timeout is how long the caller waits, or 0 where it does not say.
 	Timeout time.Duration
+	// Account is the client account, or empty where the platform names none.
+	Account string
 	// LastEventID is set by a caller that continues a stream.
 	LastEventID string
 	// Prompt is nil for requests to plain services.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -27,7 +27,7 @@
 	Try(id quarantine.ID) bool
 	Done(id quarantine.ID)
 	// Ended notes that a run of a target ended as it began to run a request.
-	Ended(id quarantine.ID, run string) quarantine.Verdict
+	Ended(r *quarantine.Request, run string)
 	// Served notes that a target has run a request to its end.
 	Served(r *quarantine.Request)
 }
@@ -102,7 +102,7 @@
 	g, request := x.g, x.request
 	g.served.Go(func() {
 		if g.hasEnded(t) && ranFor <= quarantine.Onset {
-			g.quarantine.Ended(request.ID(), t.RunID())
+			g.quarantine.Ended(&request, t.RunID())
 		}
 	})
 }
--- a/internal/peers/suspects.go
+++ b/internal/peers/suspects.go
@@ -87,11 +87,11 @@
 
 // word is a quarantine.Word on the wire.
 type word struct {
-	_       struct{} `cbor:",toarray"`
-	Account uint64
-	Key     uint64
-	Print   []byte
-	Ends    []wordEnd
+	_      struct{} `cbor:",toarray"`
+	Source uint64
+	Key    uint64
+	Print  []byte
+	Ends   []wordEnd
 }
 
 type wordEnd struct {
@@ -104,7 +104,7 @@
 func wordsOf(words []quarantine.Word) []word {
 	out := make([]word, 0, len(words))
 	for _, w := range words {
-		o := word{Account: w.ID.Account, Key: w.ID.Key, Print: w.ID.Print[:], Ends: make([]wordEnd, 0, len(w.Ends))}
+		o := word{Source: w.Source, Key: w.ID.Key, Print: w.ID.Print[:], Ends: make([]wordEnd, 0, len(w.Ends))}
 		for _, e := range w.Ends {
 			o.Ends = append(o.Ends, wordEnd{Target: e.Target, AgeMS: e.Age.Milliseconds(), Void: e.Void})
 		}
@@ -116,7 +116,7 @@
 func (w *wordsFrom) words() []quarantine.Word {
 	out := make([]quarantine.Word, 0, len(w.Words))
 	for _, in := range w.Words {
-		o := quarantine.Word{ID: quarantine.ID{Account: in.Account, Key: in.Key}}
+		o := quarantine.Word{ID: quarantine.ID{Key: in.Key}, Source: in.Source}
 		if copy(o.ID.Print[:], in.Print) != len(o.ID.Print) {
 			continue
 		}
--- a/internal/peers/suspects_test.go
+++ b/internal/peers/suspects_test.go
@@ -69,7 +69,7 @@
 	}
 	deadly := quarantine.Request{Account: "a", Method: "POST", URI: "/x", Body: []byte("deadly")}
 	for i := range 3 {
-		vms[i].known.Ended(deadly.ID(), fmt.Sprint("run", i), time.Now())
+		vms[i].known.Ended(&deadly, fmt.Sprint("run", i), time.Now())
 	}
 	began := time.Now()
 	for i, v := range vms {
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -57,15 +57,14 @@
 }
 
 // Ended notes that a run of a target ended as it began to run a request.
-func (k *Keeper) Ended(id ID, run string) Verdict {
-	now := k.clock()
-	v, begins := k.Table.Ended(id, run, now)
-	k.log.Warn(telemetry.EventTargetEnded, telemetry.F("target", run), telemetry.F("print", id.Print), telemetry.F("ends", v.Ends))
+func (k *Keeper) Ended(r *Request, run string) {
+	v, begins := k.Table.Ended(r, run, k.clock())
+	k.log.Warn(telemetry.EventTargetEnded, telemetry.F("target", run), telemetry.F("print", v.ID.Print),
+		telemetry.F("caller", r.Source), telemetry.F("ends", v.Ends))
 	if begins {
 		k.logBegun(v, "here")
-		k.write(id)
+		k.write(v.ID)
 	}
-	return v
 }
 
 // Served notes that a target has run a request to its end.
@@ -165,7 +164,8 @@
 // record is a quarantined request in the store. Its times are Unix times: records outlast
 // every process, and a quarantine is long against what VMs' clocks differ by.
 type record struct {
-	Ends []recordEnd `json:"ends"`
+	Source uint64      `json:"source,string"`
+	Ends   []recordEnd `json:"ends"`
 }
 
 type recordEnd struct {
@@ -175,7 +175,7 @@
 }
 
 func recordOf(w Word, wall time.Time) record {
-	r := record{Ends: make([]recordEnd, 0, len(w.Ends))}
+	r := record{Source: w.Source, Ends: make([]recordEnd, 0, len(w.Ends))}
 	for _, e := range w.Ends {
 		r.Ends = append(r.Ends, recordEnd{Target: e.Target, UnixMS: wall.Add(-e.Age).UnixMilli(), Void: e.Void})
 	}
@@ -196,7 +196,7 @@
 	if len(stored.Ends) == 0 {
 		return Word{}, errNoEnds
 	}
-	w := Word{ID: id, Ends: make([]WordEnd, 0, len(stored.Ends))}
+	w := Word{ID: id, Source: stored.Source, Ends: make([]WordEnd, 0, len(stored.Ends))}
 	for _, e := range stored.Ends {
 		w.Ends = append(w.Ends, WordEnd{Target: e.Target, Age: max(wall.Sub(time.UnixMilli(e.UnixMS)), 0), Void: e.Void})
 	}
@@ -206,9 +206,9 @@
 // hashDigits is the number of hexadecimal digits of a hash in a key.
 const hashDigits = 16
 
-// storeKey is where the request's record stands: account, key and print in hexadecimal.
+// storeKey is where the request's record stands: key and print in hexadecimal.
 func (id ID) storeKey() string {
-	return KeyPrefix + hexOf(id.Account) + hexOf(id.Key) + hex.EncodeToString(id.Print[:])
+	return KeyPrefix + hexOf(id.Key) + hex.EncodeToString(id.Print[:])
 }
 
 func hexOf(n uint64) string {
@@ -221,18 +221,15 @@
 
 func parseStoreKey(key string) (ID, error) {
 	digits := key[min(len(KeyPrefix), len(key)):]
-	if len(digits) != 2*hashDigits+2*printBytes {
+	if len(digits) != hashDigits+2*printBytes {
 		return ID{}, errors.Errorf("quarantine: key %q has a wrong length", key)
 	}
 	var id ID
 	var err error
-	if id.Account, err = strconv.ParseUint(digits[:hashDigits], 16, 64); err != nil {
-		return ID{}, errors.Wrap(err, "account")
-	}
-	if id.Key, err = strconv.ParseUint(digits[hashDigits:2*hashDigits], 16, 64); err != nil {
+	if id.Key, err = strconv.ParseUint(digits[:hashDigits], 16, 64); err != nil {
 		return ID{}, errors.Wrap(err, "key")
 	}
-	if _, err = hex.Decode(id.Print[:], []byte(digits[2*hashDigits:])); err != nil {
+	if _, err = hex.Decode(id.Print[:], []byte(digits[hashDigits:])); err != nil {
 		return ID{}, errors.Wrap(err, "print")
 	}
 	return id, nil
--- a/internal/quarantine/print.go
+++ b/internal/quarantine/print.go
@@ -24,11 +24,14 @@
 
 // Request is what tells one request from another, whichever attempt it is.
 type Request struct {
-	// Account is the client account, or the caller's address where the platform
-	// names no accounts.
+	// Account is the client account; it is empty where the platform names none.
 	Account string
-	Method  string
-	Host    string
+	// Source is whose share of the table the request takes: the client account or, where
+	// there is none, the caller's address. It does not tell requests apart: callers at many
+	// addresses may send the same one.
+	Source string
+	Method string
+	Host   string
 	// URI is the request target as sent, its query included.
 	URI  string
 	Body []byte
@@ -51,10 +54,13 @@
 	return h.Sum64()
 }
 
-// AccountKey is a hash of the client account.
-func (r *Request) AccountKey() uint64 {
+// ID returns the request's name; it hashes the whole body.
+func (r *Request) ID() ID { return ID{Key: r.Key(), Print: r.Print()} }
+
+// SourceKey is a hash of whose share of the table the request takes.
+func (r *Request) SourceKey() uint64 {
 	h := fnv.New64a()
-	writeText(h, r.Account)
+	writeText(h, r.Source)
 	return h.Sum64()
 }
 
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -27,24 +27,20 @@
 	endMemory = 10 * time.Minute
 	// maxEnds bounds the ends kept of one request: more would not lengthen its term.
 	maxEnds = 16
-	// maxEntries bounds the requests kept, some 300 bytes each, and maxPerAccount those
-	// of one client account. At a target's end up to a hundred become known.
-	maxEntries    = 8192
-	maxPerAccount = 1024
+	// maxEntries bounds the requests kept, some 300 bytes each, and maxPerSource those
+	// of one source. At a target's end up to a hundred become known.
+	maxEntries   = 8192
+	maxPerSource = 1024
 	// maxNews bounds the words that wait to be told at once.
 	maxNews = 1024
 )
 
 // ID names a request in the table.
 type ID struct {
-	Account uint64
-	Key     uint64
-	Print   Print
+	Key   uint64
+	Print Print
 }
 
-// ID returns the request's name; it hashes the whole body.
-func (r *Request) ID() ID { return ID{Account: r.AccountKey(), Key: r.Key(), Print: r.Print()} }
-
 // end is the end of one run of a target under a request.
 type end struct {
 	at time.Time
@@ -54,8 +50,9 @@
 
 // entry is what is known of one request. ends is by the hash of the target's run.
 type entry struct {
-	id   ID
-	ends map[uint64]end
+	id     ID
+	source uint64
+	ends   map[uint64]end
 	// trials counts the sends of the request that are under way from here.
 	trials int
 }
@@ -110,16 +107,17 @@
 	// size is the number of entries, to be read without mu: mostly there are none.
 	size atomic.Int64
 
-	mu       sync.Mutex
-	entries  map[ID]*entry
-	keys     map[uint64]int
-	accounts map[uint64]int
-	news     []ID
+	mu      sync.Mutex
+	entries map[ID]*entry
+	// keys and sources count the entries with each.
+	keys    map[uint64]int
+	sources map[uint64]int
+	news    []ID
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{entries: make(map[ID]*entry), keys: make(map[uint64]int), accounts: make(map[uint64]int)}
+	return &Table{entries: make(map[ID]*entry), keys: make(map[uint64]int), sources: make(map[uint64]int)}
 }
 
 // find returns what is known of a request. The body is hashed only where a request that
@@ -186,10 +184,11 @@
 
 // Ended notes that a run of a target ended as it began to run the request. It returns the
 // request's verdict, and whether this end put it into quarantine.
-func (t *Table) Ended(id ID, run string, now time.Time) (v Verdict, begins bool) {
+func (t *Table) Ended(r *Request, run string, now time.Time) (v Verdict, begins bool) {
+	id := r.ID()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.entry(id)
+	e := t.entry(id, r.SourceKey())
 	target := hashText(run)
 	if _, known := e.ends[target]; known {
 		return Verdict{ID: id, Ends: e.valid()}, false
@@ -252,20 +251,20 @@
 }
 
 // entry returns the entry of id, made where there is none; the caller holds t.mu.
-func (t *Table) entry(id ID) *entry {
+func (t *Table) entry(id ID, source uint64) *entry {
 	if e := t.entries[id]; e != nil {
 		return e
 	}
 	switch {
-	case t.accounts[id.Account] >= maxPerAccount:
-		t.evict(id.Account)
+	case t.sources[source] >= maxPerSource:
+		t.evict(source)
 	case len(t.entries) >= maxEntries:
-		t.evict(t.largestAccount())
+		t.evict(t.largestSource())
 	}
-	e := &entry{id: id, ends: make(map[uint64]end)}
+	e := &entry{id: id, source: source, ends: make(map[uint64]end)}
 	t.entries[id] = e
 	t.keys[id.Key]++
-	t.accounts[id.Account]++
+	t.sources[source]++
 	t.size.Store(int64(len(t.entries)))
 	return e
 }
@@ -307,12 +306,12 @@
 	return oldest
 }
 
-// evict drops the entry of an account that matters least, so that no account can crowd out
+// evict drops the entry of a source that matters least, so that no caller can crowd out
 // another's; the caller holds t.mu.
-func (t *Table) evict(account uint64) {
+func (t *Table) evict(source uint64) {
 	var least *entry
 	for _, e := range t.entries {
-		if e.id.Account == account && e.trials == 0 && (least == nil || matters(e, least) < 0) {
+		if e.source == source && e.trials == 0 && (least == nil || matters(e, least) < 0) {
 			least = e
 		}
 	}
@@ -326,12 +325,12 @@
 	return cmp.Or(cmp.Compare(a.valid(), b.valid()), a.newest().Compare(b.newest()))
 }
 
-func (t *Table) largestAccount() uint64 {
+func (t *Table) largestSource() uint64 {
 	var largest uint64
 	most := 0
-	for account, n := range t.accounts {
+	for source, n := range t.sources {
 		if n > most {
-			largest, most = account, n
+			largest, most = source, n
 		}
 	}
 	return largest
@@ -339,12 +338,13 @@
 
 // drop removes an entry; the caller holds t.mu.
 func (t *Table) drop(id ID) {
+	source := t.entries[id].source
 	delete(t.entries, id)
 	if t.keys[id.Key]--; t.keys[id.Key] == 0 {
 		delete(t.keys, id.Key)
 	}
-	if t.accounts[id.Account]--; t.accounts[id.Account] == 0 {
-		delete(t.accounts, id.Account)
+	if t.sources[source]--; t.sources[source] == 0 {
+		delete(t.sources, source)
 	}
 	t.size.Store(int64(len(t.entries)))
 }
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -15,7 +15,7 @@
 
 // numbered returns the i-th request of an account.
 func numbered(account string, i int) quarantine.Request {
-	return quarantine.Request{Account: account, Method: "POST", Host: "h", URI: "/x", Body: fmt.Appendf(nil, "body %d", i)}
+	return quarantine.Request{Account: account, Source: account, Method: "POST", Host: "h", URI: "/x", Body: fmt.Appendf(nil, "body %d", i)}
 }
 
 func TestThirdEndBeginsTheQuarantine(t *testing.T) {
@@ -24,7 +24,7 @@
 	r := numbered("a", 1)
 	is.Equal(table.Judge(&r, start).Ends, 0)
 	for i, want := range []bool{false, false, true} {
-		_, begins := table.Ended(r.ID(), fmt.Sprint("run", i), start)
+		_, begins := table.Ended(&r, fmt.Sprint("run", i), start)
 		is.Equal(begins, want)
 	}
 	v := table.Judge(&r, start)
@@ -42,7 +42,7 @@
 	table := quarantine.NewTable()
 	r := numbered("a", 1)
 	for range 5 {
-		table.Ended(r.ID(), "run", start)
+		table.Ended(&r, "run", start)
 	}
 	is.Equal(table.Judge(&r, start).Ends, 1)
 }
@@ -54,7 +54,7 @@
 	here, there := quarantine.NewTable(), quarantine.NewTable()
 	r := numbered("a", 1)
 	for i := range 3 {
-		here.Ended(r.ID(), fmt.Sprint("run", i), start)
+		here.Ended(&r, fmt.Sprint("run", i), start)
 	}
 	there.Merge(here.News(start), start)
 	is.True(there.Served(&r))
@@ -72,18 +72,18 @@
 	table := quarantine.NewTable()
 	r := numbered("a", 1)
 	for i := range 3 {
-		table.Ended(r.ID(), fmt.Sprint("run", i), start)
+		table.Ended(&r, fmt.Sprint("run", i), start)
 	}
 	first := table.Judge(&r, start).Until.Sub(start)
 	is.Equal(first, 10*time.Minute)
 	now := start.Add(first)
 	v := table.Judge(&r, now)
 	is.True(v.Suspect() && !v.Quarantined(now))
-	_, begins := table.Ended(r.ID(), "run3", now)
+	_, begins := table.Ended(&r, "run3", now)
 	is.True(begins)
 	is.Equal(table.Judge(&r, now).Until.Sub(now), 2*first)
 	for i := range 100 {
-		table.Ended(r.ID(), fmt.Sprint("more", i), now)
+		table.Ended(&r, fmt.Sprint("more", i), now)
 	}
 	is.Equal(table.Judge(&r, now).Until.Sub(now), 24*time.Hour)
 }
@@ -94,8 +94,8 @@
 	table := quarantine.NewTable()
 	r := numbered("a", 1)
 	id := r.ID()
-	table.Ended(id, "run0", start)
-	table.Ended(id, "run1", start)
+	table.Ended(&r, "run0", start)
+	table.Ended(&r, "run1", start)
 	is.True(table.Judge(&r, start).Suspect())
 	is.True(table.Try(id))
 	is.True(!table.Try(id))
@@ -107,7 +107,7 @@
 	is := is.New(t)
 	table := quarantine.NewTable()
 	r := numbered("a", 1)
-	table.Ended(r.ID(), "run0", start)
+	table.Ended(&r, "run0", start)
 	later := start.Add(10 * time.Minute)
 	is.Equal(table.Judge(&r, later).Ends, 0)
 	words := table.Words(10, later)
@@ -123,13 +123,13 @@
 	is := is.New(t)
 	table := quarantine.NewTable()
 	mine := numbered("a", 1)
-	table.Ended(mine.ID(), "run", start)
+	table.Ended(&mine, "run", start)
 	deadly := numbered("b", 0)
-	table.Ended(deadly.ID(), "run0", start)
-	table.Ended(deadly.ID(), "run1", start)
+	table.Ended(&deadly, "run0", start)
+	table.Ended(&deadly, "run1", start)
 	for i := range 5000 {
 		other := numbered("b", i+1)
-		table.Ended(other.ID(), "run", start.Add(time.Duration(i)*time.Millisecond))
+		table.Ended(&other, "run", start.Add(time.Duration(i)*time.Millisecond))
 	}
 	is.True(table.Size() <= 1025)
 	is.Equal(table.Judge(&mine, start).Ends, 1)
@@ -138,7 +138,7 @@
 	for i := range 20 {
 		for j := range 1000 {
 			other := numbered(fmt.Sprint("c", i), j)
-			table.Ended(other.ID(), "run", start)
+			table.Ended(&other, "run", start)
 		}
 	}
 	is.True(table.Size() <= 8192)
@@ -157,7 +157,7 @@
 			now = now.Add(time.Second)
 			switch rapid.IntRange(0, 2).Draw(t, "what") {
 			case 0:
-				table.Ended(r.ID(), fmt.Sprint("run", rapid.IntRange(0, 5).Draw(t, "run")), now)
+				table.Ended(&r, fmt.Sprint("run", rapid.IntRange(0, 5).Draw(t, "run")), now)
 			case 1:
 				table.Served(&r)
 			case 2:
@@ -196,7 +196,7 @@
 	table := quarantine.NewTable()
 	for i := range 1000 {
 		other := numbered("b", i)
-		table.Ended(other.ID(), "run", start)
+		table.Ended(&other, "run", start)
 	}
 	r := numbered("a", 1)
 	r.Body = make([]byte, 40<<10)
--- a/internal/quarantine/word.go
+++ b/internal/quarantine/word.go
@@ -8,8 +8,10 @@
 // Word is what one VM tells others of a request. Taking it in twice, late or in another order
 // changes nothing: ends are a set, and one that is void stays so.
 type Word struct {
-	ID   ID
-	Ends []WordEnd
+	ID ID
+	// Source is whose share of the table the request takes.
+	Source uint64
+	Ends   []WordEnd
 }
 
 // valid counts the ends that count against the request.
@@ -77,7 +79,7 @@
 }
 
 func (e *entry) word(now time.Time) Word {
-	w := Word{ID: e.id, Ends: make([]WordEnd, 0, len(e.ends))}
+	w := Word{ID: e.id, Source: e.source, Ends: make([]WordEnd, 0, len(e.ends))}
 	for target, end := range e.ends {
 		w.Ends = append(w.Ends, WordEnd{Target: target, Age: max(now.Sub(end.at), 0), Void: end.void})
 	}
@@ -98,7 +100,7 @@
 		if known == nil && tooOld(w) {
 			continue
 		}
-		e := t.entry(w.ID)
+		e := t.entry(w.ID, w.Source)
 		before := e.valid()
 		for _, end := range w.Ends {
 			t.merge(e, end, now)
