Uses are kept while no other data centre's relay has been heard

Cause: a relay that had announced itself to another data centre less than 480 ms ago, and had not heard its relay yet, made a summary, took the uses for it and sent it to nobody. Uses are told once, so that the other data centre never heard of those prompts.

Change: where a summary is sent to nobody though there are other data centres, its uses wait for the next one, within the bound that holds for them.

--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -59,7 +59,9 @@
 		now := time.Now()
 		if relays && !now.Before(nextSummary) {
 			if s := p.summary(r); summary.due(s) {
-				p.sendRemote(s)
+				if !p.sendRemote(s) {
+					p.keepPending(s.Uses)
+				}
 				nextSummary = now.Add(p.pause(s))
 			}
 		}
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -179,17 +179,32 @@
 }
 
 // sendRemote sends a summary to the relay of each other data centre, or to all
-// of its VMs where none has been heard of late.
-func (p *Peers) sendRemote(r *report) {
-	d := datagram{Report: r}
-	for dataCentre, relay := range p.remoteRelays() {
-		if relay != nil {
+// of its VMs where none has been heard of late. It returns false where there are others and
+// none was sent to.
+func (p *Peers) sendRemote(r *report) bool {
+	d, relays := datagram{Report: r}, p.remoteRelays()
+	sent := len(relays) == 0
+	for dataCentre, relay := range relays {
+		switch {
+		case relay != nil:
 			p.toAll(d, []netip.AddrPort{relay.addr})
-			continue
-		}
-		if p.mayAnnounce(dataCentre) {
+		case p.mayAnnounce(dataCentre):
 			p.toAll(d, p.addrsOf(dataCentre))
+		default:
+			continue
 		}
+		sent = true
+	}
+	return sent
+}
+
+// keepPending keeps uses for the next summary: what is told once only is not to be lost while
+// no other data centre's relay has been heard yet.
+func (p *Peers) keepPending(uses []use) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.pendingUses) < maxPendingUses {
+		p.pendingUses = append(p.pendingUses, uses...)
 	}
 }
 
