--- a/internal/gateway/deferral_test.go
+++ b/internal/gateway/deferral_test.go
@@ -17,7 +17,8 @@
 // one is a group of this VM alone.
 type one struct{}
 
-func (one) Size() int { return 1 }
+func (one) Size() int               { return 1 }
+func (one) Joined() <-chan struct{} { return nil }
 
 // backlog is what other VMs have in hand at the engines.
 type backlog struct {
@@ -53,7 +54,7 @@
 		placer: place.New(place.DefaultConfig("a"), others, func(*fleet.Target) bool { return false }),
 	}
 	g.ending, g.endingNow = context.WithCancel(context.Background())
-	g.SetLimits(Limits{Grace: time.Second})
+	g.limits.Store(&Limits{Grace: time.Second})
 	now := time.Now()
 	return &exchange{
 		g: g, r: httptest.NewRequest("POST", "/", nil), arrived: now, deadline: now.Add(6 * time.Second), view: k.View(), service: "m",
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -112,9 +112,9 @@
 	defer cancel()
 	defer context.AfterFunc(x.g.ending, cancel)()
 	x.tried = place.Tried{}
-	x.g.budget(x.service).Request(x.g.sinceStart())
+	x.g.budgets.of(x.service).Request(x.g.sinceStart())
 	x.sends = sends{
-		budget: func() *retry.Window { return x.g.budget(x.service) }, clock: x.g.sinceStart, most: x.route.MaxAttempts,
+		budget: func() *retry.Window { return x.g.budgets.of(x.service) }, clock: x.g.sinceStart, most: x.route.MaxAttempts,
 	}
 	defer x.sends.close()
 	if x.generates() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,7 +20,6 @@
 	"garnethoist.org/garnethoist/internal/httpsend"
 	"garnethoist.org/garnethoist/internal/kernel"
 	"garnethoist.org/garnethoist/internal/place"
-	"garnethoist.org/garnethoist/internal/retry"
 	"garnethoist.org/garnethoist/internal/silence"
 	"garnethoist.org/garnethoist/internal/telemetry"
 )
@@ -62,12 +61,6 @@
 	NoDeferral bool
 }
 
-// Group says how many VMs share the targets.
-type Group interface {
-	// Size counts the live VMs, this one included.
-	Size() int
-}
-
 // Knowledge says how far the view may be trusted.
 type Knowledge interface {
 	// Confirmed reports whether the configuration is the newest, but for changes
@@ -91,8 +84,10 @@
 	Known       Knowledge
 	Quarantine  Quarantine
 	Client      *httpsend.Client
-	Log         *telemetry.Logger
-	Stats       *Stats
+	// FirstStart says that the whole group starts for the first time.
+	FirstStart bool
+	Log        *telemetry.Logger
+	Stats      *Stats
 }
 
 // Gateway is the callers' HTTP edge.
@@ -127,9 +122,10 @@
 	waits     waits
 	sizes     sizes
 
-	mu      sync.Mutex
-	budgets map[string]*retry.Window
-	random  *mathrand.Rand
+	budgets *budgets
+
+	mu     sync.Mutex
+	random *mathrand.Rand
 
 	// started is the zero of the retry budgets' clock.
 	started time.Time
@@ -139,25 +135,19 @@
 func New(p Parts, limits Limits) *Gateway {
 	g := &Gateway{
 		listen: p.Listen, keeper: p.Keeper, placer: p.Placer, proto: p.Protocol, group: p.Group, known: p.Known, quarantine: p.Quarantine,
-		client: p.Client, log: p.Log, stats: p.Stats, budgets: make(map[string]*retry.Window), random: newRandom(),
+		client: p.Client, log: p.Log, stats: p.Stats, random: newRandom(),
 		started: time.Now(), conns: newCallerConns(p.Descriptors, p.Client.Open, p.Log),
 	}
 	g.limits.Store(&limits)
+	g.budgets = newBudgets(&g.limits, p.Group, p.FirstStart, g.sinceStart)
 	g.ending, g.endingNow = context.WithCancel(context.Background())
 	return g
 }
 
-// SetLimits changes the limits of a running gateway. Retry budgets begin anew,
-// empty, so that a change adds nothing to what was drawn already.
+// SetLimits changes the limits of a running gateway.
 func (g *Gateway) SetLimits(l Limits) {
 	g.limits.Store(&l)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for service := range g.budgets {
-		b := g.newBudget()
-		b.Empty()
-		g.budgets[service] = b
-	}
+	g.budgets.renew()
 }
 
 func newRandom() *mathrand.Rand {
@@ -276,33 +266,9 @@
 	return g.random.Float64()
 }
 
-// budget returns the retry budget of a service, with this VM's present share of the
-// slack: a VM that has just started does not know yet how many others draw on it.
-func (g *Gateway) budget(service string) *retry.Window {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	b, ok := g.budgets[service]
-	if !ok {
-		b = g.newBudget()
-		g.budgets[service] = b
-	}
-	b.SetSlack(g.slack())
-	return b
-}
-
-func (g *Gateway) newBudget() *retry.Window {
-	l := g.limits.Load()
-	return retry.NewWindow(retry.WindowConfig{Ratio: l.RetryRatio, Slack: g.slack(), Span: l.RetryWindow})
-}
-
 // sinceStart is the retry budgets' clock.
 func (g *Gateway) sinceStart() time.Duration { return time.Since(g.started) }
 
-// slack is this VM's share of the retries at once.
-func (g *Gateway) slack() float64 {
-	return g.limits.Load().RetryBurst / float64(g.group.Size()+spareVMs)
-}
-
 // destination bounds a target's connections to this VM's share.
 func (g *Gateway) destination(v *fleet.View, t *fleet.Target, fresh bool) httpsend.Destination {
 	d := httpsend.Destination{ID: t.RunID(), Address: t.Address, Fresh: fresh}
--- a/internal/gateway/ready_test.go
+++ b/internal/gateway/ready_test.go
@@ -17,7 +17,8 @@
 
 type oneVM struct{}
 
-func (oneVM) Size() int { return 1 }
+func (oneVM) Size() int               { return 1 }
+func (oneVM) Joined() <-chan struct{} { return nil }
 
 func (oneVM) Work(string) place.Work { return place.Work{} }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -258,8 +258,8 @@
 		Listen: string(cfg.Listen), Descriptors: descriptors, Keeper: kernel.Need[*fleet.Keeper](g, ModuleKeeper),
 		Placer: kernel.Need[*place.Placer](g, ModulePlacer), Protocol: a.Protocol, Group: group,
 		Known: kernel.Need[*watch.Knowledge](g, ModuleKnown), Client: client,
-		Quarantine: kernel.Need[*quarantine.Keeper](g, ModuleSuspects),
-		Log:        kernel.Need[*telemetry.Logger](g, ModuleLog), Stats: kernel.Need[*gateway.Stats](g, ModuleStats),
+		FirstStart: cfg.FirstStart, Quarantine: kernel.Need[*quarantine.Keeper](g, ModuleSuspects),
+		Log: kernel.Need[*telemetry.Logger](g, ModuleLog), Stats: kernel.Need[*gateway.Stats](g, ModuleStats),
 	}, gatewayLimits(cfg))
 	if g.Err != nil {
 		return nil, g.Err
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -75,6 +75,14 @@
 	w.cfg.Slack = slack
 }
 
+// Fill gives as many retries as the bound allows. A window that was empty before may be filled
+// once.
+func (w *Window) Fill(now time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tokens = w.limit(now)
+}
+
 // Empty takes all retries from the window.
 func (w *Window) Empty() {
 	w.mu.Lock()
--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -72,6 +72,35 @@
 	}
 }
 
+// A window that begins empty and is filled later keeps the bound as well.
+func TestWindowThatIsFilledLaterKeepsTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := retry.NewWindow(bound)
+		w.Empty()
+		fillAt := rapid.IntRange(0, 300).Draw(t, "fill")
+		gap := time.Duration(rapid.IntRange(1, 400).Draw(t, "gap")) * time.Millisecond
+		greed := rapid.IntRange(1, 3).Draw(t, "greed")
+		var requests, retries []time.Duration
+		now := time.Duration(0)
+		for i := range 400 {
+			now += gap
+			if i == fillAt {
+				w.Fill(now)
+			}
+			w.Request(now)
+			requests = append(requests, now)
+			for range greed {
+				if w.Retry(now) {
+					retries = append(retries, now)
+				}
+			}
+		}
+		if broken := over(requests, retries); broken != "" {
+			t.Fatal(broken)
+		}
+	})
+}
+
 // phase is requests at a fixed gap, each of which asks for so many retries.
 type phase struct {
 	gap      time.Duration
@@ -96,6 +125,11 @@
 			}
 		}
 	}
+	return over(requests, retries)
+}
+
+// over returns which span is over the bound, or nothing.
+func over(requests, retries []time.Duration) string {
 	for _, from := range retries {
 		extra := count(retries, from, from+bound.Span)
 		most := max(count(requests, from, from+bound.Span), count(requests, from-bound.Span, from), count(requests, from-bound.Span/2, from+bound.Span/2))
