Ages, deadlines and spans count the time for which a VM is suspended

Cause: gateway, followers, peers and senders went by Go's monotonic time, which stands still. After some seconds asleep a request was held for as long beyond its deadline, targets were given time that had passed, kept connections seemed fresh, and an old configuration and old reports were taken for new. Class: a clock that is right for as long as the machine runs.

Change: internal/clock gives times that also count time asleep; the gateway, the followers, peers, senders, the retry budgets and the quarantine use it, and deadlines end by it. Setting the time of day moves nothing. Timers themselves still run awake: waits of some 100 ms may last as long again.

No process was suspended for real: that takes a time namespace, which needs root.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/place"
 )
@@ -15,7 +16,7 @@
 	if x.sends.arrivals > 0 || x.ran || x.route.Objective <= 0 {
 		return place.Send
 	}
-	asked := x.asked(time.Now())
+	asked := x.asked(clock.Now())
 	x.tellQueue(&asked, c)
 	return place.Judge(c, asked)
 }
@@ -64,7 +65,7 @@
 func (x *exchange) comeBack() time.Duration {
 	objectives := minComeBack + (maxComeBack-minComeBack)*x.g.float()
 	wait := time.Duration(objectives * float64(x.route.Objective))
-	return min(wait, time.Until(x.deadline)/3).Round(time.Millisecond)
+	return min(wait, clock.Until(x.deadline)/3).Round(time.Millisecond)
 }
 
 // waits tells how long ago callers first asked. Each try says how long its caller
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/fleet"
 )
@@ -42,7 +43,7 @@
 // its caller is then told that nothing ran, instead of finding the connection closed.
 // The returned function ends the bound.
 func (x *exchange) boundBody() func() {
-	ctx, cancel := context.WithDeadline(x.g.ending, x.deadline)
+	ctx, cancel := clock.WithDeadline(x.g.ending, x.deadline)
 	rc := http.NewResponseController(x.w)
 	stop := context.AfterFunc(ctx, func() {
 		// It fails only where the connection is gone already.
@@ -60,7 +61,7 @@
 	switch {
 	case x.g.ending.Err() != nil:
 		kind, detail = errkind.Stopping, "this VM stops; the body was not there"
-	case !time.Now().Before(x.deadline):
+	case !clock.Now().Before(x.deadline):
 		kind, detail = errkind.SlowBody, "the body was not there by the deadline"
 	case callerLeft(x.r.Context()):
 		kind, detail = errkind.ClientGone, "the body broke off"
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/telemetry"
 )
 
@@ -95,7 +96,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.open++
-	c.place, c.since, c.fresh = t.idle.PushBack(c), time.Now(), true
+	c.place, c.since, c.fresh = t.idle.PushBack(c), clock.Now(), true
 }
 
 // rest notes that a connection waits for its next request.
@@ -104,7 +105,7 @@
 	defer t.mu.Unlock()
 	t.unlist(c)
 	if !c.gone {
-		c.place, c.since, c.fresh = t.idle.PushBack(c), time.Now(), false
+		c.place, c.since, c.fresh = t.idle.PushBack(c), clock.Now(), false
 	}
 }
 
@@ -163,7 +164,7 @@
 	defer t.mu.Unlock()
 	for e := t.idle.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*callerConn)
-		if (c.fresh && time.Since(c.since) < silentFor) || c.pending() {
+		if (c.fresh && clock.Since(c.since) < silentFor) || c.pending() {
 			continue
 		}
 		t.forget(c)
@@ -177,7 +178,7 @@
 // starve notes that a connection was not accepted for want of a descriptor,
 // whatever uses them, and frees one if it can.
 func (t *callerConns) starve() {
-	now := time.Now()
+	now := clock.Now()
 	if last := t.starved.Swap(&now); last == nil || now.Sub(*last) > starvedFor {
 		t.log.Warn(telemetry.EventDescriptors, telemetry.F("cause", "accept had none"), telemetry.F("targets", t.targets()))
 	}
@@ -194,7 +195,7 @@
 		t.setFull(false)
 	}
 	last := t.starved.Load()
-	if t.full.Load() || (last != nil && time.Since(*last) < starvedFor) {
+	if t.full.Load() || (last != nil && clock.Since(*last) < starvedFor) {
 		return "connections near the limit of descriptors"
 	}
 	return ""
--- a/internal/gateway/deferral.go
+++ b/internal/gateway/deferral.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/place"
 )
 
@@ -23,7 +24,7 @@
 
 // unqueue notes that the request waits no longer.
 func (x *exchange) unqueue() {
-	x.queued.End(place.Neutral, time.Now())
+	x.queued.End(place.Neutral, clock.Now())
 	x.queued = nil
 }
 
@@ -33,8 +34,8 @@
 // waitDeferred waits until the engines may be looked at again.
 func (x *exchange) waitDeferred(ctx context.Context, c place.Choice) {
 	x.queue(c.Own)
-	began := time.Now()
-	defer func() { x.deferredFor += time.Since(began) }()
+	began := clock.Now()
+	defer func() { x.deferredFor += clock.Since(began) }()
 	timer := time.NewTimer(time.Duration((0.5 + x.g.float()) * float64(lookAgain(c))))
 	defer timer.Stop()
 	select {
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/kernel"
 	"garnethoist.org/garnethoist/internal/telemetry"
@@ -81,35 +82,42 @@
 // Drain makes the gateway not ready and waits until the callers have gone or
 // the grace is nearly over.
 func (g *Gateway) Drain(ctx context.Context) {
-	began := time.Now()
+	began := clock.Now()
 	end := began.Add(g.limits.Load().Grace)
-	if limit, ok := ctx.Deadline(); ok && limit.Before(end) {
-		// The grace was raised while the program ran, which keeps the one that it
+	if limit, ok := ctx.Deadline(); ok {
+		// The grace may have been raised while the program ran, which keeps the one that it
 		// began with.
-		end = limit
+		end = earlier(end, began.Add(time.Until(limit)))
 	}
 	end = end.Add(-graceMargin)
 	g.drain.end.Store(&end)
 	g.log.Info(telemetry.EventStopping, telemetry.F("in_flight", g.inFlight.Load()))
 	g.awaitQuiet(ctx, began, end)
 	// A request that comes from here on is refused, not sent to a target and cut.
-	closing := time.Now()
+	closing := clock.Now()
 	g.drain.end.Store(&closing)
 	g.awaitIdle(ctx, end)
 	g.endingNow()
-	g.awaitIdle(ctx, time.Now().Add(lastAnswers))
-	g.log.Info(telemetry.EventStopped, telemetry.F("in_flight", g.inFlight.Load()), telemetry.F("ms", time.Since(began).Milliseconds()))
+	g.awaitIdle(ctx, clock.Now().Add(lastAnswers))
+	g.log.Info(telemetry.EventStopped, telemetry.F("in_flight", g.inFlight.Load()), telemetry.F("ms", clock.Since(began).Milliseconds()))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // awaitQuiet waits until no request has come for a while, or until end.
 func (g *Gateway) awaitQuiet(ctx context.Context, began, end time.Time) {
 	quietSince := began
-	for time.Now().Before(end) && ctx.Err() == nil {
+	for clock.Now().Before(end) && ctx.Err() == nil {
 		kernel.Sleep(ctx, drainPoll)
 		if g.inFlight.Load() > 0 {
-			quietSince = time.Now()
+			quietSince = clock.Now()
 		}
-		if time.Since(began) > leastDrain && time.Since(quietSince) > quietFor {
+		if clock.Since(began) > leastDrain && clock.Since(quietSince) > quietFor {
 			return
 		}
 	}
@@ -117,7 +125,7 @@
 
 // awaitIdle waits until no request is in hand, or until end.
 func (g *Gateway) awaitIdle(ctx context.Context, end time.Time) {
-	for g.inFlight.Load() > 0 && time.Now().Before(end) && ctx.Err() == nil {
+	for g.inFlight.Load() > 0 && clock.Now().Before(end) && ctx.Err() == nil {
 		kernel.Sleep(ctx, drainPoll)
 	}
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/place"
@@ -96,7 +97,7 @@
 	}
 	x.service = x.route.Pick(x.g.float())
 	if meta.Prompt != nil {
-		meta.Prompt.Limit = time.Until(x.deadline)
+		meta.Prompt.Limit = clock.Until(x.deadline)
 		meta.Prompt.FullLimit = meta.Prompt.Limit + x.g.waits.waited(x.route.Name, meta.Timeout)
 		meta.Prompt.BodyBytes = int(max(x.r.ContentLength, 0))
 	}
@@ -108,7 +109,7 @@
 	if err := x.checkQuarantine(); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
+	ctx, cancel := clock.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	defer context.AfterFunc(x.g.ending, cancel)()
 	x.tried = place.Tried{}
@@ -130,7 +131,7 @@
 	if x.ran {
 		return nil
 	}
-	now := time.Now()
+	now := clock.Now()
 	x.stop = x.g.drain.weigh(x.deadline.Sub(now), now)
 	return x.stop.check()
 }
@@ -189,7 +190,7 @@
 		return x.refusal(errkind.NoTarget, cause, "no target could take the request")
 	case x.g.ending.Err() != nil:
 		return errkind.Wrap(errkind.OutcomeUnknown, cause, "this VM stops; the request may have run")
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return errkind.Wrap(errkind.DeadlineExceeded, cause, "no answer in time")
 	}
 	return errkind.Wrap(errkind.OutcomeUnknown, cause, "the target did not answer; the request may have run")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/singleflight"
 
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/httpsend"
@@ -136,7 +137,7 @@
 	g := &Gateway{
 		listen: p.Listen, keeper: p.Keeper, placer: p.Placer, proto: p.Protocol, group: p.Group, known: p.Known, quarantine: p.Quarantine,
 		client: p.Client, log: p.Log, stats: p.Stats, random: newRandom(),
-		started: time.Now(), conns: newCallerConns(p.Descriptors, p.Client.Open, p.Log),
+		started: clock.Now(), conns: newCallerConns(p.Descriptors, p.Client.Open, p.Log),
 	}
 	g.limits.Store(&limits)
 	g.budgets = newBudgets(&g.limits, p.Group, p.FirstStart, g.sinceStart)
@@ -177,7 +178,7 @@
 			g.log.Warn(telemetry.EventStopped, telemetry.F("cause", err))
 		}
 	})
-	g.bg.Run(func(ctx context.Context) {
+	g.bg.Run(clock.Watch, func(ctx context.Context) {
 		kernel.Every(ctx, pruneInterval, func(context.Context) { g.prune() })
 	})
 	return nil
@@ -248,7 +249,7 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	x := &exchange{g: g, w: w, r: r, arrived: time.Now(), view: g.keeper.View()}
+	x := &exchange{g: g, w: w, r: r, arrived: clock.Now(), view: g.keeper.View()}
 	err := x.run()
 	if err != nil && !x.began {
 		x.fail(errkind.From(err))
@@ -267,7 +268,7 @@
 }
 
 // sinceStart is the retry budgets' clock.
-func (g *Gateway) sinceStart() time.Duration { return time.Since(g.started) }
+func (g *Gateway) sinceStart() time.Duration { return clock.Since(g.started) }
 
 // destination bounds a target's connections to this VM's share.
 func (g *Gateway) destination(v *fleet.View, t *fleet.Target, fresh bool) httpsend.Destination {
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/httpsend"
@@ -79,7 +80,7 @@
 	if err != nil {
 		return refused, nil, err
 	}
-	x.g.placer.Commit(choice, x.meta.Prompt, time.Now())
+	x.g.placer.Commit(choice, x.meta.Prompt, clock.Now())
 	if choice.InPlace {
 		x.note(choice.Target, describe(choice, "inplace"), nil)
 		out, err := x.decode(ctx, s, choice, nil)
@@ -109,7 +110,7 @@
 			continue
 		}
 		if out == refused {
-			x.g.placer.Blame(read.Target.RunID(), time.Now())
+			x.g.placer.Blame(read.Target.RunID(), clock.Now())
 		}
 		if err != nil {
 			// Without an answer it is not known whether the handle was taken; one that was is
@@ -137,8 +138,8 @@
 		if spec == nil {
 			return place.Choice{}, errkind.New(errkind.NoTarget, "the service is not a model's any more")
 		}
-		x.meta.Prompt.MaxWait = x.asked(time.Now()).MaxWait()
-		c, ok := x.g.placer.Read(x.view.Targets[x.service], spec, x.meta.Prompt, x.untried(), time.Now())
+		x.meta.Prompt.MaxWait = x.asked(clock.Now()).MaxWait()
+		c, ok := x.g.placer.Read(x.view.Targets[x.service], spec, x.meta.Prompt, x.untried(), clock.Now())
 		if !ok {
 			return c, errkind.New(errkind.NoTarget, "no engine can take the request")
 		}
@@ -146,7 +147,7 @@
 		if verdict == place.Send {
 			return c, nil
 		}
-		c.Ticket.End(place.Neutral, time.Now())
+		c.Ticket.End(place.Neutral, clock.Now())
 		if verdict == place.Refuse || x.g.limits.Load().NoDeferral {
 			return c, x.refuseLate(c)
 		}
@@ -182,7 +183,7 @@
 	if spec == nil {
 		return place.Choice{}, false
 	}
-	return x.g.placer.Decode(x.view.Targets[x.service], spec, x.meta.Prompt, read.Target.DataCentre, x.tried, time.Now())
+	return x.g.placer.Decode(x.view.Targets[x.service], spec, x.meta.Prompt, read.Target.DataCentre, x.tried, clock.Now())
 }
 
 // describe formats a choice and the figures that it rests on for the log line:
@@ -212,10 +213,10 @@
 	}
 	if err != nil {
 		x.note(c.Target, "prefill_failed", err)
-		c.Ticket.End(place.Bad, time.Now())
+		c.Ticket.End(place.Bad, clock.Now())
 		return nil, refused, err
 	}
-	c.Ticket.End(place.Good, time.Now())
+	c.Ticket.End(place.Good, clock.Now())
 	x.note(c.Target, "prefilled", nil)
 	return &handle, answered, nil
 }
@@ -239,7 +240,7 @@
 		return out, err
 	}
 	defer resp.Close()
-	c.Ticket.First(time.Now())
+	c.Ticket.First(clock.Now())
 	if resp.Status != http.StatusOK {
 		return x.relayFailure(s, c, resp)
 	}
@@ -251,16 +252,16 @@
 	case err == nil:
 		x.note(c.Target, strconv.Itoa(resp.Status), nil)
 		c.Ticket.Stream(s.events, s.wroteAt.Sub(s.firstAt))
-		c.Ticket.End(place.Good, time.Now())
+		c.Ticket.End(place.Good, clock.Now())
 		x.served()
 		return answered, nil
 	case x.endedHere():
 		x.note(c.Target, "ended", err)
-		c.Ticket.End(place.Neutral, time.Now())
+		c.Ticket.End(place.Neutral, clock.Now())
 	default:
 		x.note(c.Target, "cut", err)
-		x.brokeOff(c.Target, err, s.ranFor(time.Now()))
-		c.Ticket.End(place.Bad, time.Now())
+		x.brokeOff(c.Target, err, s.ranFor(clock.Now()))
+		c.Ticket.End(place.Bad, clock.Now())
 	}
 	return unknown, err
 }
@@ -269,7 +270,7 @@
 // begun.
 func (x *exchange) relayFailure(s *stream, c place.Choice, resp *httpsend.Response) (outcome, error) {
 	body, err := readWhole(resp)
-	c.Ticket.End(place.Bad, time.Now())
+	c.Ticket.End(place.Bad, clock.Now())
 	x.note(c.Target, strconv.Itoa(resp.Status), err)
 	if err == nil {
 		x.served()
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/httpsend"
@@ -70,20 +71,20 @@
 		return
 	}
 	x.reload()
-	choice, ok := x.g.placer.Plain(x.view.Targets[x.service], x.apart(x.tried), rand.Uint64(), time.Now())
+	choice, ok := x.g.placer.Plain(x.view.Targets[x.service], x.apart(x.tried), rand.Uint64(), clock.Now())
 	if !ok {
 		return
 	}
 	x.tried[choice.Target.ID] = true
 	sd, err := x.begin(false)
 	if err != nil {
-		choice.Ticket.End(place.Neutral, time.Now())
+		choice.Ticket.End(place.Neutral, clock.Now())
 		c.stopped = err
 		return
 	}
 	c.pending++
 	if x.route.Kind == fleet.Idempotent {
-		c.overdue = time.After(time.Until(x.deadline) / overdueShare)
+		c.overdue = time.After(clock.Until(x.deadline) / overdueShare)
 	}
 	to := x.destination(choice.Target, Directive{})
 	go func() {
@@ -180,7 +181,7 @@
 		if x.endedHere() {
 			result = place.Neutral
 		}
-		c.Ticket.End(result, time.Now())
+		c.Ticket.End(result, clock.Now())
 		return plainCall{out: unknown, err: err, target: c.Target}
 	}
 	x.note(c.Target, strconv.Itoa(resp.Status), nil)
@@ -188,7 +189,7 @@
 	if resp.Status >= http.StatusInternalServerError {
 		result = place.Bad
 	}
-	c.Ticket.End(result, time.Now())
+	c.Ticket.End(result, clock.Now())
 	return plainCall{answer: &answer{status: resp.Status, header: resp.Header, body: body}, out: answered}
 }
 
@@ -220,7 +221,7 @@
 	copyHeader(h, x.g.proto.Relayed(a.header))
 	h.Set("Content-Length", strconv.Itoa(len(a.body)))
 	x.began = true
-	x.first = time.Now()
+	x.first = clock.Now()
 	x.status = a.status
 	x.writeHead(a.status)
 	if _, err := x.w.Write(a.body); err != nil {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/place"
@@ -47,7 +48,7 @@
 // other send of it from here may be under way. It is asked before each send: other VMs may
 // have told of it meanwhile.
 func (x *exchange) checkQuarantine() error {
-	now := time.Now()
+	now := clock.Now()
 	v := x.g.quarantine.Judge(&x.request, now)
 	if v.Quarantined(now) {
 		e := errkind.New(errkind.Quarantined, "%d targets ended as they began to run this request", v.Ends)
@@ -123,7 +124,7 @@
 		if !g.refuses(ctx, t) && !g.refusesLater(ctx, t) {
 			return false, nil
 		}
-		g.placer.Unreachable(t.RunID(), time.Now())
+		g.placer.Unreachable(t.RunID(), clock.Now())
 		return true, nil
 	})
 	was, _ := ended.(bool)
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -2,8 +2,8 @@
 
 import (
 	"strconv"
-	"time"
 
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/telemetry"
@@ -20,7 +20,7 @@
 	x.trail.WriteByte('=')
 	x.trail.WriteString(what)
 	x.trail.WriteByte('@')
-	x.trail.WriteString(strconv.FormatInt(time.Since(x.arrived).Milliseconds(), 10))
+	x.trail.WriteString(strconv.FormatInt(clock.Since(x.arrived).Milliseconds(), 10))
 	if err != nil {
 		x.trail.WriteByte('(')
 		x.trail.WriteString(err.Error())
@@ -30,7 +30,7 @@
 
 // report logs and counts the request once.
 func (x *exchange) report(err error) {
-	took := time.Since(x.arrived)
+	took := clock.Since(x.arrived)
 	fields := append(x.fields(), telemetry.F("ms", took.Milliseconds()))
 	if err == nil {
 		x.g.stats.Request(x.status, "", took)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/httpsend"
 	"garnethoist.org/garnethoist/internal/place"
@@ -70,7 +71,7 @@
 	sd, err := x.begin(d.PrefillOnly)
 	if err != nil {
 		x.note(t, "withheld", err)
-		ticket.End(place.Neutral, time.Now())
+		ticket.End(place.Neutral, clock.Now())
 		return nil, withheld, err
 	}
 	resp, out, err := x.sendTo(ctx, x.destination(t, d), t, d, ticket)
@@ -90,7 +91,7 @@
 // sendTo is send for a destination that is known. It may run beside another one.
 func (x *exchange) sendTo(ctx context.Context, to httpsend.Destination, t *fleet.Target, d Directive, ticket *place.Ticket) (*httpsend.Response, outcome, error) {
 	d.TargetID = t.ID
-	d.Remaining = time.Until(x.deadline)
+	d.Remaining = clock.Until(x.deadline)
 	req := &httpsend.Request{
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host,
 		Header: x.g.proto.Outgoing(x.r.Header, d), Body: x.body, Unacked: unackedFor(d.Remaining),
@@ -104,19 +105,19 @@
 	case Refused:
 		x.note(t, "refused", nil)
 		drain(resp)
-		ticket.End(place.Refused, time.Now())
+		ticket.End(place.Refused, clock.Now())
 		return nil, refused, errors.Errorf("status %d", resp.Status)
 	case Invalid:
 		x.note(t, "invalid", nil)
 		resp.Close()
-		ticket.End(place.Bad, time.Now())
+		ticket.End(place.Bad, clock.Now())
 		return nil, unknown, errors.Errorf("status %d without a signature", resp.Status)
 	}
 	return resp, answered, nil
 }
 
 func (x *exchange) sendFailed(ctx context.Context, t *fleet.Target, ticket *place.Ticket, err error) outcome {
-	now := time.Now()
+	now := clock.Now()
 	var failed *httpsend.Error
 	notSent := errors.As(err, &failed) && failed.Phase == httpsend.NotSent
 	x.note(t, "failed", err)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/httpsend"
 	"garnethoist.org/garnethoist/internal/place"
@@ -72,7 +73,7 @@
 	if id, ok := lastEventID(s.partial[:whole]); ok {
 		s.x.lastEvent = id
 	}
-	s.noteEvents(countEvents(s.partial[:whole]), time.Now())
+	s.noteEvents(countEvents(s.partial[:whole]), clock.Now())
 	if err := s.write(s.partial[:whole]); err != nil {
 		return err
 	}
@@ -131,7 +132,7 @@
 	}
 	s.relaying = true
 	s.x.began = true
-	s.x.first = time.Now()
+	s.x.first = clock.Now()
 	copyHeader(s.x.w.Header(), s.x.g.proto.Relayed(resp.Header))
 	s.x.writeHead(resp.Status)
 }
--- a/internal/httpsend/client.go
+++ b/internal/httpsend/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/silence"
 )
 
@@ -121,7 +122,7 @@
 func (c *Client) take(ctx context.Context, d Destination) (*conn, error) {
 	if !d.Fresh {
 		for cn := c.popIdle(d); cn != nil; cn = c.popIdle(d) {
-			if time.Since(cn.idleSince) < c.cfg.MaxIdle && cn.quiet() {
+			if clock.Since(cn.idleSince) < c.cfg.MaxIdle && cn.quiet() {
 				cn.reused = true
 				return cn, nil
 			}
@@ -201,7 +202,7 @@
 	}
 	last := len(p.idle) - 1
 	cn := p.idle[last]
-	if d.MaxRest > 0 && time.Since(cn.idleSince) > d.MaxRest {
+	if d.MaxRest > 0 && clock.Since(cn.idleSince) > d.MaxRest {
 		return nil
 	}
 	p.idle = p.idle[:last]
@@ -253,7 +254,7 @@
 
 // keep returns a connection to its pool.
 func (c *Client) keep(cn *conn) {
-	cn.idleSince = time.Now()
+	cn.idleSince = clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pools[cn.id]
@@ -268,7 +269,7 @@
 	for id, p := range c.pools {
 		n := 0
 		if keep(id) {
-			for n < len(p.idle) && time.Since(p.idle[n].idleSince) >= c.cfg.MaxIdle {
+			for n < len(p.idle) && clock.Since(p.idle[n].idleSince) >= c.cfg.MaxIdle {
 				n++
 			}
 		} else {
--- a/internal/httpsend/send.go
+++ b/internal/httpsend/send.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"garnethoist.org/garnethoist/internal/clock"
 )
 
 const (
@@ -110,7 +112,7 @@
 		c.discard(cn)
 		return nil, failed(NotSent, err)
 	}
-	began := time.Now()
+	began := clock.Now()
 	unbind := context.AfterFunc(ctx, func() { _ = cn.nc.Close() })
 	resp, err := c.exchange(ctx, cn, r, ours)
 	if err != nil {
@@ -133,7 +135,7 @@
 	resp, err := cn.readHead(r, ours)
 	if err != nil {
 		if ctx.Err() != nil {
-			err = ctx.Err()
+			err = context.Cause(ctx)
 		}
 		return nil, failed(Unanswered, err)
 	}
@@ -229,7 +231,7 @@
 		r.whole = true
 		return n, io.EOF
 	case r.ctx.Err() != nil:
-		err = r.ctx.Err()
+		err = context.Cause(r.ctx)
 	}
 	return n, failed(Cut, errors.Wrap(err, "read body"))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,11 +7,11 @@
 	"io"
 	"time"
 
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/gateway"
 	"garnethoist.org/garnethoist/internal/httpsend"
 	"garnethoist.org/garnethoist/internal/kernel"
-	"garnethoist.org/garnethoist/internal/lease"
 	"garnethoist.org/garnethoist/internal/peers"
 	"garnethoist.org/garnethoist/internal/place"
 	"garnethoist.org/garnethoist/internal/quarantine"
@@ -130,7 +130,7 @@
 	k.Register(ModuleSuspects, func(k *kernel.Kernel) (any, error) {
 		g := &kernel.Getter{Kernel: k}
 		group := kernel.Need[*peers.Peers](g, ModulePeers)
-		keeper := quarantine.NewKeeper(kernel.Need[Store](g, ModuleStore), kernel.Need[*telemetry.Logger](g, ModuleLog), time.Now)
+		keeper := quarantine.NewKeeper(kernel.Need[Store](g, ModuleStore), kernel.Need[*telemetry.Logger](g, ModuleLog), clock.Now)
 		if g.Err != nil {
 			return nil, g.Err
 		}
@@ -233,7 +233,7 @@
 		return nil, g.Err
 	}
 	c := stages.New(sc, kernel.Need[*fleet.Keeper](g, ModuleKeeper), kernel.Need[Store](g, ModuleStore), a.Engines(client),
-		lease.BootClock, uint64(time.Now().UnixNano()), kernel.Need[*telemetry.Logger](g, ModuleLog))
+		clock.Boot, uint64(time.Now().UnixNano()), kernel.Need[*telemetry.Logger](g, ModuleLog))
 	return c, g.Err
 }
 
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/kernel"
 	"garnethoist.org/garnethoist/internal/place"
 	"garnethoist.org/garnethoist/internal/telemetry"
@@ -34,10 +35,10 @@
 	r.Uses, r.AgesMS = nil, nil
 	body := string(encode(r))
 	r.Uses, r.AgesMS = uses, ages
-	if len(uses) == 0 && body == s.last && time.Since(s.lastAt) < quietInterval {
+	if len(uses) == 0 && body == s.last && clock.Since(s.lastAt) < quietInterval {
 		return false
 	}
-	s.last, s.lastAt = body, time.Now()
+	s.last, s.lastAt = body, clock.Now()
 	s.number++
 	r.Number = s.number
 	return true
@@ -51,12 +52,12 @@
 	for ; ctx.Err() == nil; kernel.Sleep(ctx, p.Interval()) {
 		p.expire()
 		p.measureAge()
-		p.tellSuspects(time.Now())
+		p.tellSuspects(clock.Now())
 		r := p.ownReport()
 		relays, fans := p.relays(), p.fans()
 		p.follow(!relays && (fans || p.hearsDigests()))
 		p.setPending(r.Uses, relays)
-		now := time.Now()
+		now := clock.Now()
 		if relays && !now.Before(nextSummary) {
 			if s := p.summary(r); summary.due(s) {
 				if !p.sendRemote(s) {
@@ -100,7 +101,7 @@
 		readAt = append(readAt, f.ReadAt())
 		r.Newest = append(r.Newest, f.Newest())
 	}
-	r.AgesMS = agesOf(readAt, time.Now())
+	r.AgesMS = agesOf(readAt, clock.Now())
 	return r
 }
 
@@ -195,10 +196,10 @@
 		return
 	}
 	if counts {
-		p.placer.Observe(placeUses(r.Uses, mark(p.self.VM)), time.Now())
+		p.placer.Observe(placeUses(r.Uses, mark(p.self.VM)), clock.Now())
 	}
 	p.learn(r.From, addr)
-	p.compare(r.Newest, r.readAt(time.Now()))
+	p.compare(r.Newest, r.readAt(clock.Now()))
 	if r.Summary && !r.Forwarded {
 		p.passOn(r)
 	}
@@ -234,8 +235,8 @@
 		return false, false
 	}
 	next := &heardState{
-		from: r.From, addr: addr, incarnation: r.Incarnation, number: r.Number, at: time.Now(), digest: r.Digest,
-		work: workOf(r.Work), newest: r.Newest, changing: r.Changing, readAt: r.readAt(time.Now()),
+		from: r.From, addr: addr, incarnation: r.Incarnation, number: r.Number, at: clock.Now(), digest: r.Digest,
+		work: workOf(r.Work), newest: r.Newest, changing: r.Changing, readAt: r.readAt(clock.Now()),
 	}
 	var before map[string]place.Work
 	if s != nil {
--- a/internal/peers/fan.go
+++ b/internal/peers/fan.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/place"
 )
 
@@ -118,7 +119,7 @@
 
 // keepTold records a report that is being sent; the caller holds p.mu.
 func (p *Peers) keepTold(work map[string]place.Work) {
-	p.told = append(p.told, told{time.Now(), work})
+	p.told = append(p.told, told{clock.Now(), work})
 	if len(p.told) > maxTold {
 		p.told = p.told[1:]
 	}
@@ -131,7 +132,7 @@
 // of a digest. The caller holds p.mu.
 func (p *Peers) others(work map[string]place.Work) map[string]place.Work {
 	var own map[string]place.Work
-	made := time.Now().Add(-fanInterval / 2)
+	made := clock.Now().Add(-fanInterval / 2)
 	for _, t := range p.told {
 		if t.at.Before(made) {
 			own = t.work
@@ -175,5 +176,5 @@
 		s = &heardState{from: r.From, addr: addr, incarnation: r.Incarnation}
 		p.heard[r.From.VM] = s
 	}
-	s.at = time.Now()
+	s.at = clock.Now()
 }
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/kernel"
 	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/telemetry"
@@ -138,7 +139,7 @@
 	known, ok := p.members[m.VM]
 	since := known.since
 	if known.addr != addr {
-		since = time.Now()
+		since = clock.Now()
 	}
 	p.members[m.VM] = listed{Member: m, addr: addr, since: since}
 	p.mu.Unlock()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -18,6 +18,7 @@
 
 	"github.com/pkg/errors"
 
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/kernel"
 	"garnethoist.org/garnethoist/internal/place"
@@ -146,7 +147,7 @@
 	changing map[string]fleet.Stage
 }
 
-func (s *heardState) fresh() bool { return time.Since(s.at) <= maxAge }
+func (s *heardState) fresh() bool { return clock.Since(s.at) <= maxAge }
 
 // New returns peers that know only this VM.
 func New(self Member, incarnation int64, table store.Table, log *telemetry.Logger) *Peers {
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/fleet"
 )
 
@@ -46,7 +47,7 @@
 	if s := p.heard[m.VM]; s != nil {
 		return s.fresh()
 	}
-	return time.Since(m.since) <= maxAge
+	return clock.Since(m.since) <= maxAge
 }
 
 // relays reports whether this VM is its data centre's relay.
@@ -146,7 +147,7 @@
 	newest := append([]uint64(nil), own.Newest...)
 	// No row was newer than a copy's newest at its time, and none of the copies is
 	// newer than the sum's: the latest of the times holds for that.
-	now := time.Now()
+	now := clock.Now()
 	readAt := own.readAt(now)
 	changing := make(map[string]fleet.Stage, len(own.Changing))
 	maps.Copy(changing, own.Changing)
@@ -231,9 +232,9 @@
 func (p *Peers) mayAnnounce(dataCentre string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if time.Since(p.announced[dataCentre]) < quietInterval {
+	if clock.Since(p.announced[dataCentre]) < quietInterval {
 		return false
 	}
-	p.announced[dataCentre] = time.Now()
+	p.announced[dataCentre] = clock.Now()
 	return true
 }
--- a/internal/stages/stages_test.go
+++ b/internal/stages/stages_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/lease"
 	"garnethoist.org/garnethoist/internal/stages"
@@ -186,7 +187,7 @@
 	return k
 }
 
-func clock() time.Duration { return lease.BootClock() }
+func bootClock() time.Duration { return clock.Boot() }
 
 const gap = 500 * time.Millisecond
 
@@ -223,7 +224,7 @@
 	for _, vm := range []string{"a", "b", "c"} {
 		k := newKeeper()
 		e.keeper = append(e.keeper, k)
-		start(t, newController(vm, k, table, e, clock))
+		start(t, newController(vm, k, table, e, bootClock))
 	}
 	eventually(t, "the engines are ordered", func() bool { return len(e.given()) == 2 })
 	time.Sleep(time.Second)
@@ -242,7 +243,7 @@
 	k := newKeeper()
 	e := &engines{keeper: []*fleet.Keeper{k}}
 	var candidate atomic.Bool
-	c := newController("a", k, table, e, clock)
+	c := newController("a", k, table, e, bootClock)
 	c.SetCandidate(candidate.Load)
 	start(t, c)
 	time.Sleep(6 * time.Second) // longer than any candidate waits
@@ -276,7 +277,7 @@
 	}
 	k.ApplyTargets(changes, 1)
 	e := &engines{keeper: []*fleet.Keeper{k}}
-	start(t, stages.New(stages.Config{VM: "a", Share: 0.5, Gap: gap}, k, table, e, clock, 1, telemetry.Discard()))
+	start(t, stages.New(stages.Config{VM: "a", Share: 0.5, Gap: gap}, k, table, e, bootClock, 1, telemetry.Discard()))
 	eventually(t, "half of the engines are ordered", func() bool { return len(e.given()) == count/2 })
 	eventually(t, "the journal is empty", func() bool {
 		rows, err := table.List(context.Background(), stages.KeyPrefix)
@@ -297,7 +298,7 @@
 	}
 	k.ApplyTargets(changes, 1)
 	e := &engines{keeper: []*fleet.Keeper{k}}
-	c := stages.New(stages.Config{VM: "a", Share: 0.8, Gap: gap}, k, store.NewMemory(), e, clock, 1, telemetry.Discard())
+	c := stages.New(stages.Config{VM: "a", Share: 0.8, Gap: gap}, k, store.NewMemory(), e, bootClock, 1, telemetry.Discard())
 	var asked atomic.Int64
 	c.SetDemand(func([]*fleet.Target) float64 {
 		if asked.Add(1) > 3 {
@@ -318,7 +319,7 @@
 	e := &engines{}
 	k := newKeeper()
 	e.keeper = []*fleet.Keeper{k}
-	start(t, newController("a", k, table, e, clock))
+	start(t, newController("a", k, table, e, bootClock))
 	time.Sleep(6 * time.Second)
 	is.Equal(len(e.given()), 0)
 	table.SetFault(store.FaultNone)
@@ -334,7 +335,7 @@
 	jumping := func() time.Duration {
 		mu.Lock()
 		defer mu.Unlock()
-		return lease.BootClock() + offset
+		return clock.Boot() + offset
 	}
 	e := &engines{}
 	frozen := make(chan struct{})
@@ -361,7 +362,7 @@
 	is := is.New(t)
 	table := store.NewMemory()
 	ctx := context.Background()
-	before := lease.New(lease.Config{DataCentre: "all", Service: "stages", Holder: "z", Incarnation: 9, TTL: time.Second}, table, clock)
+	before := lease.New(lease.Config{DataCentre: "all", Service: "stages", Holder: "z", Incarnation: 9, TTL: time.Second}, table, bootClock)
 	is.NoErr(before.Step(ctx, true))
 	value, err := json.Marshal(map[string]any{"holder": "z", "fence": 1, "stage": "prefill"})
 	is.NoErr(err)
@@ -372,7 +373,7 @@
 	e := &engines{}
 	k := newKeeper()
 	e.keeper = []*fleet.Keeper{k}
-	start(t, newController("a", k, table, e, clock))
+	start(t, newController("a", k, table, e, bootClock))
 	eventually(t, "the successor orders", func() bool { return len(e.given()) > 0 })
 	for _, g := range e.given() {
 		is.True(g.engine != "1") // its order may still be carried out
@@ -386,7 +387,7 @@
 	is := is.New(t)
 	e := &engines{silent: true}
 	k := newKeeper() // not told of the change: the engine may change later
-	c := newController("a", k, store.NewMemory(), e, clock)
+	c := newController("a", k, store.NewMemory(), e, bootClock)
 	start(t, c)
 	eventually(t, "orders", func() bool { return len(e.given()) == 2 })
 	time.Sleep(2 * time.Second)
@@ -402,7 +403,7 @@
 	is := is.New(t)
 	e := &engines{silent: true}
 	k := newKeeper() // not told of the change
-	c := newController("a", k, store.NewMemory(), e, clock)
+	c := newController("a", k, store.NewMemory(), e, bootClock)
 	start(t, c)
 	eventually(t, "orders", func() bool { return len(e.given()) == 2 })
 	again := engine(e.given()[0].engine, "a", fleet.Decode)
@@ -417,7 +418,7 @@
 // controller how many engines decode: neither may wait for the other.
 func TestControllerHoldsNoLockWhileItAsksForDemand(t *testing.T) {
 	k := newKeeper()
-	c := newController("a", k, store.NewMemory(), &engines{keeper: []*fleet.Keeper{k}}, clock)
+	c := newController("a", k, store.NewMemory(), &engines{keeper: []*fleet.Keeper{k}}, bootClock)
 	var asked, stuck atomic.Bool
 	c.SetDemand(func([]*fleet.Target) float64 {
 		answered := make(chan struct{})
--- a/internal/steward/modules.go
+++ b/internal/steward/modules.go
@@ -7,9 +7,9 @@
 	"io"
 	"time"
 
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/gossip"
 	"garnethoist.org/garnethoist/internal/kernel"
-	"garnethoist.org/garnethoist/internal/lease"
 	"garnethoist.org/garnethoist/internal/member"
 	"garnethoist.org/garnethoist/internal/settings"
 	"garnethoist.org/garnethoist/internal/store/httpstore"
@@ -139,7 +139,7 @@
 	p := kernel.Need[*httpstore.Client](g, ModulePlatform)
 	a := &authority{
 		cfg: cfg, store: kernel.Need[*gossip.Store](g, ModuleStore), gossip: kernel.Need[*member.Gossip](g, ModuleGossip),
-		table: p, weights: p, engines: kernel.Need[*target.Client](g, ModuleTargets), clock: lease.BootClock,
+		table: p, weights: p, engines: kernel.Need[*target.Client](g, ModuleTargets), clock: clock.Boot,
 		log: kernel.Need[*telemetry.Logger](g, ModuleLog), records: kernel.Need[*decisionBook](g, ModuleRecords),
 		controllers: map[string]*controller{},
 	}
@@ -154,7 +154,7 @@
 		gossip: kernel.Need[*member.Gossip](g, ModuleGossip), sync: kernel.Need[*tableSync](g, ModuleSync),
 		tables: kernel.Need[*table.Store](g, ModuleTables), authority: kernel.Need[*authority](g, ModuleAuthority),
 		records: kernel.Need[*decisionBook](g, ModuleRecords), burns: kernel.Need[*burnBook](g, ModuleBurns),
-		grants: newGrantBooks(lease.BootClock), dialer: kernel.Need[*dialer](g, ModuleDialer),
+		grants: newGrantBooks(clock.Boot), dialer: kernel.Need[*dialer](g, ModuleDialer),
 		traffic: kernel.Need[*traffic](g, ModuleTraffic),
 		log:     kernel.Need[*telemetry.Logger](g, ModuleLog),
 	}
--- a/internal/watch/current.go
+++ b/internal/watch/current.go
@@ -1,6 +1,10 @@
 package watch
 
-import "time"
+import (
+	"time"
+
+	"garnethoist.org/garnethoist/internal/clock"
+)
 
 // AsOf returns a time at which this copy of the table held all that the store
 // held, by the store's answers or by others' word.
@@ -30,7 +34,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.ahead <= t.reached.Load() {
-		t.aheadSince = time.Now()
+		t.aheadSince = clock.Now()
 	}
 	t.ahead = max(t.ahead, version)
 	if asOf.After(t.aheadAsOf) {
@@ -58,7 +62,7 @@
 func (t *Table) Confirm() <-chan struct{} {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if now := time.Now(); !now.Before(t.nextConfirm) {
+	if now := clock.Now(); !now.Before(t.nextConfirm) {
 		t.nextConfirm = now.Add(askGap)
 		t.confirm = true
 		t.askNow()
@@ -76,6 +80,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	late := bound - maxCallGap
-	return t.ahead > t.reached.Load() && time.Since(t.asOf) > late && time.Since(t.aheadSince) > late &&
-		time.Since(t.aheadAsOf) <= bound
+	return t.ahead > t.reached.Load() && clock.Since(t.asOf) > late && clock.Since(t.aheadSince) > late &&
+		clock.Since(t.aheadAsOf) <= bound
 }
--- a/internal/watch/knowledge.go
+++ b/internal/watch/knowledge.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"garnethoist.org/garnethoist/internal/clock"
 )
 
 const (
@@ -45,7 +47,7 @@
 	return true
 }
 
-func (k *Knowledge) recent() bool { return time.Since(k.config.AsOf()) <= k.bound }
+func (k *Knowledge) recent() bool { return clock.Since(k.config.AsOf()) <= k.bound }
 
 // Behind reports whether other VMs, which reach the store, have read a
 // configuration that must be in force by now and that this one has not: callers
--- a/internal/watch/link.go
+++ b/internal/watch/link.go
@@ -4,13 +4,14 @@
 	"sync"
 	"time"
 
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/telemetry"
 )
 
 // Link notes whether the store can be reached, as its followers find.
 type Link struct {
 	log   *telemetry.Logger
-	clock clock
+	clock storeClock
 
 	mu   sync.Mutex
 	away map[string]time.Time
@@ -39,7 +40,7 @@
 	}
 	_, already := l.away[table]
 	if !already {
-		l.away[table] = time.Now()
+		l.away[table] = clock.Now()
 	}
 	l.mu.Unlock()
 	if !already {
@@ -52,11 +53,11 @@
 	since, was := l.away[table]
 	if was {
 		delete(l.away, table)
-		l.regainedAt = l.backAt(time.Now())
+		l.regainedAt = l.backAt(clock.Now())
 	}
 	l.mu.Unlock()
 	if was {
-		l.log.Info(telemetry.EventStoreRegained, telemetry.F("table", table), telemetry.F("away_ms", time.Since(since).Milliseconds()))
+		l.log.Info(telemetry.EventStoreRegained, telemetry.F("table", table), telemetry.F("away_ms", clock.Since(since).Milliseconds()))
 	}
 }
 
@@ -82,7 +83,7 @@
 func (l *Link) heard(sinceBack time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if at := time.Now().Add(-sinceBack); at.After(l.regainedAt) {
+	if at := clock.Now().Add(-sinceBack); at.After(l.regainedAt) {
 		l.regainedAt = at
 	}
 }
@@ -93,7 +94,7 @@
 func (l *Link) Since() (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	switch {
 	case len(l.away) > 0:
 		return now.Sub(l.backAt(now)), true
--- a/internal/watch/clock.go
+++ b/internal/watch/storeclock.go
@@ -9,9 +9,9 @@
 // clocks that drift by 100 parts in a million differ by 60 ms after it.
 const clockPeriod = 5 * time.Minute
 
-// clock tells when the store answered, by the store's own clock: an answer may
+// storeClock tells when the store answered, by the store's own clock: an answer may
 // lie on the way, or in a process that stands still, for seconds.
-type clock struct {
+type storeClock struct {
 	mu sync.Mutex
 	// zero is when the store's clock was zero, later by the least delay of an
 	// answer in this period, and before the same in the period before.
@@ -22,7 +22,7 @@
 
 // answered returns when an answer was made that states now and was there at
 // received.
-func (c *clock) answered(now time.Duration, received time.Time) time.Time {
+func (c *storeClock) answered(now time.Duration, received time.Time) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	zero := received.Add(-now)
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -12,6 +12,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
 
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/kernel"
 	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/telemetry"
@@ -172,7 +173,7 @@
 
 // mayAsk reports whether the next call asks at once; the caller holds t.mu.
 func (t *Table) mayAsk() bool {
-	return t.confirm || (t.wanted > t.reached.Load() && !time.Now().Before(t.nextAsk))
+	return t.confirm || (t.wanted > t.reached.Load() && !clock.Now().Before(t.nextAsk))
 }
 
 // asks reports whether the next call asks at once: for what others know, or for
@@ -197,7 +198,7 @@
 func (t *Table) asked() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.nextAsk = time.Now().Add(askGap)
+	t.nextAsk = clock.Now().Add(askGap)
 }
 
 // waitFor makes one call that waits for changes, which Newer can end.
@@ -268,7 +269,7 @@
 		}
 		t.takeOffers()
 		asks := t.begin()
-		began := time.Now()
+		began := clock.Now()
 		err := t.step(ctx, asks || !t.waits())
 		if ctx.Err() != nil {
 			return
@@ -284,7 +285,7 @@
 		}
 		renewed := t.takeRenewed()
 		t.log.Info(telemetry.EventStoreCallFailed, telemetry.F("table", t.name), telemetry.F("after", t.revision),
-			telemetry.F("ms", time.Since(began).Milliseconds()), telemetry.F("renewed", renewed), telemetry.F("cause", err))
+			telemetry.F("ms", clock.Since(began).Milliseconds()), telemetry.F("renewed", renewed), telemetry.F("cause", err))
 		if renewed {
 			continue
 		}
@@ -301,7 +302,7 @@
 	if !t.listed || (now && t.whole) {
 		return t.list(ctx)
 	}
-	began := time.Now()
+	began := clock.Now()
 	rows, err := t.changes(ctx, now)
 	if errors.Is(err, store.ErrHistoryGone) {
 		t.log.Warn(telemetry.EventHistoryGone, telemetry.F("table", t.name), telemetry.F("revision", t.revision))
@@ -347,7 +348,7 @@
 func (t *Table) waits() bool { return t.group.Sentinel() || !t.group.PassesOn() }
 
 func (t *Table) list(ctx context.Context) error {
-	began := time.Now()
+	began := clock.Now()
 	rows, err := t.feed.ListRows(ctx, t.name)
 	if err != nil {
 		return err
@@ -367,7 +368,7 @@
 func (t *Table) answered(rows store.Rows, began time.Time) {
 	at := began
 	if rows.Now > 0 {
-		at = t.link.clock.answered(rows.Now, time.Now())
+		at = t.link.clock.answered(rows.Now, clock.Now())
 	}
 	t.mu.Lock()
 	if at.After(t.readAt) {
