Targets that refuse connections at once do not count against those that a request tries

What callers saw: 503 no_target within 20 ms after four targets that had just ended, while others of the service were up.

Cause: a request gave up after four targets that could not be reached, however little time they took.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -40,7 +40,7 @@
 	// is being tried.
 	request quarantine.Request
 	trial   *quarantine.ID
-	// misses counts the targets that could not be reached.
+	// misses counts the targets that could not be reached and whose hosts did not say so.
 	misses int
 	// brokenOff is set once a target broke off its answer, or gave none.
 	brokenOff bool
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -37,7 +37,7 @@
 		}
 		x.tried[target.ID] = true
 		if out == sentNothing {
-			if !x.missed() {
+			if !x.missed(err) {
 				break
 			}
 			continue
@@ -105,7 +105,7 @@
 			return refused, nil, errkind.New(errkind.NoTarget, "no decode engine can take the request")
 		}
 		out, err := x.decode(ctx, s, next, p)
-		if out == sentNothing && x.missed() && x.wanted(ctx) && x.checkStop() == nil {
+		if out == sentNothing && x.missed(err) && x.wanted(ctx) && x.checkStop() == nil {
 			x.tried[next.Target.ID] = true
 			continue
 		}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -21,7 +21,7 @@
 	// maxHeldBody is the largest answer that is held until it is complete, so
 	// that one that breaks off can be asked for again.
 	maxHeldBody = 256 << 10
-	// maxUnreached bounds the targets tried that could not be reached.
+	// maxUnreached bounds the targets tried that could not be reached and did not say so.
 	maxUnreached = 4
 )
 
@@ -144,7 +144,7 @@
 		}
 		last = call.err
 		if call.out == sentNothing {
-			if x.missed() {
+			if x.missed(call.err) {
 				c.start()
 			}
 			continue
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -136,9 +137,12 @@
 }
 
 // missed takes in that a target could not be reached, and reports whether another one may be
-// tried.
-func (x *exchange) missed() bool {
-	x.misses++
+// tried. One whose host says at once that nobody listens costs no time: where many targets have
+// just ended, the request goes on to those that are up.
+func (x *exchange) missed(err error) bool {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		x.misses++
+	}
 	return x.misses < maxUnreached
 }
 
