Targets that end together under copies of one request count as one end

Change: an end carries when its run had begun; of ends whose runs overlapped one counts. Words and records carry the time; counts are kept with the entry, as eviction compares all of them.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -36,6 +36,8 @@
 	tried place.Tried
 	// sends counts the sends of the request.
 	sends sends
+	// sentAt is when the newest send to a model engine began.
+	sentAt time.Time
 	// request tells it from others at every VM, and trial is set while it is a suspect that
 	// is being tried.
 	request quarantine.Request
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -260,7 +260,7 @@
 		c.Ticket.End(place.Neutral, clock.Now())
 	default:
 		x.note(c.Target, "cut", err)
-		x.brokeOff(c.Target, err, s.ranFor(clock.Now()))
+		x.brokeOff(c.Target, err, x.sentAt, s.ranFor(clock.Now()))
 		c.Ticket.End(place.Bad, clock.Now())
 	}
 	return unknown, err
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -40,6 +40,7 @@
 // plainCall is one send of a plain request and how it ended.
 type plainCall struct {
 	sending sending
+	began   time.Time
 	target  *fleet.Target
 	answer  *answer
 	out     outcome
@@ -88,8 +89,9 @@
 	}
 	to := x.destination(choice.Target, Directive{})
 	go func() {
+		began := clock.Now()
 		call := x.callPlain(c.ctx, to, choice)
-		call.sending = sd
+		call.sending, call.began = sd, began
 		c.ended <- call
 	}()
 }
@@ -152,7 +154,7 @@
 		x.ran = x.ran || call.out != refused
 		x.unanswered = x.unanswered || call.out == unknown
 		if call.out == unknown {
-			x.brokeOff(call.target, call.err, 0)
+			x.brokeOff(call.target, call.err, call.began, 0)
 		}
 		if c.pending == 0 && (!x.ran || x.route.Repeatable()) && x.mayTryAgain(ctx) {
 			c.start()
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -27,8 +27,8 @@
 	// Try begins the one send of a suspect that may be under way; Done ends it.
 	Try(id quarantine.ID) bool
 	Done(id quarantine.ID)
-	// Ended notes that a run of a target ended as it began to run a request.
-	Ended(r *quarantine.Request, run string)
+	// Ended notes that a target ended as it began to run a request.
+	Ended(r *quarantine.Request, end quarantine.End)
 	// Served notes that a target has run a request to its end.
 	Served(r *quarantine.Request)
 }
@@ -93,17 +93,19 @@
 // served notes a complete answer of a target: the request is not at fault.
 func (x *exchange) served() { x.g.quarantine.Served(&x.request) }
 
-// brokeOff finds out, beside the request, whether a target that broke off has ended. ranFor is
-// how long it had run the request, or 0 where it had not begun to.
-func (x *exchange) brokeOff(t *fleet.Target, err error, ranFor time.Duration) {
+// brokeOff finds out, beside the request, whether a target that broke off has ended. began is
+// when the request was sent there, and ranFor how long the target had run it, or 0 where it had
+// not begun to.
+func (x *exchange) brokeOff(t *fleet.Target, err error, began time.Time, ranFor time.Duration) {
 	if x.endedHere() || !closedByTarget(err) {
 		return
 	}
 	x.brokenOff = true
 	g, request := x.g, x.request
+	end := quarantine.End{Run: t.RunID(), Began: began, At: clock.Now()}
 	g.served.Go(func() {
 		if g.hasEnded(t) && ranFor <= quarantine.Onset {
-			g.quarantine.Ended(&request, t.RunID())
+			g.quarantine.Ended(&request, end)
 		}
 	})
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -75,6 +75,7 @@
 		ticket.End(place.Neutral, clock.Now())
 		return nil, withheld, err
 	}
+	x.sentAt = clock.Now()
 	resp, out, err := x.sendTo(ctx, x.destination(t, d), t, d, ticket)
 	settled := out
 	if d.PrefillOnly && resp != nil && resp.Status != http.StatusOK {
@@ -84,7 +85,7 @@
 	x.sends.settle(sd, settled)
 	x.unanswered = x.unanswered || out == unknown
 	if out == unknown {
-		x.brokeOff(t, err, 0)
+		x.brokeOff(t, err, x.sentAt, 0)
 	}
 	return resp, out, err
 }
--- a/internal/peers/suspects.go
+++ b/internal/peers/suspects.go
@@ -98,6 +98,7 @@
 	_      struct{} `cbor:",toarray"`
 	Target uint64
 	AgeMS  int64
+	RanMS  int64
 	Void   bool
 }
 
@@ -106,7 +107,7 @@
 	for _, w := range words {
 		o := word{Source: w.Source, Key: w.ID.Key, Print: w.ID.Print[:], Ends: make([]wordEnd, 0, len(w.Ends))}
 		for _, e := range w.Ends {
-			o.Ends = append(o.Ends, wordEnd{Target: e.Target, AgeMS: e.Age.Milliseconds(), Void: e.Void})
+			o.Ends = append(o.Ends, wordEnd{Target: e.Target, AgeMS: e.Age.Milliseconds(), RanMS: e.Ran.Milliseconds(), Void: e.Void})
 		}
 		out = append(out, o)
 	}
@@ -121,13 +122,16 @@
 			continue
 		}
 		for _, e := range in.Ends {
-			o.Ends = append(o.Ends, quarantine.WordEnd{Target: e.Target, Age: time.Duration(max(e.AgeMS, 0)) * time.Millisecond, Void: e.Void})
+			o.Ends = append(o.Ends, quarantine.WordEnd{Target: e.Target, Age: millis(e.AgeMS), Ran: millis(e.RanMS), Void: e.Void})
 		}
 		out = append(out, o)
 	}
 	return out
 }
 
+// millis returns a time of so many milliseconds, which another VM has sent.
+func millis(ms int64) time.Duration { return time.Duration(max(ms, 0)) * time.Millisecond }
+
 func (p *Peers) takeWords(w *wordsFrom) {
 	if p.suspects != nil {
 		p.suspects.Hear(w.From, w.words())
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -57,9 +57,9 @@
 }
 
 // Ended notes that a run of a target ended as it began to run a request.
-func (k *Keeper) Ended(r *Request, run string) {
-	v, begins := k.Table.Ended(r, run, k.clock())
-	k.log.Warn(telemetry.EventTargetEnded, telemetry.F("target", run), telemetry.F("print", v.ID.Print),
+func (k *Keeper) Ended(r *Request, n End) {
+	v, begins := k.Table.Ended(r, n)
+	k.log.Warn(telemetry.EventTargetEnded, telemetry.F("target", n.Run), telemetry.F("ran_ms", n.At.Sub(n.Began).Milliseconds()), telemetry.F("print", v.ID.Print),
 		telemetry.F("caller", r.Source), telemetry.F("ends", v.Ends))
 	if begins {
 		k.logBegun(v, "here")
@@ -117,7 +117,7 @@
 func (k *Keeper) saveOne(ctx context.Context, id ID) error {
 	now := k.clock()
 	txn := store.Txn{Deletes: []string{id.storeKey()}}
-	if w, ok := k.Word(id, now); ok && w.valid() >= quarantineEnds {
+	if w, ok := k.Word(id, now); ok && w.count() >= quarantineEnds {
 		value, err := json.Marshal(recordOf(w, time.Now()))
 		if err != nil {
 			// Only numbers are encoded.
@@ -171,13 +171,14 @@
 type recordEnd struct {
 	Target uint64 `json:"target,string"`
 	UnixMS int64  `json:"unix_ms"`
+	RanMS  int64  `json:"ran_ms"`
 	Void   bool   `json:"void,omitempty"`
 }
 
 func recordOf(w Word, wall time.Time) record {
 	r := record{Source: w.Source, Ends: make([]recordEnd, 0, len(w.Ends))}
 	for _, e := range w.Ends {
-		r.Ends = append(r.Ends, recordEnd{Target: e.Target, UnixMS: wall.Add(-e.Age).UnixMilli(), Void: e.Void})
+		r.Ends = append(r.Ends, recordEnd{Target: e.Target, UnixMS: wall.Add(-e.Age).UnixMilli(), RanMS: e.Ran.Milliseconds(), Void: e.Void})
 	}
 	return r
 }
@@ -198,7 +199,7 @@
 	}
 	w := Word{ID: id, Source: stored.Source, Ends: make([]WordEnd, 0, len(stored.Ends))}
 	for _, e := range stored.Ends {
-		w.Ends = append(w.Ends, WordEnd{Target: e.Target, Age: max(wall.Sub(time.UnixMilli(e.UnixMS)), 0), Void: e.Void})
+		w.Ends = append(w.Ends, WordEnd{Target: e.Target, Age: max(wall.Sub(time.UnixMilli(e.UnixMS)), 0), Ran: time.Duration(max(e.RanMS, 0)) * time.Millisecond, Void: e.Void})
 	}
 	return w, nil
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -41,9 +41,19 @@
 	Print Print
 }
 
-// end is the end of one run of a target under a request.
+// End is the end of a target's run under a request.
+type End struct {
+	// Run names the target's run.
+	Run string
+	// Began is when the request was sent there, and At when the target ended.
+	Began time.Time
+	At    time.Time
+}
+
+// end is an End, by the hash of its run.
 type end struct {
-	at time.Time
+	began time.Time
+	at    time.Time
 	// void is set once the request has had a good end elsewhere: it was not at fault.
 	void bool
 }
@@ -53,16 +63,40 @@
 	id     ID
 	source uint64
 	ends   map[uint64]end
+	// count is the ends that count against the request, and newest when the last target ended.
+	count  int
+	newest time.Time
 	// trials counts the sends of the request that are under way from here.
 	trials int
 }
 
-// valid counts the ends that count against the request.
-func (e *entry) valid() int {
-	n := 0
+// weigh reckons count and newest anew.
+func (e *entry) weigh() {
+	e.newest = time.Time{}
+	valid := make([]end, 0, len(e.ends))
 	for _, end := range e.ends {
+		if end.at.After(e.newest) {
+			e.newest = end.at
+		}
 		if !end.void {
+			valid = append(valid, end)
+		}
+	}
+	e.count = countEnds(valid)
+}
+
+// countEnds counts the ends that came one after the other: of those whose runs were under way
+// at the same time one counts. Copies of one request run at many targets, and where these end
+// together, as with their power, that tells of what they share. A request that ends each target
+// will end the next one that it is sent to after that.
+func countEnds(ends []end) int {
+	slices.SortFunc(ends, func(a, b end) int { return a.at.Compare(b.at) })
+	n := 0
+	var last time.Time
+	for _, e := range ends {
+		if n == 0 || !e.began.Before(last) {
 			n++
+			last = e.at
 		}
 	}
 	return n
@@ -77,11 +111,11 @@
 }
 
 // until is when the quarantine ends.
-func (e *entry) until() time.Time { return e.newest().Add(term(e.valid())) }
+func (e *entry) until() time.Time { return e.newest.Add(term(e.count)) }
 
 // forgotten is when the entry may be dropped: a request that comes again within as long
 // after its quarantine as it lasted goes on where it was.
-func (e *entry) forgotten() time.Time { return e.newest().Add(max(2*term(e.valid()), endMemory)) }
+func (e *entry) forgotten() time.Time { return e.newest.Add(max(2*term(e.count), endMemory)) }
 
 // Verdict is what is known of a request.
 type Verdict struct {
@@ -150,7 +184,7 @@
 	if !now.Before(e.forgotten()) {
 		return Verdict{}
 	}
-	v := Verdict{ID: id, Ends: e.valid()}
+	v := Verdict{ID: id, Ends: e.count}
 	if until := e.until(); now.Before(until) {
 		v.Until = until
 	}
@@ -182,25 +216,21 @@
 	}
 }
 
-// Ended notes that a run of a target ended as it began to run the request. It returns the
-// request's verdict, and whether this end put it into quarantine.
-func (t *Table) Ended(r *Request, run string, now time.Time) (v Verdict, begins bool) {
+// Ended notes that a target ended as it began to run the request. It returns the request's
+// verdict, and whether this end put it into quarantine.
+func (t *Table) Ended(r *Request, n End) (v Verdict, begins bool) {
 	id := r.ID()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entry(id, r.SourceKey())
-	target := hashText(run)
-	if _, known := e.ends[target]; known {
-		return Verdict{ID: id, Ends: e.valid()}, false
-	}
-	before := e.valid()
-	t.note(e, target, end{at: now})
+	before := e.count
+	e.note(hashText(n.Run), end{began: n.Began, at: n.At})
 	t.tell(id)
-	v = Verdict{ID: id, Ends: e.valid()}
-	if v.Ends >= quarantineEnds {
+	v = Verdict{ID: id, Ends: e.count}
+	if e.count >= quarantineEnds {
 		v.Until = e.until()
 	}
-	return v, v.Ends >= quarantineEnds && v.Ends > before
+	return v, e.count >= quarantineEnds && e.count > before
 }
 
 // Served notes that a target has run the request to its end: it is not at fault for the
@@ -212,13 +242,14 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e.valid() == 0 {
+	if e.count == 0 {
 		return false
 	}
 	for target, end := range e.ends {
 		end.void = true
 		e.ends[target] = end
 	}
+	e.weigh()
 	t.tell(id)
 	return true
 }
@@ -269,29 +300,19 @@
 	return e
 }
 
-// note takes in an end; the caller holds t.mu.
-func (t *Table) note(e *entry, target uint64, n end) {
+// note takes in an end; the earliest word of it holds.
+func (e *entry) note(target uint64, n end) {
 	if known, ok := e.ends[target]; ok {
+		n.void = n.void || known.void
 		if known.at.Before(n.at) {
-			n.at = known.at
+			n.began, n.at = known.began, known.at
 		}
-		n.void = n.void || known.void
 	}
 	e.ends[target] = n
 	if len(e.ends) > maxEnds {
 		delete(e.ends, e.oldest())
 	}
-}
-
-// newest is when the last target ended under the request.
-func (e *entry) newest() time.Time {
-	var at time.Time
-	for _, end := range e.ends {
-		if end.at.After(at) {
-			at = end.at
-		}
-	}
-	return at
+	e.weigh()
 }
 
 // oldest returns the end that counts least.
@@ -322,7 +343,7 @@
 
 // matters orders entries: those with more ends matter more, then newer ones.
 func matters(a, b *entry) int {
-	return cmp.Or(cmp.Compare(a.valid(), b.valid()), a.newest().Compare(b.newest()))
+	return cmp.Or(cmp.Compare(a.count, b.count), a.newest.Compare(b.newest))
 }
 
 func (t *Table) largestSource() uint64 {
--- a/internal/quarantine/word.go
+++ b/internal/quarantine/word.go
@@ -14,23 +14,26 @@
 	Ends   []WordEnd
 }
 
-// valid counts the ends that count against the request.
-func (w Word) valid() int {
-	n := 0
-	for _, end := range w.Ends {
-		if !end.Void {
-			n++
+// count is the ends that count against the request.
+func (w Word) count() int {
+	var valid []end
+	for _, n := range w.Ends {
+		if !n.Void {
+			at := time.Time{}.Add(-n.Age)
+			valid = append(valid, end{began: at.Add(-n.Ran), at: at})
 		}
 	}
-	return n
+	return countEnds(valid)
 }
 
 // WordEnd is one end of a target under the request.
 type WordEnd struct {
 	// Target is a hash of the target's run.
 	Target uint64
-	// Age is how long ago the target ended.
+	// Age is how long ago the target ended, and Ran how long before that the request had been
+	// sent there.
 	Age  time.Duration
+	Ran  time.Duration
 	Void bool
 }
 
@@ -81,7 +84,7 @@
 func (e *entry) word(now time.Time) Word {
 	w := Word{ID: e.id, Source: e.source, Ends: make([]WordEnd, 0, len(e.ends))}
 	for target, end := range e.ends {
-		w.Ends = append(w.Ends, WordEnd{Target: target, Age: max(now.Sub(end.at), 0), Void: end.void})
+		w.Ends = append(w.Ends, WordEnd{Target: target, Age: max(now.Sub(end.at), 0), Ran: end.at.Sub(end.began), Void: end.void})
 	}
 	return w
 }
@@ -101,27 +104,23 @@
 			continue
 		}
 		e := t.entry(w.ID, w.Source)
-		before := e.valid()
-		for _, end := range w.Ends {
-			t.merge(e, end, now)
+		before := e.count
+		for _, n := range w.Ends {
+			at := now.Add(-n.Age)
+			e.note(n.Target, end{began: at.Add(-n.Ran), at: at, void: n.Void})
 		}
-		if after := e.valid(); after >= quarantineEnds && before < quarantineEnds && now.Before(e.until()) {
+		if after := e.count; after >= quarantineEnds && before < quarantineEnds && now.Before(e.until()) {
 			begun = append(begun, Verdict{ID: w.ID, Ends: after, Until: e.until()})
 		}
 	}
 	return begun
 }
 
-// merge takes in one end of a word; the caller holds t.mu.
-func (t *Table) merge(e *entry, w WordEnd, now time.Time) {
-	t.note(e, w.Target, end{at: now.Add(-w.Age), void: w.Void})
-}
-
 // tooOld reports whether a word is of a request that would be forgotten at once.
 func tooOld(w Word) bool {
 	youngest := w.Ends[0].Age
 	for _, end := range w.Ends {
 		youngest = min(youngest, end.Age)
 	}
-	return youngest >= max(2*term(w.valid()), endMemory)
+	return youngest >= max(2*term(w.count()), endMemory)
 }
