A request in quarantine is tried again soon, by one VM; a soak with deadly requests

Seen in a soak of our own, with three requests that end their targets, four engines of which one decodes, and two prompts that all callers send: the deadly ones were not contained, as their targets stood behind relays that accept and close a connection when nobody listens; and the two prompts stood at the same ends, were quarantined with them and refused to everybody for ten minutes, with no good end that could have cleared them.

Cause: an end was told by a refused connection only; and a quarantine had no trial, so that a wrong one lasted its whole term. Class: a verdict without appeal.

Change: a probe that is closed unused counts as nobody listening, where the second look 100 ms later finds it so too. After three ends one VM of the group, by the request's print, tries it again after 5 to 10 s, after the fourth after one to two minutes, then 10 to 20 minutes, then once a day; the others wait twelve times as long. Each suspect is tried at a target of its own, so that one end is not held against several. A stream that has run for half a second beyond its first event clears its request, and a target that ends later than that blames nobody; it was a whole second. A deadly request is sent on three times after its third end at most, as before.

--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -15,6 +15,7 @@
 }
 
 func (g *groupOf) Size() int               { return g.size }
+func (g *groupOf) Owns([]byte) bool        { return true }
 func (g *groupOf) Joined() <-chan struct{} { return g.joined }
 
 func joinedGroup(size int) *groupOf {
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -12,6 +12,9 @@
 type Group interface {
 	// Size counts the live VMs, this one included.
 	Size() int
+	// Owns reports whether this VM is the one of the group that does what one is to do for a
+	// key. While VMs know different members two may be.
+	Owns(key []byte) bool
 	// Joined is closed once the other VMs have been listed. Size is too small before.
 	Joined() <-chan struct{}
 }
--- a/internal/gateway/deferral_test.go
+++ b/internal/gateway/deferral_test.go
@@ -18,6 +18,7 @@
 type one struct{}
 
 func (one) Size() int               { return 1 }
+func (one) Owns([]byte) bool        { return true }
 func (one) Joined() <-chan struct{} { return nil }
 
 // backlog is what other VMs have in hand at the engines.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -11,6 +11,7 @@
 	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/fleet"
+	"garnethoist.org/garnethoist/internal/httpsend"
 	"garnethoist.org/garnethoist/internal/place"
 	"garnethoist.org/garnethoist/internal/quarantine"
 )
@@ -40,22 +41,25 @@
 	// endCheckTimeout bounds both looks.
 	endCheckTimeout = time.Second
 	// trialWait is when the caller of a suspect is told to come back while another send of
-	// the same request is under way.
+	// the same request is under way, or is to be made by another VM.
 	trialWait = time.Second
 )
 
 // checkQuarantine refuses a request that is kept from all targets. A suspect goes on alone: no
-// other send of it from here may be under way. It is asked before each send: other VMs may
-// have told of it meanwhile.
+// other send of it from here may be under way, and after three ends one VM of the group tries
+// it first. It is asked before each send: other VMs may have told of it meanwhile.
 func (x *exchange) checkQuarantine() error {
 	now := clock.Now()
 	v := x.g.quarantine.Judge(&x.request, now)
-	if v.Quarantined(now) {
+	if !v.Suspect() {
+		return nil
+	}
+	if v.Quarantined(now, x.g.group.Owns(v.ID.Print[:])) {
 		e := errkind.New(errkind.Quarantined, "%d targets ended as they began to run this request", v.Ends)
-		e.RetryAfter = v.Until.Sub(now).Round(time.Second)
+		e.RetryAfter = max(v.TrialAt.Sub(now), trialWait).Round(time.Millisecond)
 		return e
 	}
-	if !v.Suspect() || x.trial != nil {
+	if x.trial != nil {
 		return nil
 	}
 	if !x.g.quarantine.Try(v.ID) {
@@ -90,7 +94,8 @@
 	return sd, nil
 }
 
-// served notes a complete answer of a target: the request is not at fault.
+// served notes that a target has run the request to its end, or beyond its onset: it is not at
+// fault.
 func (x *exchange) served() { x.g.quarantine.Served(&x.request) }
 
 // brokeOff finds out, beside the request, whether a target that broke off has ended. began is
@@ -123,7 +128,7 @@
 	ended, _, _ := g.endChecks.Do(t.RunID(), func() (any, error) {
 		ctx, cancel := context.WithTimeout(g.ending, endCheckTimeout)
 		defer cancel()
-		if !g.refuses(ctx, t) && !g.refusesLater(ctx, t) {
+		if !g.deserted(ctx, t) && !g.desertedLater(ctx, t) {
 			return false, nil
 		}
 		g.placer.Unreachable(t.RunID(), clock.Now())
@@ -133,25 +138,25 @@
 	return was
 }
 
-// refuses reports whether a target's host answers that nobody listens.
-func (g *Gateway) refuses(ctx context.Context, t *fleet.Target) bool {
-	return errors.Is(g.client.Probe(ctx, t.Address), syscall.ECONNREFUSED)
+// deserted reports whether nobody listens at a target's address.
+func (g *Gateway) deserted(ctx context.Context, t *fleet.Target) bool {
+	return errors.Is(g.client.Probe(ctx, t.Address), httpsend.ErrNobody)
 }
 
-func (g *Gateway) refusesLater(ctx context.Context, t *fleet.Target) bool {
+func (g *Gateway) desertedLater(ctx context.Context, t *fleet.Target) bool {
 	select {
 	case <-time.After(endCheckAgain):
-		return g.refuses(ctx, t)
+		return g.deserted(ctx, t)
 	case <-ctx.Done():
 		return false
 	}
 }
 
-// apart returns the targets that are not to be asked: for a suspect all but the one with the
-// fewest requests in hand, of which its end would break off the fewest.
+// apart returns the targets that are not to be asked: for a suspect all but one, that other
+// suspects do not go to.
 func (x *exchange) apart(tried place.Tried) place.Tried {
 	if x.trial == nil {
 		return tried
 	}
-	return x.g.placer.AllButQuietest(x.view.Targets[x.service], tried)
+	return x.g.placer.AllButOne(x.view.Targets[x.service], tried, x.trial.Print[:])
 }
--- a/internal/gateway/ready_test.go
+++ b/internal/gateway/ready_test.go
@@ -18,6 +18,7 @@
 type oneVM struct{}
 
 func (oneVM) Size() int               { return 1 }
+func (oneVM) Owns([]byte) bool        { return true }
 func (oneVM) Joined() <-chan struct{} { return nil }
 
 func (oneVM) Work(string) place.Work { return place.Work{} }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -12,6 +12,7 @@
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/httpsend"
 	"garnethoist.org/garnethoist/internal/place"
+	"garnethoist.org/garnethoist/internal/quarantine"
 )
 
 const (
@@ -33,7 +34,9 @@
 	partial []byte
 	// events counts those of the present target, firstAt is when its first one came
 	// and wroteAt when the caller was last written events.
-	events  int
+	events int
+	// sound is set once the present target has run the request beyond its onset.
+	sound   bool
 	firstAt time.Time
 	wroteAt time.Time
 }
@@ -42,7 +45,7 @@
 // off is dropped: it comes again if the stream is resumed.
 func (s *stream) relay(resp *httpsend.Response) error {
 	s.partial = s.partial[:0]
-	s.events, s.firstAt = 0, time.Time{}
+	s.events, s.firstAt, s.sound = 0, time.Time{}, false
 	buf := make([]byte, streamBuffer)
 	for {
 		n, err := resp.Read(buf)
@@ -94,6 +97,10 @@
 		s.firstAt = now
 	}
 	s.events += n
+	if !s.sound && s.ranFor(now) > quarantine.Onset {
+		s.sound = true
+		s.x.served()
+	}
 	s.ticket.Events(n, now)
 }
 
--- a/internal/httpsend/client.go
+++ b/internal/httpsend/client.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"syscall"
 	"time"
@@ -142,14 +143,33 @@
 	return cn, nil
 }
 
-// Probe opens a connection to an address and closes it. Its error says why it could not be
-// opened.
+// probeWait is how long a probe's connection must stay open.
+const probeWait = 50 * time.Millisecond
+
+// ErrNobody: nothing listens at an address.
+var ErrNobody = errors.New("httpsend: nobody listens")
+
+// Probe opens a connection to an address and closes it. It returns ErrNobody where the host
+// refuses it or, as balancers do that have no back end, accepts it and closes it unused.
 func (c *Client) Probe(ctx context.Context, address string) error {
 	nc, err := silence.Dialer(c.cfg.DialTimeout, c.cfg.Unacked).DialContext(ctx, "tcp", address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return errors.Wrap(ErrNobody, err.Error())
+	}
 	if err != nil {
 		return errors.Wrap(err, "probe")
 	}
-	return errors.Wrap(nc.Close(), "close probe")
+	defer nc.Close()
+	if err := nc.SetReadDeadline(time.Now().Add(probeWait)); err != nil {
+		return errors.Wrap(err, "probe")
+	}
+	var b [1]byte
+	_, err = nc.Read(b[:])
+	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+		return errors.Wrap(ErrNobody, err.Error())
+	}
+	// A target waits for a request, or says something.
+	return nil
 }
 
 // bound sets how long written bytes may stay unacknowledged on cn.
--- a/internal/httpsend/httpsend_test.go
+++ b/internal/httpsend/httpsend_test.go
@@ -342,3 +342,33 @@
 	_, conns := g.counts()
 	is.Equal(conns, 2)
 }
+
+// A probe finds nobody where connections are refused, or closed unused as by a balancer without
+// back ends, and somebody where they are kept open.
+func TestProbe(t *testing.T) {
+	is := is.New(t)
+	c := httpsend.New(httpsend.Config{DialTimeout: time.Second})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	closing := make(chan bool, 1)
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			select {
+			case <-closing:
+				nc.Close()
+			default:
+				defer nc.Close()
+			}
+		}
+	}()
+	is.NoErr(c.Probe(context.Background(), address))
+	closing <- true
+	is.True(errors.Is(c.Probe(context.Background(), address), httpsend.ErrNobody))
+	l.Close()
+	is.True(errors.Is(c.Probe(context.Background(), address), httpsend.ErrNobody))
+}
--- a/internal/peers/suspects.go
+++ b/internal/peers/suspects.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"garnethoist.org/garnethoist/internal/quarantine"
 )
 
@@ -51,6 +53,24 @@
 	}
 }
 
+// Owns reports whether this VM is the one of the listed VMs that does what one is to do for a
+// key: that with the highest hash of both, so that another one's coming or going moves few keys.
+func (p *Peers) Owns(key []byte) bool {
+	own := weightOf(p.self.VM, key)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for vm := range p.members {
+		if weightOf(vm, key) > own {
+			return false
+		}
+	}
+	return true
+}
+
+func weightOf(vm string, key []byte) uint64 {
+	return xxhash.Sum64(append([]byte(vm), key...))
+}
+
 func (p *Peers) sendWords(words []quarantine.Word, to []netip.AddrPort) {
 	for len(words) > 0 {
 		n := min(len(words), wordsPerDatagram)
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"garnethoist.org/garnethoist/internal/fleet"
 )
 
@@ -167,26 +169,27 @@
 	p.occupyLink(q, now)
 }
 
-// AllButQuietest returns tried and all other targets but the one that runs the fewest requests
-// and can be reached: one that may end with what it is given.
-func (p *Placer) AllButQuietest(targets []*fleet.Target, tried Tried) Tried {
+// AllButOne returns tried and all other targets but one that can run a request and be reached:
+// that with the highest hash of its run and a key. Requests that may end their targets are
+// tried apart from each other so: where two went to one target, its end would be held against
+// both.
+func (p *Placer) AllButOne(targets []*fleet.Target, tried Tried, key []byte) Tried {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var quietest *fleet.Target
-	least := 0
+	var one *fleet.Target
+	var highest uint64
 	out := make(Tried, len(targets))
 	for _, t := range targets {
 		out[t.ID] = true
-		running := p.total(t.RunID()).Running
 		if t.Stage == fleet.Prefill || !p.usable(t, tried) || p.at(t).misses > 0 {
 			continue
 		}
-		if quietest == nil || running < least {
-			quietest, least = t, running
+		if weight := xxhash.Sum64(append([]byte(t.RunID()), key...)); one == nil || weight > highest {
+			one, highest = t, weight
 		}
 	}
-	if quietest != nil {
-		delete(out, quietest.ID)
+	if one != nil {
+		delete(out, one.ID)
 	}
 	return out
 }
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -88,7 +88,7 @@
 
 func (k *Keeper) logBegun(v Verdict, from string) {
 	k.log.Warn(telemetry.EventQuarantined, telemetry.F("print", v.ID.Print), telemetry.F("ends", v.Ends),
-		telemetry.F("for_s", int(v.Until.Sub(k.clock()).Seconds())), telemetry.F("from", from))
+		telemetry.F("trial_s", int(v.TrialAt.Sub(k.clock()).Seconds())), telemetry.F("until_s", int(v.Until.Sub(k.clock()).Seconds())), telemetry.F("from", from))
 }
 
 // write has a request's record written. While the store is away as many wait as fit; the
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -15,14 +16,15 @@
 	// that stood twice beside the one at fault would be refused.
 	suspectEnds    = 2
 	quarantineEnds = 3
-	// Onset is how long after a request began to run an end of its target may be its
-	// doing: a target that ends later, with others at work, tells nothing of it.
-	Onset = time.Second
-	// firstTerm is how long the first quarantine lasts; each further end doubles it, up to
-	// maxTerm. Nothing tells when a target's fault has been mended, so that it is tried now
-	// and then; a try that fails costs all that runs on the target.
-	firstTerm = 10 * time.Minute
-	maxTerm   = 24 * time.Hour
+	// Onset is how long after a request's first event an end of its target may be its doing:
+	// one that runs on for longer is not at fault, and a target that ends then, with others at
+	// work, tells nothing of it.
+	Onset = 500 * time.Millisecond
+	// othersWait is how many times longer all other VMs wait than the one that tries a
+	// request: it may be down, or the request not come to it.
+	othersWait = 12
+	// maxTerm is the longest wait, once all trials have failed.
+	maxTerm = 24 * time.Hour
 	// endMemory is how long the ends of a request that is in no quarantine are remembered.
 	endMemory = 10 * time.Minute
 	// maxEnds bounds the ends kept of one request: more would not lengthen its term.
@@ -102,14 +104,26 @@
 	return n
 }
 
-// term is how long a request is kept from targets after the last of n ends.
-func term(n int) time.Duration {
-	if n < quarantineEnds {
+// trialTerms is how long, at least, after the last of three, four and five ends a request is tried again,
+// by one VM. A request that many callers send alike may have stood beside another one at each
+// of the ends: the first trial soon finds that out. One that ends its targets ends three more;
+// after these it is tried once in maxTerm.
+var trialTerms = []time.Duration{5 * time.Second, time.Minute, 10 * time.Minute}
+
+// trialTerm is how long a request is kept from all targets after the last of n ends.
+func trialTerm(n int) time.Duration {
+	switch i := n - quarantineEnds; {
+	case i < 0:
 		return 0
+	case i < len(trialTerms):
+		return trialTerms[i]
 	}
-	return min(firstTerm<<min(n-quarantineEnds, maxEnds), maxTerm)
+	return maxTerm
 }
 
+// term is how long VMs keep a request from all targets that are not the one to try it.
+func term(n int) time.Duration { return min(othersWait*trialTerm(n), maxTerm) }
+
 // until is when the quarantine ends.
 func (e *entry) until() time.Time { return e.newest.Add(term(e.count)) }
 
@@ -123,16 +137,24 @@
 	ID ID
 	// Ends is how many targets ended as they began to run the request.
 	Ends int
-	// Until is when its quarantine ends; it is zero where it is in none.
-	Until time.Time
+	// TrialAt is when the one VM that is to try it may do so, and Until when all may. Both are
+	// zero where it is in no quarantine.
+	TrialAt time.Time
+	Until   time.Time
 }
 
 // Suspect reports whether the request may end its target: it is sent on its own, and not
 // again by this system.
 func (v Verdict) Suspect() bool { return v.Ends >= suspectEnds }
 
-// Quarantined reports whether the request must not be sent at now.
-func (v Verdict) Quarantined(now time.Time) bool { return now.Before(v.Until) }
+// Quarantined reports whether the request must not be sent at now by a VM that is the one to try
+// it, or is not.
+func (v Verdict) Quarantined(now time.Time, tries bool) bool {
+	if tries {
+		return now.Before(v.TrialAt)
+	}
+	return now.Before(v.Until)
+}
 
 // Table holds the requests under which targets have ended. It has no clock: times are of
 // one that also counts the time for which the machine is suspended. It is safe for
@@ -175,7 +197,7 @@
 
 // Judge returns what is known of a request.
 func (t *Table) Judge(r *Request, now time.Time) Verdict {
-	e, id := t.find(r)
+	e, _ := t.find(r)
 	if e == nil {
 		return Verdict{}
 	}
@@ -184,13 +206,23 @@
 	if !now.Before(e.forgotten()) {
 		return Verdict{}
 	}
-	v := Verdict{ID: id, Ends: e.count}
-	if until := e.until(); now.Before(until) {
-		v.Until = until
+	return e.verdict()
+}
+
+func (e *entry) verdict() Verdict {
+	v := Verdict{ID: e.id, Ends: e.count}
+	if e.count >= quarantineEnds {
+		v.TrialAt, v.Until = e.newest.Add(spread(trialTerm(e.count), e.id.Print)), e.until()
 	}
 	return v
 }
 
+// spread lengthens a term by up to as long again, by the request's print: those that stood at
+// the same ends are not tried at the same time.
+func spread(term time.Duration, p Print) time.Duration {
+	return term + time.Duration(float64(term)*float64(p[0])/math.MaxUint8)
+}
+
 // Try begins a send of a suspect, or returns false while another one of the same request is
 // under way: it could end its target as well. End must follow.
 func (t *Table) Try(id ID) bool {
@@ -226,11 +258,7 @@
 	before := e.count
 	e.note(hashText(n.Run), end{began: n.Began, at: n.At})
 	t.tell(id)
-	v = Verdict{ID: id, Ends: e.count}
-	if e.count >= quarantineEnds {
-		v.Until = e.until()
-	}
-	return v, e.count >= quarantineEnds && e.count > before
+	return e.verdict(), e.count >= quarantineEnds && e.count > before
 }
 
 // Served notes that a target has run the request to its end: it is not at fault for the
--- a/internal/quarantine/word.go
+++ b/internal/quarantine/word.go
@@ -110,7 +110,7 @@
 			e.note(n.Target, end{began: at.Add(-n.Ran), at: at, void: n.Void})
 		}
 		if after := e.count; after >= quarantineEnds && before < quarantineEnds && now.Before(e.until()) {
-			begun = append(begun, Verdict{ID: w.ID, Ends: after, Until: e.until()})
+			begun = append(begun, e.verdict())
 		}
 	}
 	return begun
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"garnethoist.org/garnethoist/internal/kernel"
@@ -33,8 +34,19 @@
 	// longPrompt and shortPrompt are prompts' lengths in tokens.
 	longPrompt  = 9000
 	shortPrompt = 200
+	// popularEvery is of how many requests of a kind one has the same body as others.
+	popularEvery = 4
 )
 
+// soundBody returns the body of a request that is not deadly: its own, or one that many callers
+// send alike.
+func soundBody(id string) string {
+	if xxhash.Sum64String(id)%popularEvery == 0 {
+		return "popular"
+	}
+	return "body of " + id
+}
+
 // kindOfCall is one kind of request that callers make.
 type kindOfCall struct {
 	route  string
@@ -105,7 +117,7 @@
 // ask sends one request and has its answer checked.
 func (w *world) ask(c *platformtest.Caller, v *vm, id string, kind kindOfCall) platformtest.Reply {
 	w.check.Sent(id, v.name, kind.once, w.now())
-	reply := c.Ask(platformtest.Call{ID: id, Path: "/" + kind.route + "/x", Tokens: kind.tokens, Timeout: callTimeout})
+	reply := c.Ask(platformtest.Call{ID: id, Path: "/" + kind.route + "/x", Tokens: kind.tokens, Body: soundBody(id), Timeout: callTimeout})
 	a := answerOf(id, kind, reply)
 	w.check.Answered(id, a, w.now())
 	w.count(kind.name() + " " + outcome(a, reply))
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -35,6 +35,8 @@
 	// Uncut: an answer that a target wrote whole reaches its caller while the VM
 	// and its links are undisturbed, also when the VM stops as planned.
 	Uncut Promise = "no_answer_cut"
+	// Contained: a request that has ended three targets is kept from others.
+	Contained Promise = "deadly_contained"
 	// Recovered: after the last fault every VM serves again.
 	Recovered Promise = "recovered"
 )
@@ -54,6 +56,11 @@
 	// versionWithin is how long after a VM has shown a version it must not show
 	// an older one to a request sent later.
 	versionWithin = 250 * time.Millisecond
+	// A request that has ended so many targets may be sent on by all VMs for so long, and so
+	// many times after that: the bounds of the users' pages.
+	deadlyEnds   = 3
+	deadlyWithin = 3 * time.Second
+	deadlyAfter  = 3
 )
 
 // Violation is a broken promise.
@@ -116,13 +123,17 @@
 // Checker judges what callers and targets see. It has no clock: all times are
 // since the soak's start. It is safe for concurrent use.
 type Checker struct {
-	mu         sync.Mutex
-	requests   map[string]*request
-	orders     map[string]order
-	leaving    map[string]time.Duration
-	shown      map[string]shown
-	changes    []shown
-	disturbed  map[string][]span
+	mu        sync.Mutex
+	requests  map[string]*request
+	orders    map[string]order
+	leaving   map[string]time.Duration
+	shown     map[string]shown
+	changes   []shown
+	disturbed map[string][]span
+	// killed holds when targets ended under each deadly request, and late how often it was
+	// sent on too late.
+	killed     map[string][]time.Duration
+	late       map[string]int
 	violations []Violation
 	// Made counts the checks made of each promise.
 	made map[Promise]int
@@ -138,7 +149,7 @@
 func NewChecker() *Checker {
 	return &Checker{
 		requests: make(map[string]*request), orders: make(map[string]order), leaving: make(map[string]time.Duration),
-		shown: make(map[string]shown), disturbed: make(map[string][]span), made: make(map[Promise]int),
+		shown: make(map[string]shown), killed: make(map[string][]time.Duration), late: make(map[string]int), disturbed: make(map[string][]span), made: make(map[Promise]int),
 	}
 }
 
@@ -240,6 +251,9 @@
 		c.check(Whole, a.Whole && contains(r.runs, a.Engine), at, "%s: answer of %q, whole %t, ran on %v", id, a.Engine, a.Whole, r.runs)
 	case a.Refused:
 		r.refused = true
+		if _, deadly := deadlyRequest(id); deadly {
+			c.check(Contained, true, at, "")
+		}
 		c.check(Unrun, len(r.runs) == 0, at, "%s was refused and ran on %v", id, r.runs)
 	case a.Cut:
 		c.checkCut(id, r, at)
@@ -276,14 +290,38 @@
 func (c *Checker) Arrived(id, engine string, at time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	since, ok := c.leaving[engine]
 	r := c.requests[id]
+	c.checkContained(id, r, at)
+	since, ok := c.leaving[engine]
 	if !ok || r == nil || !c.calm(since-calmBefore, at, r.vm) {
 		return
 	}
 	c.check(Left, at-since <= leaveWithin, at, "%s reaches %s from %s %s after it began to leave", id, engine, r.vm, at-since)
 }
 
+// Killed notes that a deadly request ends a target, which counts as disturbed for a while.
+func (c *Checker) Killed(request, engine string, at, until time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.killed[request] = append(c.killed[request], at)
+	c.disturbed[engine] = append(c.disturbed[engine], span{at, until})
+}
+
+// checkContained checks that a calm VM may still send a deadly request on; the caller holds
+// c.mu.
+func (c *Checker) checkContained(id string, r *request, at time.Duration) {
+	request, deadly := deadlyRequest(id)
+	ends := c.killed[request]
+	if !deadly || r == nil || len(ends) < deadlyEnds {
+		return
+	}
+	since := at - ends[deadlyEnds-1]
+	if since > deadlyWithin && c.undisturbed(at-calmBefore, at, r.vm) {
+		c.late[request]++
+	}
+	c.check(Contained, c.late[request] <= deadlyAfter, at, "%s is sent on %s after %s had ended %d targets", id, since, request, deadlyEnds)
+}
+
 // Changed notes that the operator has written a version.
 func (c *Checker) Changed(version int, at time.Duration) {
 	c.mu.Lock()
--- a/internal/soak/deal.go
+++ b/internal/soak/deal.go
@@ -94,6 +94,8 @@
 		w.restart(ctx, s)
 	case Foreign:
 		w.foreign(ctx, s)
+	case Deadly:
+		w.deadly(ctx, f)
 	case Change:
 		w.change()
 	case Storm:
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -37,6 +37,9 @@
 	// by histories only: what is drawn for a seed stays as it was when it failed.
 	Reborn  Kind = "target_reborn"
 	Foreign Kind = "foreign_entries"
+	// Deadly: a request that ends each target that runs it is sent again and again. It is dealt
+	// by histories only, as well.
+	Deadly Kind = "deadly_request"
 	// Of the configuration: one change, or several in quick succession.
 	Change Kind = "config_change"
 	Storm  Kind = "config_storm"
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -168,6 +168,7 @@
 		gap = longGap
 	}
 	e.SetGap(gap)
+	e.CrashOn(deadlyBody, func(e *platformtest.Engine) { w.ended(s, e) })
 	s.engine, s.away = e, false
 	w.list(s, e)
 	return nil
@@ -315,6 +316,9 @@
 func (o observer) Arrived(e *platformtest.Engine, id string) { o.w.check.Arrived(id, e.ID, o.w.now()) }
 
 func (o observer) Ran(e *platformtest.Engine, id, source string) {
+	if request, ok := deadlyRequest(id); ok {
+		o.w.check.Killed(request, e.ID, o.w.now(), o.w.now()+settled)
+	}
 	o.w.check.Ran(id, e.ID, platformtest.HandleRequest(source), o.w.now())
 }
 
