--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -83,8 +83,8 @@
 	if err := x.checkQuarantine(); err != nil {
 		return sending{}, err
 	}
-	if x.trial != nil && x.ran {
-		// One more try by this system could end one more target.
+	if x.trial != nil && x.sends.arrivals > 0 {
+		// A second send of a suspect, also beside one that is overdue, could end one more target.
 		return sending{}, errNoRetry
 	}
 	sd, ok := x.sends.begin(reading)
--- a/internal/peers/suspects.go
+++ b/internal/peers/suspects.go
@@ -16,7 +16,8 @@
 	// wordsAgain is how many words are told again, and wordsInterval how often, to
 	// wordsTo VMs that are drawn: datagrams are lost, and VMs start later, or were cut off,
 	// frozen or suspended when the word came. Each VM is told by three others a second on
-	// average, whatever the size of the group, so that one in a thousand hears nothing for 2 s.
+	// average, whatever the size of the group, so that one in eight thousand hears nothing
+	// for 3 s.
 	wordsAgain    = wordsPerDatagram
 	wordsInterval = time.Second
 	wordsTo       = 3
