--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -8,7 +8,7 @@
 	"garnethoist.org/garnethoist/internal/retry"
 )
 
-// Group says how many VMs share the targets.
+// Group is the VMs that share the targets.
 type Group interface {
 	// Size counts the live VMs, this one included.
 	Size() int
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -95,10 +95,10 @@
 	return n
 }
 
-// trialTerms is how long, at least, after the last of three, four and five ends a request is tried again,
-// by one VM. A request that many callers send alike may have stood beside another one at each
-// of the ends: the first trial soon finds that out. One that ends its targets ends three more;
-// after these it is tried once in maxTerm.
+// trialTerms is how long, at least, after the last of three, four and five ends a request is
+// tried again, by one VM. A request that many callers send alike may have stood beside another
+// one at each of the ends: the first trial soon finds that out. One that ends its targets ends
+// three more; after these it is tried once in maxTerm.
 var trialTerms = []time.Duration{5 * time.Second, time.Minute, 10 * time.Minute}
 
 // trialTerm is how long a request is kept from all targets after the last of n ends.
