The time asleep is never reckoned too short

Cause: the monotonic and the boot clock are read one after the other, and at the begin the boot clock came second, so that what passed between the readings was taken off the time asleep; a thread that is held up there for long would take off as much.

Change: the boot clock is read first at the begin and last in each look, which errs to the safe side, and both are read again where more than 1 ms lies between.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -66,27 +66,63 @@
 }
 
 func newSteady(s source) *steady {
-	return &steady{source: s, zero: s.read(), zeroBoot: s.boot(), resumed: make(map[int]func())}
+	zeroBoot, zero := s.begin()
+	return &steady{source: s, zero: zero, zeroBoot: zeroBoot, resumed: make(map[int]func())}
+}
+
+// Both clocks cannot be read at one instant. The boot clock is read first at the begin and last
+// in each look, so that the time asleep is never reckoned too short: by what passes between both
+// readings it is too long, which is bounded by reading again.
+const (
+	closeTogether = time.Millisecond
+	maxReadings   = 5
+)
+
+// begin reads the boot clock and, right after it, the others.
+func (s source) begin() (boot time.Duration, r reading) {
+	for range maxReadings {
+		boot, r = s.boot(), s.read()
+		if s.boot()-boot < closeTogether {
+			break
+		}
+	}
+	return boot, r
+}
+
+// look reads the boot clock right after the others.
+func (s source) look() (r reading, boot time.Duration) {
+	for range maxReadings {
+		r, boot = s.read(), s.boot()
+		if s.read().awake-r.awake < closeTogether {
+			break
+		}
+	}
+	return r, boot
 }
 
 // now returns the time of day at which the clock was made and the steady time since.
 func (s *steady) now() time.Time {
-	now := s.source.read()
-	awake := now.awake - s.zero.awake
-	drift := now.day.Sub(s.zero.day) - awake
+	awake, drift := s.since(s.source.read())
 	if d := drift - time.Duration(s.drift.Load()); d > tolerance || d < -tolerance {
-		s.look(awake, drift)
+		s.look()
 	}
 	return s.zero.day.Add(awake + time.Duration(s.asleep.Load()))
 }
 
+// since returns the time awake, and how far the time of day has drifted from it.
+func (s *steady) since(r reading) (awake, drift time.Duration) {
+	awake = r.awake - s.zero.awake
+	return awake, r.day.Sub(s.zero.day) - awake
+}
+
 // look finds out whether the machine was suspended. The time of day may have been set instead.
-func (s *steady) look(awake, drift time.Duration) {
-	asleep := s.source.boot() - s.zeroBoot - awake
+func (s *steady) look() {
+	r, boot := s.source.look()
+	awake, drift := s.since(r)
+	asleep := boot - s.zeroBoot - awake
 	s.mu.Lock()
 	s.drift.Store(int64(drift))
 	var resumed []func()
-	// A thread that was held up between both readings sees a little more than there is.
 	if asleep-time.Duration(s.asleep.Load()) > tolerance {
 		s.asleep.Store(int64(asleep))
 		for _, f := range s.resumed {
