Failing tests: keys of client accounts reach targets, unknown and removed ones are served

On a configuration with client accounts every key was passed on to the targets, no account was named to them, and keys that no configuration holds were served: nothing of the configuration's accounts is read. The setting revoke_bound is there for the tests and has no effect yet.

--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -37,6 +37,9 @@
 	// ConfigBound is within what time a change of the configuration, once it is
 	// written, is in force on every VM.
 	ConfigBound Duration `json:"config_bound"`
+	// RevokeBound is within what time a key that was removed from the configuration serves no
+	// request any more at any VM, in touch with the store or not; 0 is no such bound.
+	RevokeBound Duration `json:"revoke_bound"`
 	// RetryRatio bounds sends to a further target, as a share of the requests.
 	RetryRatio float64 `json:"retry_ratio"`
 	// RetryBurst bounds such sends at once, for all VMs together.
@@ -105,6 +108,9 @@
 	r.needPositive("config_bound", int64(s.ConfigBound))
 	r.needPositive("retry_window", int64(s.RetryWindow))
 	r.needPositive("log_lines_per_s", s.LogLinesPerS)
+	if s.RevokeBound < 0 {
+		r.add("revoke_bound", "must not be below zero")
+	}
 	if s.FileDescriptors < 0 {
 		r.add("file_descriptors", "must not be below zero")
 	}
