--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -22,6 +22,11 @@
 	PeerAddress Addr `json:"peer_address"`
 	// Store is the platform's store.
 	Store Platform `json:"store"`
+	// Cloud is the platform's calls that one VM at a time makes for all.
+	Cloud Cloud `json:"cloud"`
+	// UsageWindow is the length of the windows in which the use of client accounts is
+	// reported.
+	UsageWindow Duration `json:"usage_window"`
 	// FirstStart says that the whole system starts for the first time.
 	FirstStart bool `json:"first_start"`
 	// MemoryMB is the memory that the process may use.
@@ -55,6 +60,27 @@
 	Off []string `json:"off"`
 }
 
+// Cloud is the platform's calls that one VM at a time makes for all.
+type Cloud struct {
+	// Address is empty where there are none.
+	Address Addr `json:"address"`
+	// CallsPerS bounds the calls of all VMs.
+	CallsPerS float64 `json:"calls_per_s"`
+	// Duties are the calls that are to be made.
+	Duties []string `json:"duties"`
+}
+
+// The duties of one VM at a time.
+const (
+	// DutyUsage reports the use of client accounts.
+	DutyUsage = "usage_reporting"
+	// DutyScaling orders engines.
+	DutyScaling = "scaling"
+)
+
+// Has reports whether a duty is to be done.
+func (c *Cloud) Has(duty string) bool { return c.Address != "" && slices.Contains(c.Duties, duty) }
+
 // DefaultNode returns the node's defaults.
 func DefaultNode() *Node {
 	return &Node{
@@ -67,6 +93,8 @@
 		RetryWindow:  Duration(10 * time.Second),
 		RetryBurst:   40,
 		LogLinesPerS: 400,
+		Cloud:        Cloud{CallsPerS: 10},
+		UsageWindow:  Duration(5 * time.Second),
 		PrefillShare: 0.67,
 	}
 }
@@ -108,6 +136,13 @@
 	r.needPositive("config_bound", int64(s.ConfigBound))
 	r.needPositive("retry_window", int64(s.RetryWindow))
 	r.needPositive("log_lines_per_s", s.LogLinesPerS)
+	if s.Cloud.Address != "" {
+		r.needAddr("cloud.address", s.Cloud.Address)
+	}
+	if s.Cloud.CallsPerS <= 0 {
+		r.add("cloud.calls_per_s", "must be above zero")
+	}
+	r.needPositive("usage_window", int64(s.UsageWindow))
 	if s.RevokeBound < 0 {
 		r.add("revoke_bound", "must not be below zero")
 	}
