One holder of duties, and the use of client accounts reported once for each window

Operators saw: no report of any window. Cause: nothing counted runs by account or called the platform.

internal/duty: one VM holds a lease of its own (fencing numbers of their own, rising), renews it each second, and asks its own clock, which counts suspensions, right before each call's first byte. A successor waits for the gap before its first call, so that holders do not take turns within it. VMs that watch the store anyway contend, and only while no other says in its reports that it holds: no calls to the store beside the holder's renewals.

internal/usage: each VM counts runs by account and window (of the time of day at its start plus the time since: setting the clock moves nothing). The holder asks every VM twice a second for what has changed, with what it knows; candidates ask every 2 s, so that a successor knows what a killed VM had counted. Answers state counts, by process, not differences: one that comes twice is harmless. A window's sums are fixed in the store, under the tenure's condition and on the window's row being absent, before they are sent; whoever sends again sends the same. Windows follow in order, after an outage too.

Ruled out: a row of each VM in the store for each window (17 writes a second at 83 VMs, priced and growing with VMs); counts in the reports that VMs send (they go by relays, which would have to merge processes' counts).

--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -1,9 +1,17 @@
 package gateway
 
 import (
+	"time"
+
 	"garnethoist.org/garnethoist/internal/errkind"
 )
 
+// Usage counts the runs of client accounts.
+type Usage interface {
+	// Ran counts a run of an account that began at a time; an empty account is none.
+	Ran(account string, at time.Time)
+}
+
 // identify finds the client account that holds the request's key.
 func (x *exchange) identify() error { return x.decided(x.identifyView) }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,6 +86,7 @@
 	Group       Group
 	Known       Knowledge
 	Quarantine  Quarantine
+	Usage       Usage
 	Client      *httpsend.Client
 	// FirstStart says that the whole group starts for the first time.
 	FirstStart bool
@@ -105,6 +106,7 @@
 	// quarantine knows requests that end targets, and endChecks finds out whether a target
 	// that broke off has ended.
 	quarantine Quarantine
+	usage      Usage
 	endChecks  singleflight.Group
 	client     *httpsend.Client
 	log        *telemetry.Logger
@@ -137,7 +139,7 @@
 // New returns a gateway; it does not listen yet.
 func New(p Parts, limits Limits) *Gateway {
 	g := &Gateway{
-		listen: p.Listen, keeper: p.Keeper, placer: p.Placer, proto: p.Protocol, group: p.Group, known: p.Known, quarantine: p.Quarantine,
+		listen: p.Listen, keeper: p.Keeper, placer: p.Placer, proto: p.Protocol, group: p.Group, known: p.Known, quarantine: p.Quarantine, usage: p.Usage,
 		client: p.Client, log: p.Log, stats: p.Stats, random: newRandom(),
 		started: clock.Now(), conns: newCallerConns(p.Descriptors, p.Client.Open, p.Log),
 	}
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -270,6 +270,7 @@
 // relayFailure gives the caller an engine's own failure, unless the stream has
 // begun.
 func (x *exchange) relayFailure(s *stream, c place.Choice, resp *httpsend.Response) (outcome, error) {
+	x.g.usage.Ran(x.accountName(), clock.Now())
 	body, err := readWhole(resp)
 	c.Ticket.End(place.Bad, clock.Now())
 	x.note(c.Target, strconv.Itoa(resp.Status), err)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -87,10 +87,14 @@
 	if x.route.Kind == fleet.Idempotent {
 		c.overdue = time.After(clock.Until(x.deadline) / overdueShare)
 	}
-	to := x.destination(choice.Target, Directive{})
+	to, account := x.destination(choice.Target, Directive{}), x.accountName()
 	go func() {
 		began := clock.Now()
 		call := x.callPlain(c.ctx, to, choice)
+		if call.out == answered || call.out == unknown {
+			// A target has free places but for moments: the run begins as the request comes.
+			x.g.usage.Ran(account, began)
+		}
 		call.sending, call.began = sd, began
 		c.ended <- call
 	}()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -95,6 +95,7 @@
 	s.wroteAt = now
 	if s.events == 0 {
 		s.firstAt = now
+		s.x.g.usage.Ran(s.x.accountName(), now)
 	}
 	s.events += n
 	if !s.sound && s.ranFor(now) > quarantine.Onset {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"garnethoist.org/garnethoist/internal/stages"
 	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/telemetry"
+	"garnethoist.org/garnethoist/internal/usage"
 	"garnethoist.org/garnethoist/internal/watch"
 )
 
@@ -42,12 +43,18 @@
 	ModuleSender   = "httpsend.client"
 	ModuleStages   = "stages"
 	ModuleSuspects = "quarantine"
+	ModuleDuties   = "node.duties"
+	ModuleDuty     = "duty"
+	ModuleCounter  = "usage.counter"
+	ModuleUsage    = "usage.reporter"
+	ModuleCloud    = "platform.cloud"
 	ModuleGateway  = "gateway"
 	ModuleReload   = "node.reload"
 )
 
-// Roots names the modules that the program is there for.
-var Roots = []string{ModuleAdmin, ModuleReady, ModulePlacer, ModulePeers, ModuleStages, ModuleReload, ModuleGateway}
+// Roots names the modules that the program is there for. They stop in reverse: a VM that stops
+// hands its duties over before it drains.
+var Roots = []string{ModuleAdmin, ModuleReady, ModulePlacer, ModulePeers, ModuleStages, ModuleReload, ModuleGateway, ModuleDuties}
 
 // Store is what the node needs of the platform's store.
 type Store interface {
@@ -55,6 +62,11 @@
 	store.Feed
 }
 
+// Cloud is the calls to the platform that one VM at a time makes for all.
+type Cloud interface {
+	usage.Platform
+}
+
 // Adapter is the platform as the node meets it.
 type Adapter struct {
 	// Store returns the client of the store.
@@ -64,6 +76,8 @@
 	Decoder  watch.Decoder
 	// Engines returns the carrier of orders to engines.
 	Engines func(c *httpsend.Client) stages.Engines
+	// Cloud returns the carrier of the calls that one VM makes for all.
+	Cloud func(c *httpsend.Client, cfg settings.Cloud) Cloud
 	// ReadyPath is what the balancer asks for.
 	ReadyPath string
 	// The store's tables.
@@ -154,6 +168,7 @@
 		return httpsend.New(httpsend.Config{DialTimeout: dialTimeout, MaxIdle: maxIdle, Unacked: unacked}), nil
 	})
 	k.Register(ModuleStages, func(k *kernel.Kernel) (any, error) { return provideStages(k, cfg, a) })
+	registerDuties(k, cfg, a)
 	k.Register(ModuleGateway, func(k *kernel.Kernel) (any, error) { return provideGateway(k, cfg, a) })
 	k.Register(ModuleReload, func(k *kernel.Kernel) (any, error) {
 		g := &kernel.Getter{Kernel: k}
@@ -260,6 +275,7 @@
 		Listen: string(cfg.Listen), Descriptors: descriptors, Keeper: kernel.Need[*fleet.Keeper](g, ModuleKeeper),
 		Placer: kernel.Need[*place.Placer](g, ModulePlacer), Protocol: a.Protocol, Group: group,
 		Known: kernel.Need[*watch.Knowledge](g, ModuleKnown), Client: client,
+		Usage:      kernel.Need[*usage.Counter](g, ModuleCounter),
 		FirstStart: cfg.FirstStart, Quarantine: kernel.Need[*quarantine.Keeper](g, ModuleSuspects),
 		Log: kernel.Need[*telemetry.Logger](g, ModuleLog), Stats: kernel.Need[*gateway.Stats](g, ModuleStats),
 	}, gatewayLimits(cfg))
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -96,6 +96,7 @@
 		From: p.self, Incarnation: p.incarnation, Work: itemsOf(p.placer.Own()),
 		Uses: usesOf(p.placer.TakeUses(), mark(p.self.VM)), Changing: p.orders.Open(),
 	}
+	r.Holds = p.duty != nil && p.duty() != 0
 	var readAt []time.Time
 	for _, f := range p.followed {
 		readAt = append(readAt, f.ReadAt())
@@ -172,6 +173,10 @@
 			p.takeHello(*d.Hello)
 		case d.News != nil:
 			p.takeNews(d.News)
+		case d.Question != nil:
+			p.takeQuestion(d.Question)
+		case d.Answer != nil:
+			p.takeAnswer(d.Answer)
 		case d.Words != nil:
 			p.takeWords(d.Words)
 		case d.Report != nil && d.Report.From.VM != p.self.VM:
@@ -238,7 +243,7 @@
 	next := &heardState{
 		from: r.From, addr: addr, incarnation: r.Incarnation, number: r.Number, at: clock.Now(), digest: r.Digest,
 		work: workOf(r.Work), newest: r.Newest, changing: r.Changing, readAt: r.readAt(clock.Now()),
-		clocks: r.ClocksMS,
+		clocks: r.ClocksMS, holds: r.Holds,
 	}
 	var before map[string]place.Work
 	if s != nil {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -91,6 +91,8 @@
 	followed    []Followed
 	orders      Orders
 	suspects    Suspects
+	usage       Usage
+	duty        func() uint64
 	conn        *net.UDPConn
 	firstStart  bool
 	age         atomic.Int64
@@ -147,7 +149,9 @@
 	newest []uint64
 	readAt []time.Time
 	// clocks is readAt by the store's clock, in ms.
-	clocks   []uint64
+	clocks []uint64
+	// holds says that it is holder of the duties.
+	holds    bool
 	changing map[string]fleet.Stage
 }
 
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -148,6 +148,7 @@
 	// No row was newer than a copy's newest at its time, and none of the copies is
 	// newer than the sum's: the latest of the times holds for that.
 	now := clock.Now()
+	holds := own.Holds
 	readAt, clocks := own.readAt(now), slices.Clone(own.ClocksMS)
 	changing := make(map[string]fleet.Stage, len(own.Changing))
 	maps.Copy(changing, own.Changing)
@@ -162,12 +163,14 @@
 			newest[i] = max(newest[i], s.newest[i])
 		}
 		maps.Copy(changing, s.changing)
+		holds = holds || s.holds
 		readAt = latest(readAt, s.readAt)
 		for i := range min(len(clocks), len(s.clocks)) {
 			clocks[i] = max(clocks[i], s.clocks[i])
 		}
 	}
 	r := &report{From: p.self, Incarnation: p.incarnation, Work: itemsOf(work), Newest: newest, Changing: changing}
+	r.Holds = holds
 	r.AgesMS, r.ClocksMS, r.Listed = agesOf(readAt, now), clocks, p.count()
 	return r
 }
--- a/internal/peers/report.go
+++ b/internal/peers/report.go
@@ -18,6 +18,9 @@
 	News   *news   `cbor:"2,keyasint,omitempty"`
 	// Hello is a VM that has just listed the receiver.
 	Hello *Member `cbor:"3,keyasint,omitempty"`
+	// Question asks for the runs of client accounts, and Answer tells them.
+	Question *question   `cbor:"5,keyasint,omitempty"`
+	Answer   *answerFrom `cbor:"6,keyasint,omitempty"`
 	// Words are of requests that end their targets.
 	Words *wordsFrom `cbor:"4,keyasint,omitempty"`
 }
@@ -51,6 +54,8 @@
 	// ClocksMS is what the store's clock was then. Unlike an age it stays true however long
 	// the report is on its way.
 	ClocksMS []uint64 `cbor:"13,keyasint,omitempty"`
+	// Holds says that From, or a VM of its data centre, is holder of the duties.
+	Holds bool `cbor:"14,keyasint,omitempty"`
 	// Listed is how many VMs From knows.
 	Listed int `cbor:"12,keyasint,omitempty"`
 }
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -57,6 +57,8 @@
 	EventDescriptors      Event = "descriptors_short"
 	EventServer           Event = "http_server"
 	EventLogDropped       Event = "log_dropped"
+	EventUsage            Event = "usage"
+	EventScaling          Event = "scaling"
 	EventClaimUnknown     Event = "claim_unknown"
 	EventClaimsRemoved    Event = "claims_removed"
 )
