Engines are ordered: most of them reclaimable, spread to bear a data centre's loss

Cause: nothing ordered engines.

internal/scaling: a pure plan and a controller under the duties' tenure.

Questions for usage go VM by VM, and one that has more to say is asked at once.

--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,8 @@
 	go test -run '^$$' -fuzz FuzzEventReader -fuzztime $(FUZZTIME) ./internal/relay
 	go test -run '^$$' -fuzz FuzzVMList -fuzztime $(FUZZTIME) ./internal/gossip
 	go test -run '^$$' -fuzz FuzzDecodeTarget -fuzztime $(FUZZTIME) ./platform
+	go test -run '^$$' -fuzz FuzzDecodeConfig -fuzztime $(FUZZTIME) ./platform
+	go test -run '^$$' -fuzz FuzzReadLedger -fuzztime $(FUZZTIME) ./internal/usage
 
 # Plays a day on the wall clock with garnet-node processes, with engines at a part of their
 # speed, and prints service by size; half a minute to two.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -116,6 +116,22 @@
 	MaxConns int
 	// Engine is nil for a plain service.
 	Engine *EngineSpec
+	// Scaling is nil where the number of targets is not ours to choose.
+	Scaling *Scaling
+}
+
+// Scaling is what is said of the order of a service's targets.
+type Scaling struct {
+	// Min and Max bound the targets of one data centre.
+	Min int
+	Max int
+	// Boot is how long a new target takes to serve.
+	Boot time.Duration
+	// SpotPrice is what a target costs that may be reclaimed, as a part of another's price; 0
+	// is none to be had.
+	SpotPrice float64
+	// Prices holds the price of a target's second by data centre.
+	Prices map[string]float64
 }
 
 // Limits bound what a caller may send.
@@ -217,7 +233,9 @@
 	Slots      int
 	// Leaving targets take no new requests.
 	Leaving bool
-	Stage   Stage
+	// Spot targets may be reclaimed, all of a data centre at once.
+	Spot  bool
+	Stage Stage
 }
 
 // runIDBase is the base in which a start is written in a run's id.
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -5,9 +5,12 @@
 
 	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/duty"
+	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/httpsend"
 	"garnethoist.org/garnethoist/internal/kernel"
 	"garnethoist.org/garnethoist/internal/peers"
+	"garnethoist.org/garnethoist/internal/place"
+	"garnethoist.org/garnethoist/internal/scaling"
 	"garnethoist.org/garnethoist/internal/settings"
 	"garnethoist.org/garnethoist/internal/telemetry"
 	"garnethoist.org/garnethoist/internal/usage"
@@ -18,11 +21,14 @@
 
 // provideDuties makes the modules of the duties that the settings name.
 func provideDuties(k *kernel.Kernel, cfg *settings.Node) (any, error) {
-	if !cfg.Cloud.Has(settings.DutyUsage) {
-		return duties{}, nil
+	g := &kernel.Getter{Kernel: k}
+	if cfg.Cloud.Has(settings.DutyUsage) {
+		kernel.Need[*usage.Reporter](g, ModuleUsage)
 	}
-	_, err := kernel.Get[*usage.Reporter](k, ModuleUsage)
-	return duties{}, err
+	if cfg.Cloud.Has(settings.DutyScaling) {
+		kernel.Need[*scaling.Controller](g, ModuleScaling)
+	}
+	return duties{}, g.Err
 }
 
 // registerDuties adds what counts, and what one VM at a time does for all.
@@ -51,6 +57,18 @@
 		group.SetDuty(h.Fence)
 		return h, nil
 	})
+	k.Register(ModuleScaling, func(k *kernel.Kernel) (any, error) {
+		g := &kernel.Getter{Kernel: k}
+		placer := kernel.Need[*place.Placer](g, ModulePlacer)
+		keeper := kernel.Need[*fleet.Keeper](g, ModuleKeeper)
+		if g.Err != nil {
+			return nil, g.Err
+		}
+		busy := func(service string) bool { return placer.Busy(keeper.View().Targets[service]) }
+		c := scaling.New(scaling.Config{Busy: busy}, keeper, kernel.Need[Store](g, ModuleStore), kernel.Need[Cloud](g, ModuleCloud),
+			kernel.Need[*duty.Holder](g, ModuleDuty), kernel.Need[*telemetry.Logger](g, ModuleLog))
+		return c, g.Err
+	})
 	k.Register(ModuleUsage, func(k *kernel.Kernel) (any, error) {
 		g := &kernel.Getter{Kernel: k}
 		group := kernel.Need[*peers.Peers](g, ModulePeers)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"garnethoist.org/garnethoist/internal/peers"
 	"garnethoist.org/garnethoist/internal/place"
 	"garnethoist.org/garnethoist/internal/quarantine"
+	"garnethoist.org/garnethoist/internal/scaling"
 	"garnethoist.org/garnethoist/internal/settings"
 	"garnethoist.org/garnethoist/internal/stages"
 	"garnethoist.org/garnethoist/internal/store"
@@ -47,6 +48,7 @@
 	ModuleDuty     = "duty"
 	ModuleCounter  = "usage.counter"
 	ModuleUsage    = "usage.reporter"
+	ModuleScaling  = "scaling"
 	ModuleCloud    = "platform.cloud"
 	ModuleGateway  = "gateway"
 	ModuleReload   = "node.reload"
@@ -65,6 +67,7 @@
 // Cloud is the calls to the platform that one VM at a time makes for all.
 type Cloud interface {
 	usage.Platform
+	scaling.Platform
 }
 
 // Adapter is the platform as the node meets it.
--- a/internal/peers/usage.go
+++ b/internal/peers/usage.go
@@ -48,11 +48,8 @@
 }
 
 // AskUsage implements usage.Group.
-func (p *Peers) AskUsage(of func(vm string) usage.Question) {
-	for _, vm := range p.Others() {
-		q := of(vm)
-		p.toVM(vm, datagram{Question: &question{From: p.self.VM, Incarnation: q.Incarnation, Revision: q.Revision, Number: q.Number}})
-	}
+func (p *Peers) AskUsage(vm string, q usage.Question) {
+	p.toVM(vm, datagram{Question: &question{From: p.self.VM, Incarnation: q.Incarnation, Revision: q.Revision, Number: q.Number}})
 }
 
 // Others implements usage.Group.
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -132,6 +132,17 @@
 	misses int
 }
 
+// Busy reports whether any of the targets has work in hand, as far as is known.
+func (p *Placer) Busy(targets []*fleet.Target) bool {
+	own := p.Own()
+	for _, t := range targets {
+		if own[t.RunID()] != (Work{}) || p.others.Work(t.RunID()) != (Work{}) {
+			return true
+		}
+	}
+	return false
+}
+
 // Others says what other VMs have in hand at a target.
 type Others interface {
 	Work(targetID string) Work
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -39,8 +39,8 @@
 
 // Group is the VMs that are asked for their counts.
 type Group interface {
-	// AskUsage asks each other VM; answers come to Hear.
-	AskUsage(question func(vm string) Question)
+	// AskUsage asks a VM; its answer comes to Hear.
+	AskUsage(vm string, q Question)
 	// Others names the other VMs.
 	Others() []string
 	// Candidate reports whether this VM may become the holder.
@@ -92,8 +92,12 @@
 // SetGroup sets the group; it is called before Start.
 func (r *Reporter) SetGroup(g Group) { r.group = g }
 
-// Hear takes in another VM's answer.
-func (r *Reporter) Hear(vm string, a Answer) { r.tally.Hear(vm, a) }
+// Hear takes in another VM's answer. One that has more to say is asked at once.
+func (r *Reporter) Hear(vm string, a Answer) {
+	if r.tally.Hear(vm, a) && a.More {
+		r.group.AskUsage(vm, r.tally.Again(vm, a.Number))
+	}
+}
 
 // Start begins to ask and to report.
 func (r *Reporter) Start(context.Context) error {
@@ -130,9 +134,15 @@
 		return
 	}
 	r.askedAt = now
-	question := r.tally.Ask(now)
-	r.group.AskUsage(question)
-	r.tally.Hear(r.cfg.VM, r.Answer(question(r.cfg.VM)))
+	number := r.tally.Ask(now)
+	for _, vm := range r.group.Others() {
+		r.group.AskUsage(vm, r.tally.Again(vm, number))
+	}
+	for more := true; more; {
+		a := r.Answer(r.tally.Again(r.cfg.VM, number))
+		r.tally.Hear(r.cfg.VM, a)
+		more = a.More
+	}
 	r.tally.Forget(WindowAt(now, r.cfg.Length) - keptWindows)
 }
 
--- a/internal/usage/tally.go
+++ b/internal/usage/tally.go
@@ -40,27 +40,29 @@
 // keptQuestions bounds the questions whose time is remembered.
 const keptQuestions = 16
 
-// Ask begins a round of questions and returns what each VM is to be asked.
-func (t *Tally) Ask(now time.Time) func(vm string) Question {
+// Ask begins a round of questions at a time and returns its number.
+func (t *Tally) Ask(now time.Time) uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.number++
 	t.asked[t.number] = now
 	delete(t.asked, t.number-keptQuestions)
-	number := t.number
-	return func(vm string) Question {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		q := Question{Incarnation: t.latest[vm], Number: number}
-		if v := t.known[source{vm, q.Incarnation}]; v != nil {
-			q.Revision = v.revision
-		}
-		return q
+	return t.number
+}
+
+// Again returns what a VM is to be asked in a round, by what is known of it now.
+func (t *Tally) Again(vm string, number uint64) Question {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	q := Question{Incarnation: t.latest[vm], Number: number}
+	if v := t.known[source{vm, q.Incarnation}]; v != nil {
+		q.Revision = v.revision
 	}
+	return q
 }
 
-// Hear takes in a VM's answer.
-func (t *Tally) Hear(vm string, a Answer) {
+// Hear takes in a VM's answer, and reports whether it told anything new.
+func (t *Tally) Hear(vm string, a Answer) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	key := source{vm, a.Incarnation}
@@ -71,7 +73,7 @@
 	}
 	if a.From > v.revision {
 		// Counts between are missing: the next question asks for them.
-		return
+		return false
 	}
 	if a.Incarnation >= t.latest[vm] {
 		t.latest[vm] = a.Incarnation
@@ -80,10 +82,12 @@
 		k := countKey{c.Window, c.Account}
 		v.counts[k] = max(v.counts[k], c.Runs)
 	}
+	news := a.Revision > v.revision
 	v.revision = max(v.revision, a.Revision)
 	if at := t.asked[a.Number]; !a.More && at.After(t.answered[vm]) {
 		t.answered[vm] = at
 	}
+	return news
 }
 
 // Sums returns the runs of each account in a window, over all VMs and their processes.
