--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -134,6 +134,17 @@
 	}
 }
 
+// window is the present window, of which a good part is left for a test that takes real time.
+func (s *scene) window(r *Reporter) Window {
+	for {
+		now := clock.Now()
+		if w := WindowAt(now, length); w.End(length).Sub(now) > length/2 {
+			return w
+		}
+		s.run(r, tick)
+	}
+}
+
 func (s *scene) sum(account string) int {
 	n := 0
 	for _, counts := range s.platform.reports {
@@ -185,7 +196,7 @@
 	r, _ := s.reporter(1)
 	s.run(r, time.Second)
 	first := s.group.vms["vm-1"]
-	w := WindowAt(clock.Now(), length)
+	w := s.window(r)
 	first.Ran("a", clock.Now())
 	first.silent = true
 	s.run(r, w.End(length).Sub(clock.Now())+2*time.Second)
@@ -208,7 +219,7 @@
 			s := newScene(t)
 			r, h := s.reporter(1)
 			s.run(r, time.Second)
-			w := WindowAt(clock.Now(), length)
+			w := s.window(r)
 			s.group.vms["vm-1"].Ran("a", clock.Now())
 			s.platform.err, s.platform.lost = err, err == duty.ErrUnknown
 			s.run(r, w.End(length).Sub(clock.Now())+2*time.Second)
@@ -229,7 +240,7 @@
 	s := newScene(t)
 	r, _ := s.reporter(1)
 	s.run(r, time.Second)
-	w := WindowAt(clock.Now(), length)
+	w := s.window(r)
 	s.group.vms["vm-1"].Ran("a", clock.Now())
 	s.table.lost = true
 	s.run(r, w.End(length).Sub(clock.Now())+2*time.Second)
@@ -252,7 +263,7 @@
 			r, _ := s.reporter(1)
 			s.run(r, time.Second)
 			out(s, true)
-			w := WindowAt(clock.Now(), length)
+			w := s.window(r)
 			for range 4 {
 				s.group.vms["vm-1"].Ran("a", clock.Now())
 				s.run(r, length)
@@ -274,7 +285,7 @@
 	s := newScene(t)
 	r, _ := s.reporter(1)
 	s.run(r, time.Second)
-	w := WindowAt(clock.Now(), length)
+	w := s.window(r)
 	for i := range accounts {
 		s.group.vms["vm-1"].Ran(fmt.Sprintf("account-%06d", i), clock.Now())
 	}
