--- a/internal/scaling/controller.go
+++ b/internal/scaling/controller.go
@@ -30,8 +30,8 @@
 	// dryFor is how long a data centre counts as having no reclaimable engines after it had
 	// none, or lost those that it had.
 	dryFor = 4 * time.Second
-	// settleFor is how long no further engine must have come before those found at the first
-	// start are counted: they enter the list one by one, with their heartbeats.
+	// settleFor is how long the list of engines must not have grown before the first plan: they
+	// enter it one by one, with their heartbeats.
 	settleFor = 2 * time.Second
 	// idleAfter is how long no engine must have had work for a service to count as idle.
 	idleAfter = 10 * time.Second
@@ -96,11 +96,9 @@
 	Fence uint64 `json:"fence"`
 }
 
-// needRow is how many engines of a service stood there at the first start.
+// needRow is how many engines of a service stood there before the first order.
 type needRow struct {
 	Engines int `json:"engines"`
-	// All says that no more will be found.
-	All bool `json:"all"`
 }
 
 // Controller orders engines while this VM holds the duty.
@@ -117,24 +115,24 @@
 	// in; 0 is not read.
 	fence  uint64
 	orders map[subject]*ordered
-	// needs is how many engines serve a service's load at its worst, as journalled.
-	needs map[string]needRow
+	// needs is how many engines serve a service's load at its worst.
+	needs map[string]int
 	// dryUntil is how long a data centre counts as dry, and spots its reclaimable engines when
 	// last looked.
 	dryUntil map[subject]time.Time
 	spots    map[subject]int
-	// found holds the engines of a service that were found at the first start, foundAt when
-	// the last one came. busyAt is when engines were last seen to have work.
-	found   map[string]map[string]bool
-	foundAt map[string]time.Time
-	busyAt  map[string]time.Time
+	// listed is how many engines of a service were listed at most before the first plan, and
+	// grewAt when they became as many. busyAt is when they were last seen to have work.
+	listed map[string]int
+	grewAt map[string]time.Time
+	busyAt map[string]time.Time
 }
 
 // New returns a controller that does nothing before Start.
 func New(cfg Config, keeper *fleet.Keeper, table store.Table, p Platform, h Holder, log *telemetry.Logger) *Controller {
 	return &Controller{
 		cfg: cfg, keeper: keeper, table: table, platform: p, holder: h, log: log,
-		dryUntil: make(map[subject]time.Time), spots: make(map[subject]int), found: make(map[string]map[string]bool), foundAt: make(map[string]time.Time), busyAt: make(map[string]time.Time),
+		dryUntil: make(map[subject]time.Time), spots: make(map[subject]int), listed: make(map[string]int), grewAt: make(map[string]time.Time), busyAt: make(map[string]time.Time),
 	}
 }
 
@@ -175,22 +173,29 @@
 func (c *Controller) stepService(ctx context.Context, t duty.Tenure, v *fleet.View, name string) {
 	now := clock.Now()
 	centres := c.centres(v, name, now)
+	present := 0
+	for _, ce := range centres {
+		present += ce.Full + ce.Spot
+	}
+	if present > c.listed[name] {
+		c.listed[name], c.grewAt[name] = present, now
+	}
 	if c.cfg.Busy(name) {
 		c.busyAt[name] = now
 	}
 	s := v.Config.Services[name].Scaling
-	need := c.needs[name]
-	if !need.All {
-		need = c.count(v.Targets[name], name, now)
+	need, known := c.needs[name]
+	if !known {
+		need = c.listed[name]
 	}
-	if need.Engines == 0 {
+	if !known && (need == 0 || now.Sub(c.grewAt[name]) < settleFor) {
 		return
 	}
 	wanted := Plan(Input{
-		Need: need.Engines, Least: s.Min, Most: s.Max, SpotPrice: s.SpotPrice, Idle: now.Sub(c.busyAt[name]) > idleAfter, Centres: centres,
+		Need: need, Least: s.Min, Most: s.Max, SpotPrice: s.SpotPrice, Idle: now.Sub(c.busyAt[name]) > idleAfter, Centres: centres,
 	})
 	due := c.due(name, centres, wanted, s.Boot, now)
-	if !c.journal(ctx, t, name, need, due) {
+	if len(due) == 0 || !c.journal(ctx, t, name, need, due) {
 		return
 	}
 	for _, o := range due {
@@ -200,24 +205,6 @@
 	}
 }
 
-// count counts the engines found at the first start. Plans need not wait until all have come:
-// each one found adds to the need.
-func (c *Controller) count(targets []*fleet.Target, name string, now time.Time) needRow {
-	found := c.found[name]
-	if found == nil {
-		found = make(map[string]bool)
-		c.found[name] = found
-	}
-	for _, t := range targets {
-		if !t.Spot && !found[t.RunID()] {
-			found[t.RunID()] = true
-			c.foundAt[name] = now
-		}
-	}
-	// The holder before may have found engines that it gave back.
-	return needRow{Engines: max(len(found), c.needs[name].Engines), All: now.Sub(c.foundAt[name]) >= settleFor}
-}
-
 // centres returns the engines of a service by data centre. A data centre whose reclaimable
 // engines have gone counts as dry for a while.
 func (c *Controller) centres(v *fleet.View, name string, now time.Time) []Centre {
@@ -324,11 +311,11 @@
 	for _, r := range records {
 		byKey[r.Key] = r
 	}
-	c.orders, c.needs = make(map[subject]*ordered), make(map[string]needRow)
+	c.orders, c.needs = make(map[subject]*ordered), make(map[string]int)
 	cfg := c.keeper.View().Config
 	for _, name := range scaled(cfg) {
 		if n, ok := decode[needRow](c, byKey, needKey(name)); ok {
-			c.needs[name] = n
+			c.needs[name] = n.Engines
 		}
 		for dataCentre := range cfg.Services[name].Scaling.Prices {
 			for _, spot := range []bool{true, false} {
@@ -360,8 +347,8 @@
 
 func needKey(service string) string { return KeyPrefix + service + "/need" }
 
-// journal writes the need and orders down before these are given, within the tenure.
-func (c *Controller) journal(ctx context.Context, t duty.Tenure, name string, need needRow, due []Order) bool {
+// journal writes orders down before they are given, within the tenure.
+func (c *Controller) journal(ctx context.Context, t duty.Tenure, name string, need int, due []Order) bool {
 	txn := store.Txn{Conds: []store.Cond{t.Condition}}
 	put := func(key string, v any) {
 		value, err := json.Marshal(v)
@@ -371,8 +358,8 @@
 		}
 		txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value})
 	}
-	if need != c.needs[name] && (need.All || len(due) > 0) {
-		put(needKey(name), need)
+	if _, known := c.needs[name]; !known {
+		put(needKey(name), needRow{need})
 	}
 	for _, o := range due {
 		s := subject{o.Service, o.DataCentre, o.Spot}
