Prompts read in place are no reason to have more engines decode

Cause, from the lines of all VMs: as too few engines prefill, prompts are read in place at decode engines; each counted there as a run that fills a seat, so that the plan of the stages had still more engines decode (49 prefilled at 9 s, 23 at 19 s, 11 after a reclaim), and prompts were read in place at half the speed.

The need of decoding counts runs without the prompts that are being read.

Ruled out: engines too few (33 to 58 stood there; reading asked for less than half of them).

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -271,7 +271,11 @@
 	sum := 0.0
 	for _, t := range targets {
 		if t.Stage != fleet.Prefill {
-			sum += e.filled(t, p.at(t), p.total(t.RunID()))
+			load := p.total(t.RunID())
+			// Prompts that are read in place, as too few engines prefill, are no reason to have
+			// more of them decode.
+			load.Running = max(load.Running-load.Prefills, 0)
+			sum += e.filled(t, p.at(t), load)
 		}
 	}
 	return sum
