Reclaimable engines for reclaims in series, as far as they are worth it

Cause: a second data centre's engines were reclaimed before those of the first were back, so that 32 of 84 were left; what is ordered in their place is there after 4 s.

The plan bears the loss of as many data centres' reclaimable engines as cost no more than half of the engines that they replace. An order that is not fulfilled yet is not reduced: 17 and 27 engines at the full price were ordered by turns.

--- a/internal/scaling/controller.go
+++ b/internal/scaling/controller.go
@@ -259,8 +259,11 @@
 	switch {
 	case last == nil:
 		return want != have
+	case want < last.count && have < last.count && now.Before(last.at.Add(boot+bootSlack)):
+		// Those that were ordered are still to come: what asked for them may pass and return.
+		return false
 	case want != last.count:
-		return now.After(last.again) || last.again.IsZero() || want < last.count
+		return now.After(last.again)
 	case want == have:
 		return false
 	}
--- a/internal/scaling/plan.go
+++ b/internal/scaling/plan.go
@@ -14,8 +14,8 @@
 	// keptFull is how many engines of each data centre are not reclaimable: with one of each
 	// stage it serves while no others are to be had anywhere, also cut off.
 	keptFull = 2
-	// worthwhile is the price of reclaimable engines, as a part of the others', up to which the
-	// spares for a data centre's loss cost less than the engines that they replace.
+	// worthwhile is what reclaimable engines may cost, spares included, as a part of the price of
+	// the engines that they replace.
 	worthwhile = 0.5
 )
 
@@ -72,10 +72,18 @@
 		return part, 0
 	}
 	full = min(keptFull, in.Most)
-	// Without any one data centre's reclaimable engines the others still make up the need.
-	spot = ceilDiv(max(in.Need-centres*full, 0), max(centres-1, 1))
-	spot = max(spot, in.Least-full)
-	return full, min(spot, in.Most-full)
+	replaced := max(in.Need-centres*full, 0)
+	spot = ceilDiv(replaced, centres)
+	// Reclaims come in series: the next one before the engines of the first are back. As many
+	// data centres' loss is borne as its spares are worth.
+	for left := centres - 1; left >= 1; left-- {
+		more := min(ceilDiv(replaced, left), in.Most-full)
+		if float64(centres*more)*in.SpotPrice > worthwhile*float64(replaced) {
+			break
+		}
+		spot = more
+	}
+	return full, min(max(spot, in.Least-full), in.Most-full)
 }
 
 // fillDry has the other data centres make up for those without reclaimable engines, and buys
