Engines that long answers needed a while ago pass to prompts that queue

Callers saw: prompts refused in the first seconds after a span of long answers, while engines decoded for few. Cause: decoding kept for 15 to 30 s what it had needed at its height. While prompts queue for longer than a late one would be sent for, what it needed in the last 3 to 6 s counts: longer than one swing of the mix, so that engines do not change back and forth with it.

Not tried: following the swing itself, as a change of stage takes as long.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -104,6 +104,8 @@
 	HandleTTL time.Duration
 	// SwitchTime is how long an engine is away when it changes its stage.
 	SwitchTime time.Duration
+	// Objective is the shortest objective of the service's routes, or 0.
+	Objective time.Duration
 	// MaxGap is the shortest pause between events that a route of the service
 	// allows, or 0: streams of all routes run side by side at an engine.
 	MaxGap time.Duration
@@ -181,6 +183,7 @@
 		for _, share := range r.Shares {
 			if s := c.Services[share.Service]; s != nil && s.Engine != nil {
 				s.Engine.MaxGap = shorter(s.Engine.MaxGap, r.MaxGap)
+				s.Engine.Objective = shorter(s.Engine.Objective, r.Objective)
 			}
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -224,6 +224,7 @@
 	group.SetOrders(controller)
 	keeper := kernel.Need[*fleet.Keeper](g, ModuleKeeper)
 	controller.SetDemand(func(targets []*fleet.Target) float64 { return demand(placer, keeper.View(), targets) })
+	controller.SetPressed(func(targets []*fleet.Target) bool { return pressed(placer, keeper.View(), targets) })
 	controller.SetCandidate(func() bool { return !group.PassesOn() || group.Sentinel() })
 	controller.SetView(placer.Streams, func(engine string) bool {
 		_, changing := group.Changing(engine)
@@ -245,6 +246,16 @@
 	return p.Decoding(targets, s.Engine, time.Now())
 }
 
+// pressed reports whether prompts queue for longer at the engines of a service that prefill than
+// their objective allows.
+func pressed(p *place.Placer, v *fleet.View, targets []*fleet.Target) bool {
+	if v.Config == nil || len(targets) == 0 {
+		return false
+	}
+	s := v.Config.Services[targets[0].Service]
+	return s != nil && s.Engine != nil && s.Engine.Objective > 0 && p.Pressed(targets, s.Engine.Objective)
+}
+
 func provideStages(k *kernel.Kernel, cfg *settings.Node, a Adapter) (any, error) {
 	g := &kernel.Getter{Kernel: k}
 	sc := stages.Config{VM: cfg.VM, Share: cfg.PrefillShare, Gap: cfg.LeaseGap.D()}
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -25,6 +25,25 @@
 	return p.total(queuePrefix + service)
 }
 
+// Pressed reports whether prompts wait so long for the engines that prefill, there and at the
+// VMs, that one which is late anyway would not be sent (see Judge).
+func (p *Placer) Pressed(targets []*fleet.Target, objective time.Duration) bool {
+	if len(targets) == 0 {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	queued := p.total(queuePrefix + targets[0].Service).Prefill
+	engines := 0
+	for _, t := range targets {
+		if t.Stage == fleet.Prefill && !t.Leaving {
+			queued += p.total(t.RunID()).ahead()
+			engines++
+		}
+	}
+	return queued > idleWait(objective)*time.Duration(max(engines, 1))
+}
+
 // room returns the reading time that can be added to the targets before each reaches the
 // given wait, minus the work placed by others that is not reported yet.
 func room(ways []weighed, wait, unseen time.Duration) time.Duration {
--- a/internal/stages/controller.go
+++ b/internal/stages/controller.go
@@ -44,6 +44,9 @@
 	// peakSpan is for how long at least the most that decoding needed is kept. The mix
 	// swings within seconds, and a change that chases it comes too late.
 	peakSpan = 15 * time.Second
+	// pressedSpan takes its place while prompts queue at the engines that prefill: above the
+	// few seconds of one swing, so that engines do not change back and forth with it.
+	pressedSpan = 3 * time.Second
 	// maxChanges bounds the changes of one step: the store takes 100 entries in
 	// one transaction, the tenure's condition among them.
 	maxChanges = 90
@@ -117,8 +120,10 @@
 	elsewhere func(engine string) bool
 	// demand is how many decode engines the runs in hand of a service fill.
 	demand func([]*fleet.Target) float64
+	// pressed reports whether prompts queue at a service's engines that prefill.
+	pressed func([]*fleet.Target) bool
 	// peaks holds the most that decoding needed of late, by service; mu guards it.
-	peaks map[string]*peak
+	peaks map[string]*peaks
 	// candidate says whether this VM may contend for the lease.
 	candidate func() bool
 
@@ -137,7 +142,8 @@
 		cfg: cfg, keeper: keeper, table: table, engines: engines, clock: clock, log: log,
 		lease: lease.New(lc, table, clock), open: make(map[string]*openOrder),
 		load: func(string) int { return 0 }, elsewhere: func(string) bool { return false },
-		candidate: func() bool { return true }, demand: func([]*fleet.Target) float64 { return 0 }, peaks: make(map[string]*peak),
+		candidate: func() bool { return true }, demand: func([]*fleet.Target) float64 { return 0 }, peaks: make(map[string]*peaks),
+		pressed: func([]*fleet.Target) bool { return false },
 	}
 }
 
@@ -151,6 +157,10 @@
 // fill; it is called before Start.
 func (c *Controller) SetDemand(demand func([]*fleet.Target) float64) { c.demand = demand }
 
+// SetPressed sets where it is read whether prompts queue at a service's engines that prefill;
+// it is called before Start.
+func (c *Controller) SetPressed(pressed func([]*fleet.Target) bool) { c.pressed = pressed }
+
 // SetCandidate sets what says whether this VM may contend for the lease: in a
 // large group a few are enough. It is called before Start.
 func (c *Controller) SetCandidate(candidate func() bool) { c.candidate = candidate }
@@ -243,24 +253,47 @@
 
 // decoding is how many engines of a service decode at least: those that its runs have
 // lately filled to decodeUse.
+//
+// Load pattern: spans of long answers and spans of prompts follow each other within seconds.
+// Engines that the answers needed a while ago are kept for the next ones, but not while prompts
+// queue.
 func (c *Controller) decoding(targets []*fleet.Target) int {
 	if len(targets) == 0 {
 		return 0
 	}
 	// Placement answers under its own lock, under which it calls Changing.
-	demand := c.demand(targets)
+	demand, pressed := c.demand(targets), c.pressed(targets)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.peaks[targets[0].Service]
 	if p == nil {
-		p = &peak{}
+		p = &peaks{long: peak{span: peakSpan}, short: peak{span: pressedSpan}}
 		c.peaks[targets[0].Service] = p
 	}
-	return int(math.Ceil(p.take(demand, c.clock()) / decodeUse))
+	return int(math.Ceil(p.take(demand, pressed, c.clock()) / decodeUse))
+}
+
+// peaks is the most that decoding needed of late, over a long and a short span.
+type peaks struct {
+	long  peak
+	short peak
+}
+
+// take takes in what is needed at a time, and returns the most that counts.
+func (p *peaks) take(need float64, pressed bool, at time.Duration) float64 {
+	long, short := p.long.take(need, at), p.short.take(need, at)
+	if pressed {
+		// What was needed before the prompts came is needed no more once they have gone.
+		p.long = p.short
+		p.long.span = peakSpan
+		return short
+	}
+	return long
 }
 
 // peak is the most that was needed of late.
 type peak struct {
+	span time.Duration
 	// now is the most of the present span, which began at since, and before that of
 	// the one before.
 	now    float64
@@ -271,7 +304,7 @@
 // take takes in what is needed at a time, and returns the most of the last one to two
 // spans.
 func (p *peak) take(need float64, at time.Duration) float64 {
-	if at-p.since >= peakSpan {
+	if at-p.since >= p.span {
 		p.now, p.before, p.since = 0, p.now, at
 	}
 	p.now = max(p.now, need)
