The soak deals client accounts, removed keys and the duties of one VM

A history of real processes: six keys are taken away beside cuts of two VMs from the store, a pause, kills of single VMs and of all, a stop, a silent store and one whose answers are lost. Checked from outside: no target gets a key or the name of another account, no request sent later than the bound after its key was removed runs at any VM, disturbed or not; the stand-in of the platform's calls finds shared and falling fences, turns within the gap and windows with two reports, and each window that is due must have come.

--- /dev/null
+++ b/internal/soak/accounts.go
@@ -0,0 +1,137 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"garnethoist.org/garnethoist/internal/settings"
+	"garnethoist.org/garnethoist/platform/platformtest"
+)
+
+const (
+	// accounts is how many client accounts there are, each with keysEach keys at first.
+	accounts = 4
+	keysEach = 3
+	// revokeBound is within what time a removed key serves no request any more.
+	revokeBound = 3 * time.Second
+	// usageWindow is the length of the windows in which usage is reported, and usageLate how
+	// long after a window's end its report is due.
+	usageWindow = time.Second
+	usageLate   = 10 * time.Second
+	// cloudCallsPerS bounds the calls of all VMs for the duties.
+	cloudCallsPerS = 50
+)
+
+// keyring is the client accounts' keys.
+type keyring struct {
+	mu sync.Mutex
+	// held holds the keys in force by account, and removed when others were removed.
+	held    [accounts][]string
+	removed map[string]time.Duration
+	made    int
+}
+
+func newKeyring() *keyring {
+	k := &keyring{removed: make(map[string]time.Duration)}
+	for i := range k.held {
+		for range keysEach {
+			k.held[i] = append(k.held[i], k.next(i))
+		}
+	}
+	return k
+}
+
+// next returns a key that was never used; the caller holds k.mu, or is the only one.
+func (k *keyring) next(account int) string {
+	k.made++
+	return fmt.Sprintf("key-%d-%d", account, k.made)
+}
+
+func accountName(i int) string { return fmt.Sprintf("account-%d", i) }
+
+// tenants is the keys as the configuration has them.
+func (k *keyring) tenants() []any {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var out []any
+	for i, keys := range k.held {
+		out = append(out, map[string]any{"Name": accountName(i), "Keys": append([]string(nil), keys...)})
+	}
+	return out
+}
+
+// draw returns an account and one of its keys: now and then one that was removed.
+func (k *keyring) draw() (account, key string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if rand.IntN(4) == 0 {
+		for key := range k.removed {
+			return "", key
+		}
+	}
+	i := rand.IntN(accounts)
+	return accountName(i), k.held[i][rand.IntN(len(k.held[i]))]
+}
+
+// turn takes an account's oldest key away and gives it a new one.
+func (k *keyring) turn(account int) (removed string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	i := account % accounts
+	removed = k.held[i][0]
+	k.held[i] = append(k.held[i][1:], k.next(i))
+	return removed
+}
+
+// revoke removes a key by a new version of the configuration.
+func (w *world) revoke(account int) {
+	if w.keys == nil {
+		return
+	}
+	key := w.keys.turn(account)
+	w.change()
+	w.keys.mu.Lock()
+	w.keys.removed[key] = w.now()
+	w.keys.mu.Unlock()
+	w.check.Revoked(key, w.now())
+}
+
+// addAccounts gives a VM's settings what accounts and duties need.
+func (w *world) addAccounts(cfg *settings.Node) {
+	if w.keys == nil {
+		return
+	}
+	cfg.RevokeBound, cfg.UsageWindow = settings.Duration(revokeBound), settings.Duration(usageWindow)
+	cfg.Cloud = settings.Cloud{Address: settings.Addr(w.cloud.Address()), CallsPerS: cloudCallsPerS, Duties: []string{settings.DutyUsage}}
+}
+
+// inspect has the checker see what a target is told of a request's account.
+func (w *world) inspect(e *platformtest.Engine) {
+	if w.keys == nil {
+		return
+	}
+	e.Inspect(func(r *http.Request) {
+		w.check.Told(r.Header.Get("Request-Id"), r.Header.Get("Credential"), r.Header.Get("Tenant-Name"), w.now())
+	})
+}
+
+// checkDuties checks what the platform saw of the duties, and that the windows which are due
+// were reported.
+func (w *world) checkDuties() {
+	if w.keys == nil {
+		return
+	}
+	for _, what := range w.cloud.Broken() {
+		w.check.Duty(false, what, w.now())
+	}
+	reports := w.cloud.Reports()
+	w.check.Duty(len(reports) > 0, "no window was reported", w.now())
+	last := time.Now().Add(-usageLate).Unix()
+	for window := w.served.Unix(); window < last; window++ {
+		_, ok := reports[window]
+		w.check.Duty(ok, fmt.Sprintf("window %d was not reported", window), w.now())
+	}
+}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -116,8 +116,13 @@
 
 // ask sends one request and has its answer checked.
 func (w *world) ask(c *platformtest.Caller, v *vm, id string, kind kindOfCall) platformtest.Reply {
+	account, key := "", ""
+	if w.keys != nil {
+		account, key = w.keys.draw()
+	}
 	w.check.Sent(id, v.name, kind.once, w.now())
-	reply := c.Ask(platformtest.Call{ID: id, Path: "/" + kind.route + "/x", Tokens: kind.tokens, Body: soundBody(id), Timeout: callTimeout})
+	w.check.Named(id, account, key)
+	reply := c.Ask(platformtest.Call{ID: id, Path: "/" + kind.route + "/x", Tokens: kind.tokens, Body: soundBody(id), Timeout: callTimeout, Key: key})
 	a := answerOf(id, kind, reply)
 	w.check.Answered(id, a, w.now())
 	w.count(kind.name() + " " + outcome(a, reply))
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -37,6 +37,13 @@
 	Uncut Promise = "no_answer_cut"
 	// Contained: a request that has ended three targets is kept from others.
 	Contained Promise = "deadly_contained"
+	// Secret: a target is told the account that holds a request's key, and not the key.
+	Secret Promise = "keys_kept"
+	// Denied: a removed key serves no request that is sent later than its bound.
+	Denied Promise = "removed_key_denied"
+	// Duties: calls of one VM for all come from one at a time, and each window is reported
+	// once.
+	Duties Promise = "one_duty_holder"
 	// Recovered: after the last fault every VM serves again.
 	Recovered Promise = "recovered"
 )
@@ -91,6 +98,9 @@
 	runs    []string
 	ending  Ending
 	refused bool
+	// account holds key, which is empty where none was named.
+	account string
+	key     string
 	// cut is when the caller got a part, while the target was still at work; 0
 	// where that is not so.
 	cut time.Duration
@@ -132,8 +142,10 @@
 	disturbed map[string][]span
 	// killed holds when targets ended under each deadly request, and late how often it was
 	// sent on too late.
-	killed     map[string][]time.Duration
-	late       map[string]int
+	killed map[string][]time.Duration
+	late   map[string]int
+	// revoked holds when keys were removed.
+	revoked    map[string]time.Duration
 	violations []Violation
 	// Made counts the checks made of each promise.
 	made map[Promise]int
@@ -149,7 +161,7 @@
 func NewChecker() *Checker {
 	return &Checker{
 		requests: make(map[string]*request), orders: make(map[string]order), leaving: make(map[string]time.Duration),
-		shown: make(map[string]shown), killed: make(map[string][]time.Duration), late: make(map[string]int), disturbed: make(map[string][]span), made: make(map[Promise]int),
+		shown: make(map[string]shown), killed: make(map[string][]time.Duration), late: make(map[string]int), revoked: make(map[string]time.Duration), disturbed: make(map[string][]span), made: make(map[Promise]int),
 	}
 }
 
@@ -209,6 +221,43 @@
 	}
 	c.check(Unrun, !r.refused, at, "%s runs on %s after it was refused", id, engine)
 	r.runs = append(r.runs, engine)
+	if removed, ok := c.revoked[r.key]; ok {
+		// It holds for every VM, disturbed or not.
+		c.check(Denied, r.sent-removed <= revokeBound, at, "%s runs on %s, sent %s after its key was removed", id, engine, r.sent-removed)
+	}
+}
+
+// Named notes the key that a request bears, and the account that holds it; empty where the key
+// may have been removed.
+func (c *Checker) Named(id, account, key string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requests[id].account, c.requests[id].key = account, key
+}
+
+// Revoked notes that the operator has removed a key.
+func (c *Checker) Revoked(key string, at time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.revoked[key] = at
+}
+
+// Told checks what a target is told of a request's account.
+func (c *Checker) Told(id, key, account string, at time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.requests[id]
+	if r == nil || r.key == "" {
+		return
+	}
+	c.check(Secret, key == "" && account != "" && (r.account == "" || r.account == account), at, "%s of %s reaches a target as %s, key told: %t", id, r.account, account, key != "")
+}
+
+// Duty checks a call that one VM makes for all.
+func (c *Checker) Duty(ok bool, what string, at time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.check(Duties, ok, at, "%s", what)
 }
 
 // Ended notes that a target is through with a request.
--- a/internal/soak/deal.go
+++ b/internal/soak/deal.go
@@ -96,6 +96,8 @@
 		w.foreign(ctx, s)
 	case Deadly:
 		w.deadly(ctx, f)
+	case Revoke:
+		w.revoke(f.Index)
 	case Change:
 		w.change()
 	case Storm:
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -40,6 +40,8 @@
 	// Deadly: a request that ends each target that runs it is sent again and again. It is dealt
 	// by histories only, as well.
 	Deadly Kind = "deadly_request"
+	// Revoke takes a key from an account. It is dealt by histories only, as well.
+	Revoke Kind = "key_revoked"
 	// Of the configuration: one change, or several in quick succession.
 	Change Kind = "config_change"
 	Storm  Kind = "config_storm"
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -22,6 +22,8 @@
 	Engines int
 	Plains  int
 	Callers int
+	// Accounts has callers name client accounts by keys, and VMs report their use.
+	Accounts bool
 	// Bin holds the programs, Dir takes settings and logs.
 	Bin   string
 	Dir   string
@@ -60,12 +62,14 @@
 	if err != nil {
 		return nil, err
 	}
+	w.served = time.Now()
 	plan := cfg.Faults
 	if plan == nil {
 		plan = Plan(cfg.Seed, cfg.Length)
 	}
 	w.soak(ctx, plan)
 	w.recover(ctx)
+	w.checkDuties()
 	violations, checks := w.check.Result()
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -107,7 +111,8 @@
 			if err != nil {
 				continue
 			}
-			if r := w.ask(c, v, last.next(), kind); r.Err == nil && r.Status == 200 {
+			if r := w.ask(c, v, last.next(), kind); r.Err == nil && (r.Status == 200 || r.Status == 401) {
+				// A removed key is denied.
 				served++
 			}
 			c.Close()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -196,3 +196,35 @@
 	}
 	is.True(refused > 0)
 }
+
+// Keys are taken away while VMs are cut off from the store, paused, killed and stopped, the
+// holder of the duties among them, and the store is away, silent or loses answers.
+func TestRevokedKeysAndDuties(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	at := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+	history := []soak.Fault{
+		{Kind: soak.Revoke, At: at(2), Index: 0},
+		{Kind: soak.StoreLink, At: at(2.5), For: at(6), Index: 0, Variant: 2},
+		{Kind: soak.StoreLink, At: at(3), For: at(5), Index: 1, Variant: 3},
+		{Kind: soak.Revoke, At: at(3.2), Index: 1},
+		{Kind: soak.Revoke, At: at(3.4), Index: 1},
+		{Kind: soak.Pause, At: at(4), For: at(4.5), Index: 2},
+		{Kind: soak.Revoke, At: at(4.1), Index: 2},
+		{Kind: soak.StoreFault, At: at(10), For: at(4), Variant: 2},
+		{Kind: soak.Revoke, At: at(10.5), Index: 3},
+		{Kind: soak.Kill, At: at(12), Index: 0},
+		{Kind: soak.Stop, At: at(15), Index: 1},
+		{Kind: soak.StoreFault, At: at(17), For: at(2), Variant: 4},
+		{Kind: soak.Revoke, At: at(17.5), Index: 0},
+		{Kind: soak.Kill, At: at(20), Index: 0},
+		{Kind: soak.Kill, At: at(20), Index: 1},
+		{Kind: soak.Kill, At: at(20), Index: 2},
+	}
+	r := run(t, soak.Config{Seed: 1, Length: 26 * time.Second, Faults: history, Ports: proc.NewPorts(), Accounts: true})
+	is := is.New(t)
+	for _, p := range []soak.Promise{soak.Secret, soak.Denied, soak.Duties} {
+		is.True(r.Checks[p] > 0)
+	}
+}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -87,7 +87,13 @@
 	vms     []*vm
 	slots   []*slot
 	began   time.Time
-	bg      sync.WaitGroup
+	// served is when all VMs were ready first.
+	served time.Time
+	bg     sync.WaitGroup
+
+	// keys and cloud are nil in histories without client accounts.
+	keys  *keyring
+	cloud *platformtest.Cloud
 
 	mu      sync.Mutex
 	version int
@@ -105,6 +111,10 @@
 		cfg: cfg, check: NewChecker(), store: platformtest.NewStore(), cluster: proc.NewCluster(cfg.Dir, cfg.Bin, cfg.Ports),
 		began: time.Now(), tallies: make(map[string]int),
 	}
+	if cfg.Accounts {
+		w.keys, w.cloud = newKeyring(), platformtest.NewCloud()
+		w.cloud.LeaseGap = holderGap
+	}
 	w.change()
 	if err := w.addSlots(); err != nil {
 		w.close()
@@ -168,6 +178,7 @@
 		gap = longGap
 	}
 	e.SetGap(gap)
+	w.inspect(e)
 	e.CrashOn(deadlyBody, func(e *platformtest.Engine) { w.ended(s, e) })
 	s.engine, s.away = e, false
 	w.list(s, e)
@@ -191,6 +202,7 @@
 	v.cfg.Listen, v.cfg.ReadyListen, v.cfg.MetricsListen, v.cfg.PeerAddress = addrs[0], addrs[1], addrs[2], addrs[3]
 	v.cfg.Store.Address = settings.Addr(v.store.Addr())
 	v.cfg.Grace = settings.Duration(grace)
+	w.addAccounts(v.cfg)
 	w.vms = append(w.vms, v)
 	if err := w.cluster.Write(v.name, v.cfg); err != nil {
 		return err
@@ -268,6 +280,9 @@
 		s.mu.Unlock()
 	}
 	w.store.Close()
+	if w.cloud != nil {
+		w.cloud.Close()
+	}
 }
 
 // change writes a new version of the configuration, whose route is named after
@@ -277,7 +292,11 @@
 	w.version++
 	version := w.version
 	w.mu.Unlock()
-	w.store.Put(platformtest.TableOperator, platformtest.KeyConfig, platformtest.Config(version, routeOf(version)))
+	config := platformtest.Config(version, routeOf(version))
+	if w.keys != nil {
+		config["Tenants"] = w.keys.tenants()
+	}
+	w.store.Put(platformtest.TableOperator, platformtest.KeyConfig, config)
 	w.check.Changed(version, w.now())
 }
 
