A request's account is looked up beside a send without a gap

A plain request whose answer is overdue is sent to a second target: the lookup for that send set the account to none and then to what it found, while the first send read it to name the account and to check the key before its first byte. The account is one value now, which a lookup replaces. The lines of requests name it.

--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"garnethoist.org/garnethoist/internal/errkind"
+	"garnethoist.org/garnethoist/internal/fleet"
 )
 
 // Usage counts the runs of client accounts.
@@ -19,40 +20,38 @@
 // known that none was removed longer ago than removals may take: a VM that was cut off, frozen
 // or suspended may not have heard of it.
 func (x *exchange) identifyView() error {
-	x.account = nil
 	cfg := x.view.Config
 	if !cfg.Keyed() {
 		return nil
 	}
+	var account *fleet.Account
 	current := x.g.known.KeysCurrent()
-	if x.route.Anonymous {
-		if current {
-			x.account = cfg.Account(x.meta.Key)
-		}
-		return nil
+	if current {
+		account = cfg.Account(x.meta.Key)
 	}
-	if !current {
+	x.account.Store(account)
+	switch {
+	case x.route.Anonymous || account != nil:
+		return nil
+	case !current:
 		return x.refusal(errkind.KeysUncertain, nil, "this VM does not know which keys were removed lately")
 	}
-	x.account = cfg.Account(x.meta.Key)
-	if x.account == nil {
-		return errkind.New(errkind.UnknownKey, "no client account has this key")
-	}
-	return nil
+	return errkind.New(errkind.UnknownKey, "no client account has this key")
 }
 
 // accountName is the name of the client account, or empty for an anonymous request.
 func (x *exchange) accountName() string {
-	if x.account == nil {
+	account := x.account.Load()
+	if account == nil {
 		return ""
 	}
-	return x.account.Name
+	return account.Name
 }
 
 // admitted reports whether the key may still be served. It is asked right before a send's
 // first byte: the process may have stood still since the send was decided.
 func (x *exchange) admitted() bool {
-	if x.account == nil {
+	if x.account.Load() == nil {
 		return true
 	}
 	cfg := x.g.keeper.View().Config
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,14 +27,14 @@
 	arrived time.Time
 	view    *fleet.View
 
-	meta  Meta
-	route *fleet.Route
-	// account is nil for an anonymous request.
-	account  *fleet.Account
+	meta     Meta
+	route    *fleet.Route
 	service  string
 	body     []byte
 	deadline time.Time
 
+	// account is nil for an anonymous request. Each send looks it up anew, also beside another.
+	account atomic.Pointer[fleet.Account]
 	// tried holds the targets that are not to be chosen again.
 	tried place.Tried
 	// sends counts the sends of the request.
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -196,7 +196,7 @@
 // prefill has the prompt read and returns the handle of its KV cache. Nothing
 // has run after it, whatever its outcome.
 func (x *exchange) prefill(ctx context.Context, c place.Choice) (*Handle, outcome, error) {
-	resp, out, err := x.send(ctx, c.Target, Directive{Engine: true, PrefillOnly: true, Priority: x.account.Rank(x.route)}, c.Ticket)
+	resp, out, err := x.send(ctx, c.Target, Directive{Engine: true, PrefillOnly: true, Priority: x.account.Load().Rank(x.route)}, c.Ticket)
 	if err != nil {
 		if out == unknown {
 			out = refused
@@ -231,7 +231,7 @@
 // decode sends the request to a decode target and relays its events; p is nil
 // where the prompt is read there.
 func (x *exchange) decode(ctx context.Context, s *stream, c place.Choice, p *prefilled) (outcome, error) {
-	d := Directive{Engine: true, Priority: x.account.Rank(x.route), ResumeAfter: x.lastEvent}
+	d := Directive{Engine: true, Priority: x.account.Load().Rank(x.route), ResumeAfter: x.lastEvent}
 	if p != nil {
 		d.Handle = p.handle
 	}
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -67,6 +67,9 @@
 	if x.route != nil {
 		fields = append(fields, telemetry.F("route", x.route.Name), telemetry.F("service", x.service))
 	}
+	if name := x.accountName(); name != "" {
+		fields = append(fields, telemetry.F("account", name))
+	}
 	if p := x.meta.Prompt; p != nil {
 		fields = append(fields, telemetry.F("prompt", p.Tokens), telemetry.F("output", p.Output), telemetry.F("max_output", p.MaxOutput))
 	}
