The soak's removed keys are asked for while no VM can hear of their removal

The store is silent for all for 8 s now, and a third of the requests bear the key that was removed last.

--- a/internal/soak/accounts.go
+++ b/internal/soak/accounts.go
@@ -28,14 +28,14 @@
 // keyring is the client accounts' keys.
 type keyring struct {
 	mu sync.Mutex
-	// held holds the keys in force by account, and removed when others were removed.
+	// held holds the keys in force by account, and removed those that were, the newest last.
 	held    [accounts][]string
-	removed map[string]time.Duration
+	removed []string
 	made    int
 }
 
 func newKeyring() *keyring {
-	k := &keyring{removed: make(map[string]time.Duration)}
+	k := &keyring{}
 	for i := range k.held {
 		for range keysEach {
 			k.held[i] = append(k.held[i], k.next(i))
@@ -63,14 +63,15 @@
 	return out
 }
 
-// draw returns an account and one of its keys: now and then one that was removed.
+// removedEvery is of how many requests one bears the key that was removed last.
+const removedEvery = 3
+
+// draw returns an account and one of its keys, or the key that was removed last and no account.
 func (k *keyring) draw() (account, key string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if rand.IntN(4) == 0 {
-		for key := range k.removed {
-			return "", key
-		}
+	if n := len(k.removed); n > 0 && rand.IntN(removedEvery) == 0 {
+		return "", k.removed[n-1]
 	}
 	i := rand.IntN(accounts)
 	return accountName(i), k.held[i][rand.IntN(len(k.held[i]))]
@@ -94,7 +95,7 @@
 	key := w.keys.turn(account)
 	w.change()
 	w.keys.mu.Lock()
-	w.keys.removed[key] = w.now()
+	w.keys.removed = append(w.keys.removed, key)
 	w.keys.mu.Unlock()
 	w.check.Revoked(key, w.now())
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -198,7 +198,8 @@
 }
 
 // Keys are taken away while VMs are cut off from the store, paused, killed and stopped, the
-// holder of the duties among them, and the store is away, silent or loses answers.
+// holder of the duties among them, and while the store is silent for all, so that no VM can hear
+// of it, or loses answers.
 func TestRevokedKeysAndDuties(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts processes")
@@ -212,17 +213,17 @@
 		{Kind: soak.Revoke, At: at(3.4), Index: 1},
 		{Kind: soak.Pause, At: at(4), For: at(4.5), Index: 2},
 		{Kind: soak.Revoke, At: at(4.1), Index: 2},
-		{Kind: soak.StoreFault, At: at(10), For: at(4), Variant: 2},
+		{Kind: soak.StoreFault, At: at(10), For: at(8), Variant: 2},
 		{Kind: soak.Revoke, At: at(10.5), Index: 3},
-		{Kind: soak.Kill, At: at(12), Index: 0},
-		{Kind: soak.Stop, At: at(15), Index: 1},
-		{Kind: soak.StoreFault, At: at(17), For: at(2), Variant: 4},
-		{Kind: soak.Revoke, At: at(17.5), Index: 0},
-		{Kind: soak.Kill, At: at(20), Index: 0},
-		{Kind: soak.Kill, At: at(20), Index: 1},
-		{Kind: soak.Kill, At: at(20), Index: 2},
-	}
-	r := run(t, soak.Config{Seed: 1, Length: 26 * time.Second, Faults: history, Ports: proc.NewPorts(), Accounts: true})
+		{Kind: soak.Kill, At: at(19), Index: 0},
+		{Kind: soak.Stop, At: at(21), Index: 1},
+		{Kind: soak.StoreFault, At: at(23), For: at(2), Variant: 4},
+		{Kind: soak.Revoke, At: at(23.5), Index: 0},
+		{Kind: soak.Kill, At: at(26), Index: 0},
+		{Kind: soak.Kill, At: at(26), Index: 1},
+		{Kind: soak.Kill, At: at(26), Index: 2},
+	}
+	r := run(t, soak.Config{Seed: 1, Length: 32 * time.Second, Faults: history, Ports: proc.NewPorts(), Accounts: true})
 	is := is.New(t)
 	for _, p := range []soak.Promise{soak.Secret, soak.Denied, soak.Duties} {
 		is.True(r.Checks[p] > 0)
