A send names the account that holds its key when its first byte goes

The look right before a send's first byte asked whether any account held the key; one that had passed to another account since would have gone out under the name of the first.

--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -48,12 +48,13 @@
 	return account.Name
 }
 
-// admitted reports whether the key may still be served. It is asked right before a send's
-// first byte: the process may have stood still since the send was decided.
+// admitted reports whether the key may still be served as the account that the send names. It is
+// asked right before a send's first byte: the process may have stood still since it was decided.
 func (x *exchange) admitted() bool {
-	if x.account.Load() == nil {
+	named := x.accountName()
+	if named == "" {
 		return true
 	}
-	cfg := x.g.keeper.View().Config
-	return x.g.known.KeysCurrent() && cfg.Account(x.meta.Key) != nil
+	holder := x.g.keeper.View().Config.Account(x.meta.Key)
+	return x.g.known.KeysCurrent() && holder != nil && holder.Name == named
 }
--- a/internal/gateway/account_test.go
+++ b/internal/gateway/account_test.go
@@ -71,6 +71,10 @@
 	is.NoErr(next.SetAccounts(nil))
 	x.g.keeper.SetConfig(next)
 	is.True(!x.admitted())
+	passed := fleet.NewConfig(3, nil, nil, fleet.Limits{})
+	is.NoErr(passed.SetAccounts([]*fleet.Account{{Name: "b", Keys: []string{"k"}}}))
+	x.g.keeper.SetConfig(passed)
+	is.True(!x.admitted()) // the send names the account that held the key before
 }
 
 func TestAnonymousRequestsNeedNoKey(t *testing.T) {
--- a/internal/scaling/controller.go
+++ b/internal/scaling/controller.go
@@ -199,7 +199,7 @@
 		return
 	}
 	for _, o := range due {
-		if !c.give(ctx, t, o, s.Boot) {
+		if !c.give(ctx, t, o) {
 			return
 		}
 	}
@@ -275,7 +275,7 @@
 }
 
 // give gives an order, and reports whether further ones may be given.
-func (c *Controller) give(ctx context.Context, t duty.Tenure, o Order, boot time.Duration) bool {
+func (c *Controller) give(ctx context.Context, t duty.Tenure, o Order) bool {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := c.platform.Scale(call, c.holder.Call(t), o)
