Counts of usage are kept for a time, not for a number of windows

A holder makes up for what VMs keep, which was 24 windows of any length: 24 s there, 2 minutes with windows of 5 s. It is 2 minutes now; TestShortWindowsAreKeptAsLong failed before.

--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// keptWindows is how many windows a VM keeps its counts of: an outage of the store or of
-	// the platform's calls is made up for as long.
-	keptWindows = 24
+	// keptFor is how long a VM keeps the counts of a window: an outage of the store or of the
+	// platform's calls is made up for as long.
+	keptFor = 2 * time.Minute
 	// answerCounts bounds the counts in one answer, so that it fits into a datagram.
 	answerCounts = 600
 )
@@ -34,6 +34,9 @@
 	return time.UnixMilli((int64(w) + 1) * length.Milliseconds())
 }
 
+// kept is how many windows of a length are kept.
+func kept(length time.Duration) Window { return Window(keptFor/length) + 1 }
+
 // Count is the runs of an account that began at one VM in one window.
 type Count struct {
 	Window  Window
@@ -70,6 +73,8 @@
 	mu       sync.Mutex
 	revision uint64
 	counts   map[countKey]*counted
+	// newest is the latest window in which a run was counted.
+	newest Window
 }
 
 type countKey struct {
@@ -99,7 +104,10 @@
 	defer c.mu.Unlock()
 	n := c.counts[key]
 	if n == nil {
-		c.forget(key.window - keptWindows)
+		if key.window > c.newest {
+			c.newest = key.window
+			c.forget(key.window - kept(c.length))
+		}
 		n = &counted{}
 		c.counts[key] = n
 	}
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -143,7 +143,7 @@
 		r.tally.Hear(r.cfg.VM, a)
 		more = a.More
 	}
-	r.tally.Forget(WindowAt(now, r.cfg.Length) - keptWindows)
+	r.tally.Forget(WindowAt(now, r.cfg.Length) - kept(r.cfg.Length))
 }
 
 // load reads what stands in the store.
@@ -169,7 +169,7 @@
 	if n := len(r.ledger.open); n > 0 {
 		next = r.ledger.open[n-1].window + 1
 	}
-	return max(next, WindowAt(now, r.cfg.Length)-keptWindows+1)
+	return max(next, WindowAt(now, r.cfg.Length)-kept(r.cfg.Length)+1)
 }
 
 // fixNext fixes the next window where its counts are known, and reports whether it did.
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -278,6 +278,21 @@
 	}
 }
 
+// Short windows were kept for as many of them as long ones, so that an outage of half a minute left
+// nine windows of a second without any report.
+func TestShortWindowsAreKeptAsLong(t *testing.T) {
+	for _, length := range []time.Duration{time.Second, 5 * time.Second, time.Minute} {
+		is := is.New(t)
+		c := NewCounter(length, 1)
+		now := time.UnixMilli(1e12)
+		c.Ran("a", now)
+		c.Ran("a", now.Add(keptFor))
+		is.Equal(len(c.Answer(Question{}).Counts), 2)
+		c.Ran("a", now.Add(keptFor+2*length))
+		is.Equal(len(c.Answer(Question{}).Counts), 2) // the first one is forgotten
+	}
+}
+
 // A report of many accounts takes several rows of the store, and several answers of a VM.
 func TestManyAccounts(t *testing.T) {
 	is := is.New(t)
@@ -286,8 +301,9 @@
 	r, _ := s.reporter(1)
 	s.run(r, time.Second)
 	w := s.window(r)
+	at := clock.Now()
 	for i := range accounts {
-		s.group.vms["vm-1"].Ran(fmt.Sprintf("account-%06d", i), clock.Now())
+		s.group.vms["vm-1"].Ran(fmt.Sprintf("account-%06d", i), at)
 	}
 	s.run(r, 40*time.Second)
 	is.Equal(len(s.platform.reports[w]), accounts)
