The soak speaks of keys and accounts in the project's words

internal/soak read the platform's header names and wrote its name for accounts, which belong to the platform's folder. The stand-in of a target tells id, key and account, and that of the configuration takes accounts by name.

--- a/internal/soak/accounts.go
+++ b/internal/soak/accounts.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 
@@ -52,13 +51,13 @@
 
 func accountName(i int) string { return fmt.Sprintf("account-%d", i) }
 
-// tenants is the keys as the configuration has them.
-func (k *keyring) tenants() []any {
+// inForce returns the keys by account.
+func (k *keyring) inForce() map[string][]string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var out []any
+	out := make(map[string][]string, accounts)
 	for i, keys := range k.held {
-		out = append(out, map[string]any{"Name": accountName(i), "Keys": append([]string(nil), keys...)})
+		out[accountName(i)] = append([]string(nil), keys...)
 	}
 	return out
 }
@@ -114,9 +113,7 @@
 	if w.keys == nil {
 		return
 	}
-	e.Inspect(func(r *http.Request) {
-		w.check.Told(r.Header.Get("Request-Id"), r.Header.Get("Credential"), r.Header.Get("Tenant-Name"), w.now())
-	})
+	e.Inspect(func(id, key, account string) { w.check.Told(id, key, account, w.now()) })
 }
 
 // checkDuties checks what the platform saw of the duties, and that the windows which are due
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -294,7 +294,7 @@
 	w.mu.Unlock()
 	config := platformtest.Config(version, routeOf(version))
 	if w.keys != nil {
-		config["Tenants"] = w.keys.tenants()
+		config = platformtest.WithAccounts(config, w.keys.inForce())
 	}
 	w.store.Put(platformtest.TableOperator, platformtest.KeyConfig, config)
 	w.check.Changed(version, w.now())
