--- a/internal/scaling/plan.go
+++ b/internal/scaling/plan.go
@@ -4,8 +4,8 @@
 // Load pattern: bursts that come and go within seconds, shorter than a new engine takes to
 // serve. Engines that may be reclaimed cost a part of the others' price, and all of one data
 // centre's leave at once, for seconds without any to be had. So the number follows no burst:
-// enough engines stand there for the most that is needed, most of them reclaimable, spread so
-// that what is left without any one data centre's is still enough.
+// enough engines stand there for the most that is needed, most of them reclaimable, with spares
+// for the loss of one data centre's, or of several in series where spares are cheap.
 package scaling
 
 import "sort"
