--- /dev/null
+++ b/internal/gateway/admission_test.go
@@ -0,0 +1,29 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"garnethoist.org/garnethoist/internal/place"
+)
+
+func TestAdmissionIsToldInTheLine(t *testing.T) {
+	is := is.New(t)
+	a := &admission{
+		ruling: place.Ruling{Verdict: place.Refuse, Reason: place.NoSeat},
+		choice: place.Choice{Expected: 90 * time.Millisecond, Own: 20 * time.Millisecond, SeatWait: 60 * time.Millisecond},
+		again:  true,
+	}
+	line := map[string]any{}
+	for _, f := range a.fields() {
+		line[f.Key] = f.Value
+	}
+	is.Equal(line["wait_ms"], int64(70))
+	is.Equal(line["own_ms"], int64(20))
+	is.Equal(line["seat_ms"], int64(60))
+	is.Equal(line["reason"], place.NoSeat)
+	is.Equal(line["again"], true)
+	is.Equal(verdictName(a.ruling.Verdict), "refused")
+}
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -12,9 +12,9 @@
 
 // admit decides on a choice. One that has been sent somewhere goes on, and a route
 // without an objective takes all.
-func (x *exchange) admit(c place.Choice) place.Verdict {
+func (x *exchange) admit(c place.Choice) place.Ruling {
 	if x.sends.arrivals > 0 || x.ran || x.route.Objective <= 0 {
-		return place.Send
+		return place.Ruling{Verdict: place.Send}
 	}
 	asked := x.asked(clock.Now())
 	x.tellQueue(&asked, c)
--- a/internal/gateway/deferral.go
+++ b/internal/gateway/deferral.go
@@ -29,7 +29,7 @@
 }
 
 // lookAgain is the time between two looks at the engines of a request that waits.
-func lookAgain(c place.Choice) time.Duration { return min(max((c.Expected-c.Own)/4, minLook), maxLook) }
+func lookAgain(c place.Choice) time.Duration { return min(max(c.Wait()/4, minLook), maxLook) }
 
 // waitDeferred waits until the engines may be looked at again.
 func (x *exchange) waitDeferred(ctx context.Context, c place.Choice) {
--- a/internal/gateway/deferral_test.go
+++ b/internal/gateway/deferral_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.opentelemetry.io/otel/metric/noop"
 
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/fleet"
@@ -54,6 +55,10 @@
 		random: newRandom(), keeper: k, group: one{},
 		placer: place.New(place.DefaultConfig("a"), others, func(*fleet.Target) bool { return false }),
 	}
+	var err error
+	if g.stats, err = NewStats(noop.NewMeterProvider().Meter("")); err != nil {
+		panic(err)
+	}
 	g.ending, g.endingNow = context.WithCancel(context.Background())
 	g.limits.Store(&Limits{Grace: time.Second})
 	now := time.Now()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -66,6 +66,9 @@
 	deferredFor time.Duration
 	// longestGap is the longest pause between two writes of a stream's events.
 	longestGap time.Duration
+	// admission is set once the request was sent or refused, and bands once its size was placed.
+	admission *admission
+	bands     *bands
 	// seat is what the choice of the engine that runs the request rests on, and eventPause
 	// the mean time between the events that it has made.
 	seat       *place.Seat
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -61,7 +61,7 @@
 			}
 			x.g.waits.waited("", 2*time.Second)
 			c := place.Choice{Target: &fleet.Target{ID: "i"}, Expected: tc.expected, Own: tc.own}
-			is.Equal(x.admit(c), tc.want)
+			is.Equal(x.admit(c).Verdict, tc.want)
 			if tc.want == place.Send {
 				return
 			}
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -144,12 +144,15 @@
 		if !ok {
 			return c, errkind.New(errkind.NoTarget, "no engine can take the request")
 		}
-		verdict := x.admit(c)
-		if verdict == place.Send {
+		ruling := x.admit(c)
+		if ruling.Verdict == place.Send {
+			x.ruled(ruling, c)
 			return c, nil
 		}
 		c.Ticket.End(place.Neutral, clock.Now())
-		if verdict == place.Refuse || x.g.limits.Load().NoDeferral {
+		if ruling.Verdict == place.Refuse || x.g.limits.Load().NoDeferral {
+			ruling.Verdict = place.Refuse
+			x.ruled(ruling, c)
 			return c, x.refuseLate(c)
 		}
 		x.waitDeferred(ctx, c)
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -50,8 +50,8 @@
 
 // countSize counts a generation by its size.
 func (x *exchange) countSize(event telemetry.Event) {
-	if p := x.meta.Prompt; p != nil && x.route != nil {
-		x.g.stats.Generation(x.route.Name, x.g.sizes.take(x.route.Name, p), event)
+	if x.meta.Prompt != nil && x.route != nil {
+		x.g.stats.Generation(x.route.Name, x.size(), event)
 	}
 }
 
@@ -73,6 +73,12 @@
 	if p := x.meta.Prompt; p != nil {
 		fields = append(fields, telemetry.F("prompt", p.Tokens), telemetry.F("output", p.Output), telemetry.F("max_output", p.MaxOutput))
 	}
+	if b := x.bands; b != nil {
+		fields = append(fields, telemetry.F("prompt_size", b.prompt), telemetry.F("answer_size", b.answer))
+	}
+	if a := x.admission; a != nil {
+		fields = append(fields, a.fields()...)
+	}
 	if s := &x.sends; s.drawn > 0 || s.arrivals > 1 || s.reads > 1 {
 		fields = append(fields, telemetry.F("arrivals", s.arrivals), telemetry.F("reads", s.reads), telemetry.F("drawn", s.drawn))
 	}
--- a/internal/gateway/sizes.go
+++ b/internal/gateway/sizes.go
@@ -37,23 +37,25 @@
 // sizeRing holds the sizes of a route's last requests.
 type sizeRing struct {
 	last [sizeWindow]int
-	next int
+	// taken counts the sizes that were remembered.
+	taken int
 }
 
 // take places a size among the last ones, and remembers it.
 func (r *sizeRing) take(size int) band {
+	known := min(r.taken, sizeWindow)
 	larger := 0
-	for _, other := range r.last {
+	for _, other := range r.last[:known] {
 		if other > size {
 			larger++
 		}
 	}
-	r.last[r.next] = size
-	r.next = (r.next + 1) % sizeWindow
+	r.last[r.taken%sizeWindow] = size
+	r.taken++
 	switch {
-	case larger < tenth:
+	case larger < tenth*known/sizeWindow:
 		return largestTenth
-	case larger < third:
+	case larger < third*known/sizeWindow:
 		return nextFifth
 	}
 	return theRest
--- a/internal/gateway/sizes_test.go
+++ b/internal/gateway/sizes_test.go
@@ -20,3 +20,14 @@
 	is.Equal(s.take("long", &place.Prompt{Tokens: 1100, Output: 5}), bands{prompt: theRest, answer: theRest})
 	is.Equal(s.take("short", &place.Prompt{Tokens: 99, Output: 20}), bands{prompt: largestTenth, answer: largestTenth})
 }
+
+func TestFirstRequestsOfARouteAreNotAllTakenForLarge(t *testing.T) {
+	is := is.New(t)
+	s := &sizes{}
+	count := map[band]int{}
+	for n := range sizeWindow {
+		count[s.take("r", &place.Prompt{Tokens: 1 + n*37%101, Output: 10}).prompt]++
+	}
+	is.True(count[largestTenth] < sizeWindow/5)
+	is.True(count[theRest] > sizeWindow/2)
+}
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -19,6 +19,7 @@
 	seconds  metric.Float64Histogram
 	handles  metric.Int64Counter
 	bySize   metric.Int64Counter
+	admitted metric.Int64Counter
 	retries  metric.Int64Counter
 }
 
@@ -40,8 +41,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "size counter")
 	}
+	admitted, err := m.Int64Counter("garnet_admissions", metric.WithDescription("requests to model engines by size, whether they were sent and why not, whether they had waited for it, and whether their callers came back"))
+	if err != nil {
+		return nil, errors.Wrap(err, "admissions counter")
+	}
 	retries, err := m.Int64Counter("garnet_retries", metric.WithDescription("sends to further targets, by whether attempts and retry budget allowed them"))
-	return &Stats{requests: requests, seconds: seconds, handles: handles, bySize: bySize, retries: retries}, errors.Wrap(err, "retries counter")
+	return &Stats{requests: requests, seconds: seconds, handles: handles, bySize: bySize, admitted: admitted, retries: retries}, errors.Wrap(err, "retries counter")
 }
 
 // Request counts one request; kind is empty for an answer of a target.
@@ -59,6 +64,15 @@
 	)))
 }
 
+// Admission counts a request to a model engine that was sent, or refused for want of time.
+func (s *Stats) Admission(route string, b bands, a *admission, waited bool) {
+	s.admitted.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(
+		attribute.String("route", route), attribute.String("prompt", string(b.prompt)), attribute.String("answer", string(b.answer)),
+		attribute.String("verdict", verdictName(a.ruling.Verdict)), attribute.String("reason", string(a.ruling.Reason)),
+		attribute.Bool("waited", waited), attribute.Bool("again", a.again),
+	)))
+}
+
 // Retry counts whether a request might be sent to a further target.
 func (s *Stats) Retry(service string, allowed bool) {
 	s.retries.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(
--- a/internal/model/placed.go
+++ b/internal/model/placed.go
@@ -156,10 +156,11 @@
 
 // Admit implements Admission.
 func (Today) Admit(a *Attempt, c place.Choice, now time.Duration) place.Verdict {
-	return place.Judge(c, place.Asked{
+	ruling := place.Judge(c, place.Asked{
 		Objective: millis(a.Class.AimMS), Waited: now - a.Request.At,
 		Held: now - a.Arrived, Left: a.Deadline - now, Patience: max(a.Sent+patience-now, 1),
 	})
+	return ruling.Verdict
 }
 
 // Over implements Admission.
--- a/internal/place/admit.go
+++ b/internal/place/admit.go
@@ -16,6 +16,29 @@
 	Refuse
 )
 
+// Reason says what keeps a request from being sent.
+type Reason string
+
+// The reasons.
+const (
+	// TooLongToRead: its own reading takes longer than its caller waits.
+	TooLongToRead Reason = "too_long_to_read"
+	// BehindPrompts: the prompts that the targets have in hand take too long.
+	BehindPrompts Reason = "behind_prompts"
+	// NoSeat: the batches that it could join are full, and that takes longer than the prompts.
+	NoSeat Reason = "no_seat"
+	// NotItsTurn: what waits on all VMs fills the room that the targets have.
+	NotItsTurn Reason = "not_its_turn"
+	// QueueFull: those deferred before take all the time that it has.
+	QueueFull Reason = "queue_full"
+)
+
+// Ruling is a verdict on a request and, unless it is sent, the reason.
+type Ruling struct {
+	Verdict Verdict
+	Reason  Reason
+}
+
 const (
 	// onTimeShare is the part of the objective by which an answer is to begin; the rest
 	// is for what the reckoning misses.
@@ -102,16 +125,29 @@
 // faster than the engines read them. Were all sent, all would be late until the
 // backlog is read; so what is on time goes first, and the rest is deferred until engines are
 // nearly idle, late but whole, as long as there is time.
-func Judge(c Choice, a Asked) Verdict {
-	wait, left := c.Expected-c.Own, a.left()
+func Judge(c Choice, a Asked) Ruling {
+	left := a.left()
 	lastLook := a.Held > time.Duration(deferShare*float64(left+a.Held))
+	soon := c.Wait() <= a.maxWait(c.Own)
 	switch {
 	case time.Duration(spareShare*float64(c.Own)) > left:
-		return Refuse
-	case wait <= a.maxWait(c.Own) && (lastLook || turn(c, a)):
-		return Send
-	case lastLook, a.Deferred > time.Duration(deferredShare*float64(left)):
-		return Refuse
+		return Ruling{Refuse, TooLongToRead}
+	case soon && (lastLook || turn(c, a)):
+		return Ruling{Verdict: Send}
+	case lastLook:
+		return Ruling{Refuse, c.obstacle()}
+	case a.Deferred > time.Duration(deferredShare*float64(left)):
+		return Ruling{Refuse, QueueFull}
+	case soon:
+		return Ruling{Defer, NotItsTurn}
+	}
+	return Ruling{Defer, c.obstacle()}
+}
+
+// obstacle is what most of the wait for a choice comes from.
+func (c Choice) obstacle() Reason {
+	if 2*c.SeatWait > c.Wait() {
+		return NoSeat
 	}
-	return Defer
+	return BehindPrompts
 }
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -16,6 +16,8 @@
 	Expected time.Duration
 	// Own is the part of Expected that the request's own prefill takes.
 	Own time.Duration
+	// SeatWait is the part of Expected that the request waits for a seat in a batch.
+	SeatWait time.Duration
 	// Cached is the prompt's tokens that the target is reckoned to hold.
 	Cached int
 	// InPlace says that the decode target reads the prompt itself.
@@ -36,6 +38,9 @@
 	Longest time.Duration
 }
 
+// Wait is the time to the answer's begin but for the request's own prefill.
+func (c Choice) Wait() time.Duration { return c.Expected - c.Own }
+
 // Tried holds the ids of targets that are not to be chosen again.
 type Tried map[string]bool
 
@@ -155,7 +160,7 @@
 	unseen := p.inflow(r.service).within(age, r.now)
 	w := ways[p.pickWay(ways, newSpread(prices, unseen), r.prompt)]
 	return Choice{
-		Target: w.target, Expected: w.expected, Own: w.own, Cached: w.cached, InPlace: w.target.Stage != fleet.Prefill,
+		Target: w.target, Expected: w.expected, Own: w.own, SeatWait: w.seatWait, Cached: w.cached, InPlace: w.target.Stage != fleet.Prefill,
 		Room: room(ways, r.prompt.MaxWait, unseen), Age: age, Seat: r.engines.seatOf(p.at(w.target), w.beside, r.prompt),
 	}, w
 }
--- a/internal/place/stale_test.go
+++ b/internal/place/stale_test.go
@@ -205,7 +205,7 @@
 		if a.queued != nil && c.turns {
 			asked.Queue, asked.Look = p.Waiting("m").Prefill, crowdLook
 		}
-		switch place.Judge(choice, asked) {
+		switch place.Judge(choice, asked).Verdict {
 		case place.Defer:
 			choice.Ticket.End(place.Neutral, c.now)
 			if a.queued == nil {
--- a/internal/place/weigh.go
+++ b/internal/place/weigh.go
@@ -84,9 +84,11 @@
 	// beside is the requests that the target runs.
 	beside int
 	// expected is the time to the answer's begin, own the part of it that reading
-	// this prompt takes, and rest what the target takes besides reading.
+	// this prompt takes, seatWait the wait for a seat, and rest what the target takes besides
+	// reading.
 	expected time.Duration
 	own      time.Duration
+	seatWait time.Duration
 	rest     time.Duration
 	price    time.Duration
 }
@@ -111,6 +113,10 @@
 	}
 	w.own = time.Duration(float64(w.work.Prefill) * s.slowdown)
 	reading := time.Duration(float64(w.ahead+w.work.Prefill) * s.slowdown)
+	w.seatWait = extra.wait
+	if t.Stage == fleet.Prefill {
+		w.seatWait = r.next.wait
+	}
 	w.expected = reading + w.rest + extra.wait + p.remote(t)
 	price := reading + time.Duration(e.workPrice()*float64(w.work.Prefill)) + extra.price + p.remote(t)
 	w.price = time.Duration(float64(price)*s.tries(r.now)) + p.unsound(s, r.now)
