--- a/internal/live/live_test.go
+++ b/internal/live/live_test.go
@@ -35,6 +35,22 @@
 	return s, d
 }
 
+// allDataCentres is an example site with a part of a day, and its traffic multiplied.
+func allDataCentres(t *testing.T, site, day string, traffic, until float64) (*model.Site, *model.Day) {
+	t.Helper()
+	s, err := model.Load("../../examples/model/" + site + ".jsonc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Scale(1, traffic)
+	d, err := s.Day(day)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.Until(until)
+	return s, d
+}
+
 // The longest answers ended at their callers' deadline where engines were slower than those
 // that the system had been measured with, as real processes show on the wall clock: of the
 // largest tenth 0.26 were served, of all 0.85, on all of a site's engines at 0.6 of their
@@ -45,7 +61,25 @@
 		t.Skip("starts processes")
 	}
 	s, d := oneDataCentre(t, "nairobi", "scale-1", 0.6, 14)
-	r, err := live.Run(context.Background(), live.Config{Site: s, Day: d, Seed: 1, Busy: 0.2, Bin: bin, Dir: t.TempDir()})
+	checkSizes(t, live.Config{Site: s, Day: d, Seed: 1, Busy: 0.2})
+}
+
+// More prompts came than the engines read, for all of the time, and 0.20 of the longest were
+// served where all had 0.48.
+func TestLargePromptsAreServedInOverloadOnTheWallClock(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	s, d := allDataCentres(t, "kochi", "quiet-1", 2.5, 24)
+	checkSizes(t, live.Config{Site: s, Day: d, Seed: 1})
+}
+
+// checkSizes plays a day and fails where large requests of a class were served less than half
+// as often as all of it.
+func checkSizes(t *testing.T, cfg live.Config) {
+	t.Helper()
+	cfg.Bin, cfg.Dir = bin, t.TempDir()
+	r, err := live.Run(context.Background(), cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/model/sizes_test.go
+++ b/internal/model/sizes_test.go
@@ -31,25 +31,49 @@
 	} {
 		t.Run(fmt.Sprintf("%s %s at speed %g with traffic %g", c.site, c.day, c.speed, c.traffic), func(t *testing.T) {
 			t.Parallel()
-			s, err := Load("../../examples/model/" + c.site + ".jsonc")
-			if err != nil {
-				t.Fatal(err)
-			}
-			s.Scale(c.speed, c.traffic)
-			d, err := s.Day(c.day)
-			if err != nil {
-				t.Fatal(err)
-			}
-			r := Play(s, d, Draw(s, d, 1), 1, builders["today"])
-			for i, class := range s.Classes {
-				all := r.Classes[i].servedShare()
-				for band, name := range map[int]string{Largest: "largest tenth", Large: "next fifth"} {
-					if share := r.Sizes[i][band].servedShare(); 2*share < all {
-						t.Errorf("%s: of the %s %.2f were served, of all %.2f", class.Name, name, share, all)
-					}
+			checkSizes(t, c.site, c.day, c.speed, c.traffic, 1)
+		})
+	}
+}
+
+// Long prompts were refused at waits at which shorter ones were sent, for as long as more came
+// than the engines read.
+func TestLargeRequestsAreServedInOverload(t *testing.T) {
+	for _, site := range []string{"nairobi", "kochi"} {
+		for _, day := range []string{"quiet-1", "scale-1"} {
+			for _, traffic := range []float64{1.6, 2.2} {
+				for seed := range uint64(2) {
+					t.Run(fmt.Sprintf("%s %s with traffic %g, seed %d", site, day, traffic, seed+1), func(t *testing.T) {
+						t.Parallel()
+						checkSizes(t, site, day, 1, traffic, seed+1)
+					})
 				}
 			}
-		})
+		}
+	}
+}
+
+// checkSizes plays a day and fails where large requests of a class were served less than half
+// as often as all of it.
+func checkSizes(t *testing.T, site, day string, speed, traffic float64, seed uint64) {
+	t.Helper()
+	s, err := Load("../../examples/model/" + site + ".jsonc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Scale(speed, traffic)
+	d, err := s.Day(day)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := Play(s, d, Draw(s, d, seed), seed, builders["today"])
+	for i, class := range s.Classes {
+		all := r.Classes[i].servedShare()
+		for band, name := range map[int]string{Largest: "largest tenth", Large: "next fifth"} {
+			if share := r.Sizes[i][band].servedShare(); 2*share < all {
+				t.Errorf("%s: of the %s %.2f were served, of all %.2f", class.Name, name, share, all)
+			}
+		}
 	}
 }
 
