Prompts of a size that is admitted less often than others are favored

Cause: a prompt's own reading was taken off the wait that it was allowed, so that short ones kept the queues at a length at which long ones were refused; those that waited found the list full, and those that came back were late.

Ruled out: that refusals at once prefer a size (queue_full at the same waits for all); a busy host.

Change: each VM counts how often the largest tenth, the fifth below it and the rest of a route's requests are admitted (internal/fair), a caller that comes back once. A band that falls below 0.8 of all has less of its own reading taken off, none at 0.5. It only acts where admission differs, needs no word of other VMs, and lets all be sent where all fit.

--- /dev/null
+++ b/internal/fair/fair_test.go
@@ -0,0 +1,88 @@
+package fair_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"garnethoist.org/garnethoist/internal/fair"
+)
+
+func TestSizesAreComparedWithinTheirRoute(t *testing.T) {
+	is := is.New(t)
+	s := &fair.Sizes{}
+	for n := range 256 {
+		s.Place("long", 1000+n, 10)
+		s.Place("short", 1+n%100, 10)
+	}
+	is.Equal(s.Place("long", 1250, 5).Prompt, fair.LargestTenth)
+	is.Equal(s.Place("long", 1200, 5).Prompt, fair.NextFifth)
+	is.Equal(s.Place("long", 1100, 5), fair.Size{Prompt: fair.Rest, Answer: fair.Rest})
+	is.Equal(s.Place("short", 99, 20), fair.Size{Prompt: fair.LargestTenth, Answer: fair.LargestTenth})
+}
+
+func TestFirstRequestsOfARouteAreNotAllTakenForLarge(t *testing.T) {
+	is := is.New(t)
+	s := &fair.Sizes{}
+	count := map[fair.Band]int{}
+	for n := range 256 {
+		count[s.Place("r", 1+n*37%101, 10).Prompt]++
+	}
+	is.True(count[fair.LargestTenth] < 50)
+	is.True(count[fair.Rest] > 128)
+}
+
+// crowd counts requests of which the largest tenth by prompt is admitted with its own chance,
+// and the others with theirs.
+func crowd(s *fair.Sizes, requests int, largest, others float64) {
+	r := rand.New(rand.NewPCG(1, 1))
+	for range requests {
+		size := s.Place("r", r.IntN(1000), r.IntN(1000))
+		chance := others
+		if size.Prompt == fair.LargestTenth {
+			chance = largest
+		}
+		s.Count("r", size, true, r.Float64() < chance)
+	}
+}
+
+func TestSizesAdmittedLessOftenAreFavored(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		largest, others float64
+		most, least     float64
+	}{
+		{"all are admitted", 1, 1, 0, 0},
+		{"alike", 0.5, 0.5, 0.2, 0},
+		{"the largest half as often", 0.2, 0.5, 1, 0.7},
+		{"the largest never", 0, 0.5, 1, 1},
+		{"the largest more often", 0.9, 0.5, 0, 0},
+		{"nobody is", 0, 0, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := &fair.Sizes{}
+			crowd(s, 4000, c.largest, c.others)
+			favor := s.Favor("r", fair.Size{Prompt: fair.LargestTenth})
+			is.True(favor.Prompt <= c.most && favor.Prompt >= c.least)
+			is.Equal(s.Favor("other", fair.Size{Prompt: fair.LargestTenth}), fair.Favor{})
+		})
+	}
+}
+
+// A caller that is refused and comes back is admitted once of one, not of two.
+func TestCallersThatComeBackCountOnce(t *testing.T) {
+	is := is.New(t)
+	s := &fair.Sizes{}
+	for n := range 4000 {
+		size := s.Place("r", n*7919%1000, 10)
+		if size.Prompt != fair.LargestTenth {
+			s.Count("r", size, true, true)
+			continue
+		}
+		s.Count("r", size, true, false)
+		s.Count("r", size, false, true)
+	}
+	is.Equal(s.Favor("r", fair.Size{Prompt: fair.LargestTenth}).Prompt, 0.0)
+}
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"garnethoist.org/garnethoist/internal/fair"
 	"garnethoist.org/garnethoist/internal/place"
 	"garnethoist.org/garnethoist/internal/telemetry"
 )
@@ -20,13 +21,14 @@
 	}
 	again := x.g.waits.waited(x.route.Name, x.meta.Timeout) > 0
 	x.admission = &admission{ruling: r, choice: c, again: again}
+	x.g.sizes.Count(x.route.Name, x.size(), !again, r.Verdict == place.Send)
 	x.g.stats.Admission(x.route.Name, x.size(), x.admission, x.deferredFor > 0)
 }
 
 // size is the request's place by size among the last ones of its route.
-func (x *exchange) size() bands {
+func (x *exchange) size() fair.Size {
 	if x.bands == nil {
-		b := x.g.sizes.take(x.route.Name, x.meta.Prompt)
+		b := x.g.sizes.Place(x.route.Name, x.meta.Prompt.Tokens, x.meta.Prompt.Output)
 		x.bands = &b
 	}
 	return *x.bands
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -13,6 +13,7 @@
 
 	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/errkind"
+	"garnethoist.org/garnethoist/internal/fair"
 	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/place"
 	"garnethoist.org/garnethoist/internal/quarantine"
@@ -68,7 +69,7 @@
 	longestGap time.Duration
 	// admission is set once the request was sent or refused, and bands once its size was placed.
 	admission *admission
-	bands     *bands
+	bands     *fair.Size
 	// seat is what the choice of the engine that runs the request rests on, and eventPause
 	// the mean time between the events that it has made.
 	seat       *place.Seat
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -57,7 +57,7 @@
 			x := &exchange{
 				g: &Gateway{random: newRandom(), group: one{}, placer: place.New(place.DefaultConfig("a"), noOthers{}, nil)}, arrived: now, deadline: now.Add(2 * time.Second), view: &fleet.View{},
 				route: &fleet.Route{Objective: tc.objective, Patience: tc.patience}, sends: sends{arrivals: tc.arrivals},
-				meta: Meta{Timeout: 2*time.Second - tc.waited},
+				meta: Meta{Timeout: 2*time.Second - tc.waited, Prompt: &place.Prompt{}},
 			}
 			x.g.waits.waited("", 2*time.Second)
 			c := place.Choice{Target: &fleet.Target{ID: "i"}, Expected: tc.expected, Own: tc.own}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 
 	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/errkind"
+	"garnethoist.org/garnethoist/internal/fair"
 	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/httpsend"
 	"garnethoist.org/garnethoist/internal/kernel"
@@ -125,7 +126,7 @@
 	endingNow context.CancelFunc
 	inFlight  atomic.Int64
 	waits     waits
-	sizes     sizes
+	sizes     fair.Sizes
 
 	budgets *budgets
 
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -74,7 +74,7 @@
 		fields = append(fields, telemetry.F("prompt", p.Tokens), telemetry.F("output", p.Output), telemetry.F("max_output", p.MaxOutput))
 	}
 	if b := x.bands; b != nil {
-		fields = append(fields, telemetry.F("prompt_size", b.prompt), telemetry.F("answer_size", b.answer))
+		fields = append(fields, telemetry.F("prompt_size", b.Prompt), telemetry.F("answer_size", b.Answer))
 	}
 	if a := x.admission; a != nil {
 		fields = append(fields, a.fields()...)
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"garnethoist.org/garnethoist/internal/errkind"
+	"garnethoist.org/garnethoist/internal/fair"
 	"garnethoist.org/garnethoist/internal/telemetry"
 )
 
@@ -57,17 +58,17 @@
 }
 
 // Generation counts one request to a model engine by its size and how it ended.
-func (s *Stats) Generation(route string, b bands, event telemetry.Event) {
+func (s *Stats) Generation(route string, b fair.Size, event telemetry.Event) {
 	s.bySize.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(
-		attribute.String("route", route), attribute.String("prompt", string(b.prompt)),
-		attribute.String("answer", string(b.answer)), attribute.String("outcome", string(event)),
+		attribute.String("route", route), attribute.String("prompt", b.Prompt.String()),
+		attribute.String("answer", b.Answer.String()), attribute.String("outcome", string(event)),
 	)))
 }
 
 // Admission counts a request to a model engine that was sent, or refused for want of time.
-func (s *Stats) Admission(route string, b bands, a *admission, waited bool) {
+func (s *Stats) Admission(route string, b fair.Size, a *admission, waited bool) {
 	s.admitted.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(
-		attribute.String("route", route), attribute.String("prompt", string(b.prompt)), attribute.String("answer", string(b.answer)),
+		attribute.String("route", route), attribute.String("prompt", b.Prompt.String()), attribute.String("answer", b.Answer.String()),
 		attribute.String("verdict", verdictName(a.ruling.Verdict)), attribute.String("reason", string(a.ruling.Reason)),
 		attribute.Bool("waited", waited), attribute.Bool("again", a.again),
 	)))
--- a/internal/model/placed.go
+++ b/internal/model/placed.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"garnethoist.org/garnethoist/internal/fair"
 	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/place"
 )
@@ -152,22 +153,52 @@
 }
 
 // Today admits as the gateway does, but for the bound on what is deferred.
-type Today struct{}
+type Today struct {
+	// sizes is what each VM knows of its callers' requests.
+	sizes map[int]*fair.Sizes
+	// placed is the bands of the attempts in hand.
+	placed map[*Attempt]fair.Size
+}
+
+// NewToday returns the admission of a VM that starts.
+func NewToday() *Today {
+	return &Today{sizes: make(map[int]*fair.Sizes), placed: make(map[*Attempt]fair.Size)}
+}
 
 // Admit implements Admission.
-func (Today) Admit(a *Attempt, c place.Choice, now time.Duration) place.Verdict {
+func (t *Today) Admit(a *Attempt, c place.Choice, now time.Duration) place.Verdict {
+	sizes, size := t.place(a)
 	ruling := place.Judge(c, place.Asked{
 		Objective: millis(a.Class.AimMS), Waited: now - a.Request.At,
 		Held: now - a.Arrived, Left: a.Deadline - now, Patience: max(a.Sent+patience-now, 1),
+		Favor: sizes.Favor(a.Class.Name, size).Prompt,
 	})
+	if ruling.Verdict != place.Defer {
+		sizes.Count(a.Class.Name, size, a.Retry == 0, ruling.Verdict == place.Send)
+	}
 	return ruling.Verdict
 }
 
+// place returns what the attempt's VM knows of sizes, and the attempt's own.
+func (t *Today) place(a *Attempt) (*fair.Sizes, fair.Size) {
+	sizes := t.sizes[a.VM]
+	if sizes == nil {
+		sizes = &fair.Sizes{}
+		t.sizes[a.VM] = sizes
+	}
+	size, ok := t.placed[a]
+	if !ok {
+		size = sizes.Place(a.Class.Name, a.Prompt.Tokens, a.Prompt.Output)
+		t.placed[a] = size
+	}
+	return sizes, size
+}
+
 // Over implements Admission.
-func (Today) Over(*Attempt) {}
+func (t *Today) Over(a *Attempt) { delete(t.placed, a) }
 
 // Priority implements Admission.
-func (Today) Priority(a *Attempt) int { return a.Class.Priority }
+func (*Today) Priority(a *Attempt) int { return a.Class.Priority }
 
 // Feasible admits what can begin by its deadline, and has the engines serve in
 // the order of deadlines: the aims lie within 50 ms of each other, so that is
--- a/internal/model/policies.go
+++ b/internal/model/policies.go
@@ -13,7 +13,7 @@
 	"round-robin": func(_ *Site, f Fleet, _ *rand.Rand) Policy { return NewRoundRobin(f) },
 	"least-load":  func(_ *Site, f Fleet, _ *rand.Rand) Policy { return NewLeastLoad(f) },
 	"prefix-hash": func(_ *Site, f Fleet, _ *rand.Rand) Policy { return NewPrefixHash(f) },
-	"today":       func(s *Site, f Fleet, r *rand.Rand) Policy { return NewPlaced(s, f, Today{}, r) },
+	"today":       func(s *Site, f Fleet, r *rand.Rand) Policy { return NewPlaced(s, f, NewToday(), r) },
 	"deadline":    func(s *Site, f Fleet, r *rand.Rand) Policy { return NewPlaced(s, f, Feasible{}, r) },
 	"shares":      func(s *Site, f Fleet, r *rand.Rand) Policy { return NewPlaced(s, f, NewShares(s), r) },
 }
--- a/internal/place/admit.go
+++ b/internal/place/admit.go
@@ -78,6 +78,9 @@
 	// been deferred; else it is 0. Look is the time between two looks of such a request.
 	Queue time.Duration
 	Look  time.Duration
+	// Favor is how much of its own reading is left out, from 0 to 1, as prompts of its size are
+	// admitted less often than others.
+	Favor float64
 	// Random is uniform in [0, 1).
 	Random float64
 }
@@ -99,7 +102,7 @@
 // maxWait returns the longest queueing time at which a request is sent: the answer is still
 // on time, or the target counts as idle.
 func (a Asked) maxWait(own time.Duration) time.Duration {
-	own = min(own, time.Duration(ownShare*float64(a.Objective)))
+	own = time.Duration((1 - a.Favor) * float64(min(own, time.Duration(ownShare*float64(a.Objective)))))
 	return max(time.Duration(onTimeShare*float64(a.Objective))-a.Waited-own, idleWait(a.Objective))
 }
 
