--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -1,11 +1,10 @@
-// Package fair tells which sizes of requests are admitted less often than others, so that
+// Package fair tells which sizes of prompts are admitted less often than others, so that
 // admission can favor them.
 //
 // Load pattern: more work comes than targets do, for longer than callers wait. What decides
 // who is admitted is then what fits: a short prompt into any gap, a long one only where a
-// target is nearly idle, which none is any more. Large requests were admitted a third as often
-// as all, on every VM alike. Each VM counts its own callers only: they are a sample of all, so
-// that VMs need not tell each other.
+// target is nearly idle, which none is any more. Each VM counts its own callers only: they are
+// a sample of all, so that VMs need not tell each other.
 package fair
 
 import "sync"
@@ -82,52 +81,42 @@
 	return min(t.admitted/t.asked, 1)
 }
 
-// measure is one way to say how large the requests of a route are.
-type measure struct {
-	sizes ring
-	bands [bands]tally
+// Size is the bands of a request by its prompt and by the answer that its caller expects.
+type Size struct {
+	Prompt Band
+	Answer Band
 }
 
-func (m *measure) count(b Band, asked, admitted float64) {
-	for i := range m.bands {
-		m.bands[i].fade()
+// route is what is known of the requests of one route.
+type route struct {
+	prompts ring
+	answers ring
+	// byPrompt counts the requests by the bands of their prompts.
+	byPrompt [bands]tally
+}
+
+func (r *route) count(b Band, asked, admitted float64) {
+	for i := range r.byPrompt {
+		r.byPrompt[i].fade()
 	}
-	m.bands[b].asked += asked
-	m.bands[b].admitted += admitted
+	r.byPrompt[b].asked += asked
+	r.byPrompt[b].admitted += admitted
 }
 
-// favor is how much a band needs to be favored, from 0 to 1.
-func (m *measure) favor(b Band) float64 {
+// favor is how much prompts of a band need to be favored, from 0 to 1.
+func (r *route) favor(b Band) float64 {
 	var all tally
-	for _, t := range m.bands {
+	for _, t := range r.byPrompt {
 		all.asked += t.asked
 		all.admitted += t.admitted
 	}
 	if all.share() == 0 {
 		return 0
 	}
-	part := m.bands[b].share() / all.share()
+	part := r.byPrompt[b].share() / all.share()
 	return min(max((noFavor-part)/(noFavor-fullFavor), 0), 1)
 }
 
-// Size is the bands of a request by its prompt and by the answer that its caller expects.
-type Size struct {
-	Prompt Band
-	Answer Band
-}
-
-// Favor is how much a request is favored by its prompt and by its answer, from 0 to 1 each.
-type Favor struct {
-	Prompt float64
-	Answer float64
-}
-
-// route is what is known of the requests of one route.
-type route struct {
-	prompts measure
-	answers measure
-}
-
 // Sizes tells how large a request is among the last ones of its route and how often such
 // requests are admitted. The zero value is ready; it is safe for concurrent use.
 type Sizes struct {
@@ -153,15 +142,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.route(routeName)
-	return Size{Prompt: r.prompts.sizes.place(prompt), Answer: r.answers.sizes.place(answer)}
+	return Size{Prompt: r.prompts.place(prompt), Answer: r.answers.place(answer)}
 }
 
-// Favor returns how much requests of a size are favored now.
-func (s *Sizes) Favor(routeName string, size Size) Favor {
+// Favor returns how much prompts of a request's size need to be favored now, from 0 to 1.
+func (s *Sizes) Favor(routeName string, size Size) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := s.route(routeName)
-	return Favor{Prompt: r.prompts.favor(size.Prompt), Answer: r.answers.favor(size.Answer)}
+	return s.route(routeName).favor(size.Prompt)
 }
 
 // Count notes what became of a request: whether it is its caller's first try, and whether it
@@ -169,9 +157,7 @@
 func (s *Sizes) Count(routeName string, size Size, first, admitted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := s.route(routeName)
-	r.prompts.count(size.Prompt, number(first), number(admitted))
-	r.answers.count(size.Answer, number(first), number(admitted))
+	s.route(routeName).count(size.Prompt, number(first), number(admitted))
 }
 
 func number(b bool) float64 {
--- a/internal/fair/fair_test.go
+++ b/internal/fair/fair_test.go
@@ -65,8 +65,8 @@
 			s := &fair.Sizes{}
 			crowd(s, 4000, c.largest, c.others)
 			favor := s.Favor("r", fair.Size{Prompt: fair.LargestTenth})
-			is.True(favor.Prompt <= c.most && favor.Prompt >= c.least)
-			is.Equal(s.Favor("other", fair.Size{Prompt: fair.LargestTenth}), fair.Favor{})
+			is.True(favor <= c.most && favor >= c.least)
+			is.Equal(s.Favor("other", fair.Size{Prompt: fair.LargestTenth}), 0.0)
 		})
 	}
 }
@@ -84,5 +84,5 @@
 		s.Count("r", size, true, false)
 		s.Count("r", size, false, true)
 	}
-	is.Equal(s.Favor("r", fair.Size{Prompt: fair.LargestTenth}).Prompt, 0.0)
+	is.Equal(s.Favor("r", fair.Size{Prompt: fair.LargestTenth}), 0.0)
 }
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -17,7 +17,7 @@
 		return place.Ruling{Verdict: place.Send}
 	}
 	asked := x.asked(clock.Now())
-	asked.Favor = x.g.sizes.Favor(x.route.Name, x.size()).Prompt
+	asked.Favor = x.g.sizes.Favor(x.route.Name, x.size())
 	x.tellQueue(&asked, c)
 	return place.Judge(c, asked)
 }
--- a/internal/model/placed.go
+++ b/internal/model/placed.go
@@ -186,7 +186,7 @@
 	ruling := place.Judge(c, place.Asked{
 		Objective: millis(a.Class.AimMS), Waited: now - a.Request.At,
 		Held: now - a.Arrived, Left: a.Deadline - now, Patience: max(a.Sent+patience-now, 1),
-		Favor: sizes.Favor(a.Class.Name, size).Prompt,
+		Favor: sizes.Favor(a.Class.Name, size),
 	})
 	if ruling.Verdict != place.Defer {
 		sizes.Count(a.Class.Name, size, a.Retry == 0, ruling.Verdict == place.Send)
--- a/internal/place/admit.go
+++ b/internal/place/admit.go
@@ -44,8 +44,7 @@
 	// is for what the reckoning misses.
 	onTimeShare = 0.9
 	// ownShare is the part of the objective up to which a prompt's own reading counts. A
-	// longer one is late by itself and would else be refused whenever engines are busy:
-	// of the longest tenth 2 in 10 were served where others had 8.
+	// longer one is late by itself and would else be refused whenever engines are busy.
 	ownShare = 0.4
 	// idleShare is the part of the objective that prompts ahead may take at an
 	// engine for a request to go that is late anyway: others come on time behind it.
@@ -112,10 +111,9 @@
 // turn reports whether a deferred request may be sent now.
 //
 // Load pattern: after a burst, hundreds of requests are deferred on as many VMs. When one
-// engine becomes idle, all VMs learn it from the same report and send at once: of the prompt
-// tokens ahead of late prompts, 0.85 had been sent within the previous 25 ms (logs of 99 VMs).
-// Each request is therefore sent with the probability at which the requests that look during
-// the age of a report fill the free capacity once.
+// engine becomes idle, all VMs learn it from the same report and send at once. Each request is
+// therefore sent with the probability at which the requests that look during the age of a
+// report fill the free capacity once.
 func turn(c Choice, a Asked) bool {
 	if a.Queue <= 0 {
 		return true
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -259,9 +259,9 @@
 	return p.total(id).Streams
 }
 
-// Decoding is how many decode engines the runs in hand of a service fill. It follows from the
-// seats that the longest answers leave: by slots, engines whose batches were already too large
-// for these counted as 0.4 full, and one of them was ordered to prefill.
+// Decoding is how many decode engines the runs in hand of a service fill, by the seats that the
+// longest answers leave: slots would count a batch that is already too large for these as half
+// empty.
 func (p *Placer) Decoding(targets []*fleet.Target, spec *fleet.EngineSpec, now time.Time) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/place/seats.go
+++ b/internal/place/seats.go
@@ -16,22 +16,18 @@
 const (
 	// streamShare is the part of its time limit that the longest answer may take by
 	// reckoning; the rest is for what the reckoning misses: steps are known to some in 100, and
-	// later requests join the batch. At 0.95 the largest tenth was served 0.60 times as often as
-	// all, at 0.9 0.65 times, at 0.85 0.59 times (means of 18 simulated days with engines at 0.6
-	// of their speed and 0.3 of the slots filled at least).
+	// later requests join the batch.
 	streamShare = 0.9
 	// batchShare is the price of joining a batch whose slots are all taken, as a
 	// part of the time that a run keeps its slot.
 	batchShare = 0.04
 	// leaveShare is the price of the last seat at a target that is fast enough for the longest
 	// answers, to answers that end in time elsewhere too, as a part of the time that a run keeps
-	// its seat. Without it, in a burst of prompts, 98 of 200 short answers went to the faster
-	// of two targets, with it none.
+	// its seat.
 	leaveShare = 0.3
 	// seatsShare is the part of the slots that are filled whatever is reckoned for the longest
-	// answers: few are that long, and all others would be turned away for them; and what is
-	// learned may be wrong. At 0.3 two of seven VMs refused nine of ten long answers for 14 s
-	// after a restart, while the other five sent theirs.
+	// answers: few are that long, all others would be turned away for them, and what a VM has
+	// learned since its start may be wrong.
 	seatsShare = 0.4
 )
 
@@ -192,9 +188,8 @@
 // and fill the slower targets first.
 //
 // Load pattern: streams of all lengths on engines that differ in speed, in a burst. Dealt alike
-// to all, an engine 1.3 times slower than others lost most of the long answers that it was
-// given, and the faster ones had 25 streams beside where 15 let the longest end in time, as
-// short ones were 10 to 40 ms apart in price between both.
+// to all, long answers are lost at the slower engines, and at the faster ones too, as short
+// answers fill their batches.
 func (e engines) overrun(s *state, load Work, now time.Time) time.Duration {
 	allowed := e.batch.step
 	if e.servesLongest(s) && (allowed == 0 || e.long < allowed) {
--- a/internal/place/ticket.go
+++ b/internal/place/ticket.go
@@ -179,9 +179,8 @@
 }
 
 // pacedSpan is the number of events after which the pace of an answer that is being made is
-// taken in: enough that a single late event tells little. Whole answers, of which the long ones
-// take a quarter of a minute, told only of batches of seconds ago: for a batch that had grown
-// from 5 to 80 requests 163 ms an event were reckoned where it took 70, or 300.
+// taken in: enough that a single late event tells little, and soon enough to know a batch that
+// has just grown, of which whole answers tell only when they end.
 const pacedSpan = 16
 
 // pacedEvents is the number of events from which a whole answer tells of its target's pace.
--- a/internal/place/weigh.go
+++ b/internal/place/weigh.go
@@ -11,8 +11,7 @@
 const (
 	// workPrice weighs the time that a prefill takes the target against the time that
 	// the request waits: while prompts queue it delays several that come next, so that
-	// a session goes back to its cache though others wait there. At 1, 1.7 of 11.2
-	// million tokens of a calm day were shared parts read again, at 4.5, 0.54 of 9.9.
+	// a session goes back to its cache though others wait there.
 	workPrice = 4.0
 	// cacheShare is the part of a target's free KV cache that parts are
 	// reckoned to be held in.
@@ -55,8 +54,7 @@
 }
 
 // pauseBudget is the time that prompts may be read between two events of a stream: all
-// that the shortest pause allowed leaves beside a stream's own steps. Half of it left
-// decode engines idle: 0.02 less of what was owed was earned, the mean of six days.
+// that the shortest pause allowed leaves beside a stream's own steps.
 func (e engines) pauseBudget() time.Duration {
 	if e.spec.MaxGap <= 0 {
 		return math.MaxInt64
