--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -139,7 +139,8 @@
 		if spec == nil {
 			return place.Choice{}, errkind.New(errkind.NoTarget, "the service is not a model's any more")
 		}
-		x.meta.Prompt.MaxWait, x.meta.Prompt.Deferred = x.asked(clock.Now()).MaxWait(), x.queued != nil
+		x.meta.Prompt.MaxWait = x.asked(clock.Now()).MaxWait()
+		x.meta.Prompt.Deferred = x.queued != nil
 		c, ok := x.g.placer.Read(x.view.Targets[x.service], spec, x.meta.Prompt, x.untried(), clock.Now())
 		if !ok {
 			return c, errkind.New(errkind.NoTarget, "no engine can take the request")
