--- a/internal/live/live_test.go
+++ b/internal/live/live_test.go
@@ -64,8 +64,7 @@
 	checkSizes(t, live.Config{Site: s, Day: d, Seed: 1, Busy: 0.2})
 }
 
-// More prompts came than the engines read, for all of the time, and 0.20 of the longest were
-// served where all had 0.48.
+// More prompts come than the engines read, for longer than callers wait.
 func TestLargePromptsAreServedInOverloadOnTheWallClock(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts processes")
