Live: faults on the wall clock, and the long answers that are lost there (red)

Callers follow readiness, retry a connection that ended, and resume where the route allows it. What a fault broke off is left out of the shares by size; planned stops are not. requests.tsv has a line a request.

--- a/cmd/garnet-model/main.go
+++ b/cmd/garnet-model/main.go
@@ -25,6 +25,7 @@
 	Until   float64  `long:"until" description:"end each day after this many seconds"`
 	Live    string   `long:"live" description:"directory of the programs: play the days in real time with garnet-node processes"`
 	Busy    float64  `long:"busy" description:"with --live, share of the time for which the processes are stopped"`
+	Faults  uint64   `long:"faults" description:"with --live, seed of faults that are injected in addition to the day's own; 0 injects none"`
 	Out     string   `long:"out" default:"model" description:"directory for reports and plots"`
 }
 
--- a/internal/live/report.go
+++ b/internal/live/report.go
@@ -30,8 +30,13 @@
 	refused
 	// failed is any other outcome.
 	failed
+	// gone means that the caller left early.
+	gone
 )
 
+// outcomeNames holds the names of the outcomes in reports.
+var outcomeNames = [...]string{inTime: "on_time", late: "late", refused: "refused", failed: "failed", gone: "gone"}
+
 // outcomeOf returns the outcome of a request from the response to its last attempt, which was sent
 // retryDelay after the first one.
 func outcomeOf(s *model.Site, q *model.Request, class *model.Class, response platformtest.LiveResult, retryDelay time.Duration, wasRefused bool) outcome {
@@ -72,10 +77,24 @@
 // Measures returns the measures in the order in which they are reported.
 func Measures() []Measure { return []Measure{ByWork, ByPrompt, ByAnswer, ByBody} }
 
-// requestOutcome is a request with its outcome.
-type requestOutcome struct {
+// result is how a request ended.
+type result struct {
 	request *model.Request
 	outcome outcome
+	// took is the time from the start of the first attempt to the end of the last one.
+	took     time.Duration
+	attempts int
+	// vm is the VM of the last attempt, and response its response.
+	vm       string
+	response platformtest.LiveResult
+	// brokenOff says that a fault of its engine or VM struck one of the attempts.
+	brokenOff bool
+}
+
+// counts reports whether the request counts in the shares by size. Requests that failed because a
+// fault broke them off, and those whose callers left early, do not.
+func (r *result) counts() bool {
+	return r.outcome != gone && (!r.brokenOff || r.outcome == inTime || r.outcome == late)
 }
 
 // Report collects the outcomes of a day's requests. Requests can be added concurrently.
@@ -84,7 +103,7 @@
 
 	// mu protects the fields below while requests are being added.
 	mu       sync.Mutex
-	outcomes [][]requestOutcome
+	outcomes [][]result
 	// causes counts the failed requests by their cause as seen by the callers; see causeOf.
 	causes map[string]int
 	// maxLag is the longest delay of an engine event that a busy host caused.
@@ -93,17 +112,17 @@
 
 // newReport returns a Report without requests.
 func newReport(s *model.Site) *Report {
-	return &Report{site: s, outcomes: make([][]requestOutcome, len(s.Classes)), causes: make(map[string]int)}
+	return &Report{site: s, outcomes: make([][]result, len(s.Classes)), causes: make(map[string]int)}
 }
 
 // add adds a request with its outcome and the response to its last attempt.
-func (r *Report) add(q *model.Request, o outcome, response platformtest.LiveResult) {
+func (r *Report) add(o result) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if o == failed {
-		r.causes[causeOf(response)]++
+	if o.outcome == failed {
+		r.causes[causeOf(o.response)]++
 	}
-	r.outcomes[q.Class] = append(r.outcomes[q.Class], requestOutcome{request: q, outcome: o})
+	r.outcomes[o.request.Class] = append(r.outcomes[o.request.Class], o)
 }
 
 // causeOf returns the cause of a failure as seen by the caller: an error of the call, or else the
@@ -126,9 +145,9 @@
 func (r *Report) ServedByTenth(class int, m Measure) (tenths [10]float64, all float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	sorted := slices.Clone(r.outcomes[class])
+	sorted := slices.DeleteFunc(slices.Clone(r.outcomes[class]), func(o result) bool { return !o.counts() })
 	size := measures[m]
-	slices.SortStableFunc(sorted, func(a, b requestOutcome) int { return cmp.Compare(size(b.request), size(a.request)) })
+	slices.SortStableFunc(sorted, func(a, b result) int { return cmp.Compare(size(b.request), size(a.request)) })
 	for i := range tenths {
 		tenths[i] = servedShare(sorted[len(sorted)*i/10 : len(sorted)*(i+1)/10])
 	}
@@ -136,7 +155,7 @@
 }
 
 // servedShare returns the fraction of requests that were answered completely, in time or late.
-func servedShare(outcomes []requestOutcome) float64 {
+func servedShare(outcomes []result) float64 {
 	n := 0
 	for _, o := range outcomes {
 		if o.outcome == inTime || o.outcome == late {
@@ -187,11 +206,16 @@
 		if c.Plain {
 			continue
 		}
-		var counts [failed + 1]int
+		var counts [gone + 1]int
+		brokenOff := 0
 		for _, o := range r.outcomes[i] {
 			counts[o.outcome]++
+			if o.outcome != gone && !o.counts() {
+				brokenOff++
+			}
 		}
-		fmt.Fprintf(&b, "%s: asked=%d on_time=%d late=%d refused=%d failed=%d\n", c.Name, len(r.outcomes[i]), counts[inTime], counts[late], counts[refused], counts[failed])
+		fmt.Fprintf(&b, "%s: asked=%d on_time=%d late=%d refused=%d failed=%d gone=%d; broken off by faults and not counted by size: %d\n",
+			c.Name, len(r.outcomes[i]), counts[inTime], counts[late], counts[refused], counts[failed], counts[gone], brokenOff)
 		for _, m := range Measures() {
 			tenths, all := r.ServedByTenth(i, m)
 			fmt.Fprintf(&b, "  served by %s, largest tenth first:", m)
@@ -208,3 +232,26 @@
 	_, err := io.WriteString(out, b.String())
 	return errors.Wrap(err, "write report")
 }
+
+// WriteRequests writes a line of tab-separated fields for each request: when it was asked in ms since
+// the start of the traffic, its class, tokens of prompt and answer, outcome, whether a fault broke it
+// off, the cause of a failure, attempts, the VM of the last one, and the times from its start to the
+// first event and to the end of the last attempt in ms.
+func (r *Report) WriteRequests(out io.Writer) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var b strings.Builder
+	b.WriteString("at_ms\tclass\tprompt\tanswer\toutcome\tbroken_off\tcause\tattempts\tvm\tfirst_ms\tms\n")
+	for i, outcomes := range r.outcomes {
+		for _, o := range outcomes {
+			cause := "-"
+			if o.outcome == failed {
+				cause = causeOf(o.response)
+			}
+			fmt.Fprintf(&b, "%d\t%s\t%d\t%d\t%s\t%t\t%s\t%d\t%s\t%d\t%d\n", o.request.At.Milliseconds(), r.site.Classes[i].Name, o.request.Prompt.Tokens, o.request.Output,
+				outcomeNames[o.outcome], o.brokenOff, cause, o.attempts, o.vm, o.response.First.Milliseconds(), o.took.Milliseconds())
+		}
+	}
+	_, err := io.WriteString(out, b.String())
+	return errors.Wrap(err, "write requests")
+}
--- a/internal/model/live.go
+++ b/internal/model/live.go
@@ -277,3 +277,19 @@
 
 // dropped implements sequenceObserver.
 func (r *LiveRun) dropped(bool) { r.notify(Progress{Dropped: true}) }
+
+// Crash ends an engine for good: all of its jobs are dropped, and it accepts no new ones.
+func (l *Live) Crash(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.catchUp()
+	l.engines[id].crash()
+}
+
+// SetFactor changes by which factor an engine's work takes longer than its figures say, from its
+// next step on.
+func (l *Live) SetFactor(id string, factor float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.engines[id].timeFactor = factor
+}
