Place: prompts are not prefilled beside long answers that have no time to lose

Callers saw: the longest answers were cut at their timeout with 170 to 190 of 211 events, where an engine needs more than 0.9 of the limit for them even alone (kochi at 0.65 of its speed with shorter timeouts: 71 to 75 ms an event, 63 allowed).

Cause: an answer for which no target meets 0.9 of its limit set no step limit, and the guard of prefills in place applies only to targets that meet it. So the guard ended exactly where no time was left. Class: a margin used as a test of feasibility.

Now an answer sets a step limit if any target ends it within the whole limit, and the guard applies to targets that are nearly as fast as the fastest one and can do so. Seats are as before.

--- a/internal/model/sizes_test.go
+++ b/internal/model/sizes_test.go
@@ -54,6 +54,45 @@
 	}
 }
 
+// Guards against prompts being served the less often the longer they are: while more arrived than the
+// engines could prefill, the largest tenth was served 0.6 to 0.75 times as often as all.
+func TestPromptsOfAllSizesAreServedInOverload(t *testing.T) {
+	const lowestShare = 0.8 // of the share of all prompts
+	for _, site := range []string{"nairobi", "kochi"} {
+		for _, day := range []string{"quiet-1", "scale-1"} {
+			for _, traffic := range []float64{1, 1.6} {
+				t.Run(fmt.Sprintf("%s %s with traffic %g", site, day, traffic), func(t *testing.T) {
+					t.Parallel()
+					s, d := loadDay(t, site, day, 1, traffic)
+					r := Play(s, d, GenerateRequests(s, d, 1), 1, builders["today"])
+					prompts := s.classIndex("long-prompt")
+					all := r.Classes[prompts].servedShare()
+					for band, name := range map[int]string{Largest: "largest tenth", Large: "next fifth"} {
+						if share := r.Sizes[prompts][band].servedShare(); share < lowestShare*all {
+							t.Errorf("served share of the %s is %.2f, of all %.2f", name, share, all)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// loadDay returns a site and one of its days, with engines and traffic scaled.
+func loadDay(t *testing.T, site, day string, speed, traffic float64) (*Site, *Day) {
+	t.Helper()
+	s, err := Load("../../examples/model/" + site + ".jsonc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Scale(speed, traffic)
+	d, err := s.Day(day)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, d
+}
+
 // Guards against the loss of the longest answers where they need nearly all of their time: of 214
 // events that take 66 ms each beside 28 others, and 71 ms beside the 36 that every engine took. They
 // were cut at the timeout with 198 of 214 events, or refused while shorter answers, which slower
@@ -79,27 +118,40 @@
 	}
 }
 
+// Guards against prompts that are prefilled beside the longest answers while these end in time only
+// just: alone within nine to ten tenths of their timeout. Nothing limited the prefills then, and the
+// answers were cut with 170 to 190 of 211 events.
+func TestPrefillsSpareLongAnswersNearTheirTimeout(t *testing.T) {
+	const lowestShare = 0.8 // of the share of all answers
+	for seed := uint64(1); seed <= 2; seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			s, d := loadDay(t, "kochi", "quiet-1", 0.65, 1)
+			for i := range s.Classes {
+				s.Classes[i].DeadlineMS *= 0.92
+			}
+			r := Play(s, d, GenerateRequests(s, d, seed), seed, builders["today"])
+			answers := s.classIndex("long-answer")
+			share, all := r.Sizes[answers][Largest].servedShare(), r.Classes[answers].servedShare()
+			if share < lowestShare*all {
+				t.Errorf("served share of the largest tenth is %.2f, of all %.2f", share, all)
+			}
+		})
+	}
+}
+
 // checkSizes simulates a day and fails if the large requests of a class are served less than half
 // as often as the class. Callers wait timeoutShare times as long as the site's file says.
 func checkSizes(t *testing.T, site, day string, speed, traffic, timeoutShare float64, seed uint64) {
 	t.Helper()
-	s, err := Load("../../examples/model/" + site + ".jsonc")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.Scale(speed, traffic)
+	s, d := loadDay(t, site, day, speed, traffic)
 	for i := range s.Classes {
 		s.Classes[i].DeadlineMS *= timeoutShare
 	}
-	d, err := s.Day(day)
-	if err != nil {
-		t.Fatal(err)
-	}
 	r := Play(s, d, GenerateRequests(s, d, seed), seed, builders["today"])
 	for i, class := range s.Classes {
 		all := r.Classes[i].servedShare()
 		for band, name := range map[int]string{Largest: "largest tenth", Large: "next fifth"} {
-			t.Logf("%s %s %.2f of %.2f", class.Name, name, r.Sizes[i][band].servedShare(), all)
 			if share := r.Sizes[i][band].servedShare(); 2*share < all {
 				t.Errorf("%s: served share of the %s is %.2f, of all %.2f", class.Name, name, share, all)
 			}
--- a/internal/place/seats.go
+++ b/internal/place/seats.go
@@ -12,12 +12,15 @@
 	// step is the limit, and at when it was last observed.
 	step time.Duration
 	at   time.Time
+	// fastest is the least slowdown of the decode steps of the service's targets.
+	fastest float64
 }
 
 const (
 	// answerTimeShare limits the estimated time of the longest answer, as a fraction of the
 	// request's time limit. The rest allows for errors: step times are known to within a few
-	// percent, and later requests join the batch.
+	// percent, and later requests join the batch. An answer that needs more than this even if it runs
+	// alone still limits the prefills in place, as long as it ends within the whole limit there.
 	answerTimeShare = 0.9
 	// fullBatchCost is the cost of joining a batch whose seats are all taken, as a fraction of the
 	// time that a request keeps its seat.
@@ -92,7 +95,7 @@
 	est.batch = batchNeeds{stream: true, timeLimit: time.Duration(answerTimeShare * float64(q.Limit))}
 	longest := max(est.longestAnswer(q), 1)
 	step := est.batch.timeLimit / time.Duration(longest)
-	if !p.anyFastEnough(*est, targets, step) {
+	if !p.anyFastEnough(*est, targets, wholeLimit(step)) {
 		return
 	}
 	est.batch.maxStep = step
@@ -101,11 +104,19 @@
 	limit := p.stepLimitOf(targets[0].Service)
 	limit.observe(time.Duration(answerTimeShare*float64(max(q.InitialLimit, q.Limit)))/time.Duration(longest), now)
 	est.maxStep = limit.current(now)
+	limit.fastest = p.leastSlowdown(p.sampleDecodeTargets(targets))
+	est.fastest = limit.fastest
 	if !q.Deferred {
 		est.batch.queuedAhead = p.queuedPerTarget(*est, targets[0].Service, targets)
 	}
 }
 
+// wholeLimit returns the longest step at which an answer ends within its time limit if it ends within
+// answerTimeShare of that limit at the given step.
+func wholeLimit(step time.Duration) time.Duration {
+	return time.Duration(float64(step) / answerTimeShare)
+}
+
 // anyFastEnough reports whether any decode target takes at most step for each decode step of a
 // request that runs there alone. The caller holds p.mu.
 func (p *Placer) anyFastEnough(est estimates, targets []*fleet.Target, step time.Duration) bool {
@@ -157,14 +168,36 @@
 // run there alone. Only such targets limit their seats for the sake of these answers.
 func (e estimates) fastEnough(s *state) bool { return e.maxStep > 0 && e.maxBatch(s, e.maxStep) >= 1 }
 
+// canEndLongest reports whether the longest answers of the service can end in time at a target: if it
+// is fast enough, or if it is nearly as fast as the fastest target and they end within their whole
+// time limit when they run there alone. The latter have no time to lose to prefills in place.
+func (e estimates) canEndLongest(s *state) bool {
+	if e.maxStep <= 0 || e.fastEnough(s) {
+		return e.maxStep > 0
+	}
+	return s.stepSlowdown <= e.fastest/answerTimeShare && e.maxBatch(s, wholeLimit(e.maxStep)) >= 1
+}
+
+// leastSlowdown returns the least slowdown of the decode steps of the targets, or 0 if none decodes.
+// The caller holds p.mu.
+func (p *Placer) leastSlowdown(targets []*fleet.Target) float64 {
+	least := 0.0
+	for _, t := range targets {
+		if s := p.stateOf(t); t.Stage != fleet.Prefill && !t.Leaving && (least == 0 || s.stepSlowdown < least) {
+			least = s.stepSlowdown
+		}
+	}
+	return least
+}
+
 // leavesStepTime reports whether a decode target that runs streams may prefill a prompt in place:
 // all such prefills must fit into the fraction of the target's time that the steps of the longest
 // answers do not need. Limiting each single gap was not enough, because a burst of prompts made all
 // steps longer for as long as the burst lasted. Small prompts (see smallPromptShare) and targets
-// that are not fast enough for the longest answers are exempt. load is the work at the target, and
+// at which the longest answers cannot end in time are exempt. load is the work at the target, and
 // prefill the time for the prompt.
 func (e estimates) leavesStepTime(s *state, load Work, prefill time.Duration, now time.Time) bool {
-	if load.Streams == 0 || !e.fastEnough(s) || prefill <= time.Duration(smallPromptShare*float64(e.gapBudget())) {
+	if load.Streams == 0 || !e.canEndLongest(s) || prefill <= time.Duration(smallPromptShare*float64(e.gapBudget())) {
 		return true
 	}
 	stepShare := float64(e.StepTime(load.Running)) * s.stepSlowdown / float64(e.maxStep)
--- a/internal/place/weigh.go
+++ b/internal/place/weigh.go
@@ -42,6 +42,8 @@
 	// maxStep is the longest decode step at which the service's longest answers end in time, or 0
 	// if no such answers are known.
 	maxStep time.Duration
+	// fastest is the least slowdown of the decode steps of the service's targets.
+	fastest float64
 	// batch is what the request being placed needs from the batch that it joins.
 	batch batchNeeds
 }
@@ -53,7 +55,8 @@
 	if len(targets) > 0 {
 		service = targets[0].Service
 	}
-	return estimates{Profile: p.profile(service), spec: spec, off: p.cfg.Off, maxStep: p.stepLimitOf(service).step}
+	limit := p.stepLimitOf(service)
+	return estimates{Profile: p.profile(service), spec: spec, off: p.cfg.Off, maxStep: limit.step, fastest: limit.fastest}
 }
 
 // gapBudget returns for how long prompts may be prefilled between two events of a stream: the
