Fair: a tenth of prompts that stays behind is favored until it catches up

Cause: the favor was proportional to the shortfall below 0.8 and full at 0.5 only, so that it came to rest between. Class: proportional control with an offset. And only three bands were told apart.

Now each tenth of a route's prompts has a credit, the integral of its shortfall, and sizes that got more than they are owed wait up to 0.3 less while another size is owed some. No VM asks another, as before.

Evidence: TestLastingShortfallIsFavoredFully failed before.

TestSizesAreComparedWithinTheirRoute compares bands by field now, as a size also has its tenth; the checks are the same.

--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -7,7 +7,10 @@
 // own callers only. They are a sample of all requests, so that VMs need not exchange their counts.
 package fair
 
-import "sync"
+import (
+	"slices"
+	"sync"
+)
 
 // Band is a range of sizes, relative to the sizes of the recent requests of the same route.
 type Band int
@@ -31,6 +34,12 @@
 // String returns the name of the band.
 func (b Band) String() string { return bandNames[b] }
 
+// Tenth is a tenth of a route's requests by size, from 0 for the largest to 9 for the smallest.
+type Tenth int
+
+// numTenths is the number of tenths.
+const numTenths = 10
+
 const (
 	// sizeWindow is the number of recent requests of a route that a size is compared with.
 	sizeWindow = 256
@@ -38,14 +47,15 @@
 	// of LargestTenth.
 	largestShare = 0.1
 	upperShare   = 0.3 // fraction of the recent requests that are larger than the smallest of NextFifth
-	// decayRequests is the number of calls of Count for a route over which the route's counts of
-	// requests and admissions decay by a factor of e.
+	// decayRequests is the number of requests of a route over which the route's admission rate decays
+	// by a factor of e.
 	decayRequests = 512
-	// fullFavorRate and noFavorRate are admission rates of a band divided by the admission rate of
-	// all requests of the route. At fullFavorRate or below, the band is favored fully; at
-	// noFavorRate or above, it is not favored.
-	fullFavorRate = 0.5
-	noFavorRate   = 0.8 // relative admission rate at or above which a band is not favored
+	// targetRate is the admission rate that each tenth of a route's prompts is owed, as a fraction of
+	// the admission rate of all of them.
+	targetRate = 0.75
+	// maxCredit is the number of admissions owed to a tenth at which it is favored fully. It also
+	// limits how long a past imbalance is remembered.
+	maxCredit = 4
 )
 
 // recentSizes holds the sizes of the most recent requests of a route.
@@ -55,9 +65,9 @@
 	added int
 }
 
-// classify returns the band of a request of the given size among the recent sizes, and then adds
-// the size to the recent ones.
-func (r *recentSizes) classify(size int) Band {
+// classify returns the band and the tenth of a request of the given size among the recent sizes, and
+// then adds the size to the recent ones.
+func (r *recentSizes) classify(size int) (Band, Tenth) {
 	filled := min(r.added, sizeWindow)
 	larger := 0
 	for _, other := range r.sizes[:filled] {
@@ -67,73 +77,65 @@
 	}
 	r.sizes[r.added%sizeWindow] = size
 	r.added++
+	tenth := Tenth(larger * numTenths / (filled + 1))
 	switch {
 	case larger < int(largestShare*float64(filled)):
-		return LargestTenth
+		return LargestTenth, tenth
 	case larger < int(upperShare*float64(filled)):
-		return NextFifth
+		return NextFifth, tenth
 	}
-	return Rest
-}
-
-// counts holds the number of requests and the number of those that were admitted, both with
-// exponential decay.
-type counts struct{ requests, admitted float64 }
-
-// decay reduces the counts by as much as they decay with each call of Count.
-func (c *counts) decay() {
-	c.requests *= 1 - 1.0/decayRequests
-	c.admitted *= 1 - 1.0/decayRequests
+	return Rest, tenth
 }
 
-// admissionRate returns the fraction of the requests that were admitted, or 1 if there were no
-// requests.
-func (c *counts) admissionRate() float64 {
-	if c.requests <= 0 {
-		return 1
-	}
-	return min(c.admitted/c.requests, 1)
-}
-
-// Size holds the two bands of a request.
+// Size holds the bands of a request.
 type Size struct {
-	// Prompt is the band by the length of the prompt.
-	Prompt Band
+	// Prompt is the band by the length of the prompt, and PromptTenth the tenth.
+	Prompt      Band
+	PromptTenth Tenth
 	// Answer is the band by the length of the answer that the caller expects.
 	Answer Band
 }
 
-// route holds the recent sizes and the counts of the requests of one route.
+// route holds the recent sizes of the requests of one route, and how often they are admitted.
 type route struct {
 	// prompts and answers hold the lengths of the prompts and of the expected answers, in tokens.
 	prompts recentSizes
 	answers recentSizes
-	// byPrompt holds the counts of the requests by the band of their prompt.
-	byPrompt [numBands]counts
+	// requests and admitted count the requests and those that were admitted, with exponential decay.
+	requests, admitted float64
+	// credit is the number of admissions that each tenth of the prompts is owed, from -maxCredit to
+	// maxCredit. It is the integral of the tenth's shortfall, so that a lasting shortfall of any size
+	// raises it until the tenth gets its share.
+	credit [numTenths]float64
 }
 
-// count decays the counts of all bands, and then adds requests and admissions to those of band b.
-func (r *route) count(b Band, requests, admitted float64) {
-	for i := range r.byPrompt {
-		r.byPrompt[i].decay()
+// admissionRate returns the fraction of the requests that were admitted, or 0 if there were none.
+func (r *route) admissionRate() float64 {
+	if r.requests <= 0 {
+		return 0
 	}
-	r.byPrompt[b].requests += requests
-	r.byPrompt[b].admitted += admitted
+	return min(r.admitted/r.requests, 1)
 }
 
-// favor returns how much prompts of band b are to be favored, from 0 to 1. It is 0 if no request
-// was admitted.
-func (r *route) favor(b Band) float64 {
-	var all counts
-	for _, c := range r.byPrompt {
-		all.requests += c.requests
-		all.admitted += c.admitted
-	}
-	if all.admissionRate() == 0 {
-		return 0
+// count records a try of a request in the tenth t. requests and admitted are what it adds to the
+// counts.
+func (r *route) count(t Tenth, requests, admitted float64) {
+	r.requests += requests
+	r.admitted += admitted
+	r.requests *= 1 - requests/decayRequests
+	r.admitted *= 1 - requests/decayRequests
+	owed := r.credit[t] + requests*targetRate*r.admissionRate() - admitted
+	r.credit[t] = min(max(owed, -maxCredit), maxCredit)
+}
+
+// favor returns how much prompts of the tenth t are favored, from -1 to 1. A tenth that got more than
+// it is owed yields only as far as another one is owed.
+func (r *route) favor(t Tenth) float64 {
+	own := r.credit[t] / maxCredit
+	if own >= 0 {
+		return own
 	}
-	relativeRate := r.byPrompt[b].admissionRate() / all.admissionRate()
-	return min(max((noFavorRate-relativeRate)/(noFavorRate-fullFavorRate), 0), 1)
+	return own * max(slices.Max(r.credit[:]), 0) / maxCredit
 }
 
 // Sizes classifies requests by their size among the recent requests of their route, and measures
@@ -164,15 +166,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.route(routeName)
-	return Size{Prompt: r.prompts.classify(prompt), Answer: r.answers.classify(answer)}
+	size := Size{}
+	size.Prompt, size.PromptTenth = r.prompts.classify(prompt)
+	size.Answer, _ = r.answers.classify(answer)
+	return size
 }
 
-// Favor returns how much a request of this size is to be favored in admission, from 0 for not at
-// all to 1 for fully. It depends only on the band of the prompt.
+// Favor returns how much a request of this size is to be favored in admission, from -1 to 1. Below 0,
+// the request is to yield to others. It depends only on the tenth of the prompt.
 func (s *Sizes) Favor(routeName string, size Size) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.route(routeName).favor(size.Prompt)
+	return s.route(routeName).favor(size.PromptTenth)
 }
 
 // Count records one try of a request. first states whether this is the caller's first try of the
@@ -181,7 +186,7 @@
 func (s *Sizes) Count(routeName string, size Size, first, admitted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.route(routeName).count(size.Prompt, toFloat(first), toFloat(admitted))
+	s.route(routeName).count(size.PromptTenth, toFloat(first), toFloat(admitted))
 }
 
 // toFloat returns 1 for true and 0 for false.
--- a/internal/fair/fair_test.go
+++ b/internal/fair/fair_test.go
@@ -19,8 +19,12 @@
 	}
 	is.Equal(s.Classify("long", 1250, 5).Prompt, fair.LargestTenth)
 	is.Equal(s.Classify("long", 1200, 5).Prompt, fair.NextFifth)
-	is.Equal(s.Classify("long", 1100, 5), fair.Size{Prompt: fair.Rest, Answer: fair.Rest})
-	is.Equal(s.Classify("short", 99, 20), fair.Size{Prompt: fair.LargestTenth, Answer: fair.LargestTenth})
+	rest := s.Classify("long", 1100, 5)
+	is.Equal(rest.Prompt, fair.Rest)
+	is.Equal(rest.Answer, fair.Rest)
+	largest := s.Classify("short", 99, 20)
+	is.Equal(largest.Prompt, fair.LargestTenth)
+	is.Equal(largest.Answer, fair.LargestTenth)
 }
 
 // While a route has few recent requests to compare with, most requests are still classified as
@@ -92,3 +96,23 @@
 	}
 	is.Equal(s.Favor("r", fair.Size{Prompt: fair.LargestTenth}), 0.0)
 }
+
+// A tenth that stays a little behind for long is favored fully, and sizes that are admitted more often
+// yield to it. Favoring in proportion to the shortfall left the largest tenth at 0.7 of all.
+func TestLastingShortfallIsFavoredFully(t *testing.T) {
+	is := is.New(t)
+	s := &fair.Sizes{}
+	countRequests(s, 4000, 0.3, 0.5)
+	is.True(s.Favor("r", fair.Size{Prompt: fair.LargestTenth, PromptTenth: 0}) > 0.7)
+	is.True(s.Favor("r", fair.Size{Prompt: fair.Rest, PromptTenth: 8}) < -0.5)
+}
+
+// Sizes that are admitted more often than others yield to nobody while no size is owed anything.
+func TestNobodyYieldsWhileAllAreAdmitted(t *testing.T) {
+	is := is.New(t)
+	s := &fair.Sizes{}
+	countRequests(s, 4000, 1, 1)
+	for tenth := range fair.Tenth(10) {
+		is.Equal(s.Favor("r", fair.Size{PromptTenth: tenth}), 0.0)
+	}
+}
--- a/internal/place/admit.go
+++ b/internal/place/admit.go
@@ -62,6 +62,9 @@
 	// multiplied before the result is compared with the time left, because a prefill may take
 	// longer than estimated.
 	prefillMargin = 1.25
+	// yieldShare is the largest fraction of its allowed wait that a size gives up while other sizes are
+	// admitted less often.
+	yieldShare = 0.3
 	// deferShare limits how long a request is deferred, as a fraction of the time within which its
 	// answer must begin. After that the caller is told to try again, and as much time is left for
 	// the next try.
@@ -88,8 +91,9 @@
 	// two checks of whether a deferred request can be sent.
 	QueuedPrefill time.Duration
 	CheckInterval time.Duration
-	// Favor is the fraction of the request's own prefill time that is not counted, from 0 to 1. The
-	// reduction favors prompt sizes that are admitted less often than others.
+	// Favor is above 0 for a prompt size that is admitted less often than others, and below 0 for one
+	// that is admitted more often, from -1 to 1. It is the fraction of the request's own prefill time
+	// that is not counted or, if negative, that of yieldShare by which the allowed wait is reduced.
 	Favor float64
 	// Random is a random number, uniform in [0, 1).
 	Random float64
@@ -113,8 +117,9 @@
 // two delays: the longest at which the answer is on time, and the longest at which the target
 // counts as idle. own is the estimated time of the request's own prefill.
 func (a AdmissionInput) maxWait(own time.Duration) time.Duration {
-	own = time.Duration((1 - a.Favor) * float64(min(own, time.Duration(maxOwnShare*float64(a.Objective)))))
-	return max(time.Duration(onTimeShare*float64(a.Objective))-a.Waited-own, idleWait(a.Objective))
+	own = time.Duration((1 - max(a.Favor, 0)) * float64(min(own, time.Duration(maxOwnShare*float64(a.Objective)))))
+	yielded := 1 - yieldShare*max(-a.Favor, 0)
+	return max(time.Duration(yielded*onTimeShare*float64(a.Objective))-a.Waited-own, time.Duration(yielded*float64(idleWait(a.Objective))))
 }
 
 // MaxWait returns the longest queueing delay with which the request is sent. It is for use while
