--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -3,8 +3,9 @@
 //
 // Load pattern: more work arrives than the targets can do, for longer than callers wait. Which
 // requests are admitted then depends on their size: a short prompt fits into any gap, but a long
-// one only at a target that is nearly idle, and there is none. Each VM counts the requests of its
-// own callers only. They are a sample of all requests, so that VMs need not exchange their counts.
+// one only at a target that is nearly idle, and there is none. Each tenth of a route's prompts by size
+// is therefore owed a share of what is admitted. Each VM counts the requests of its own callers only.
+// They are a sample of all requests, so that VMs need not exchange their counts.
 package fair
 
 import (
--- a/internal/live/world.go
+++ b/internal/live/world.go
@@ -54,9 +54,10 @@
 	slots   []*slot
 	vms     []*vm
 	callers *platformtest.LiveCallers
-	// disturbed records what the faults break off, and leaving whether callers leave early.
+	// disturbed records what the faults break off, and leaving counts the present faults for which
+	// callers leave early.
 	disturbed *disturbances
-	leaving   atomic.Pointer[leaveFault]
+	leaving   atomic.Int32
 	// configVersion is the version of the configuration that was written last.
 	configVersion atomic.Int64
 }
