--- a/internal/live/play.go
+++ b/internal/live/play.go
@@ -77,18 +77,13 @@
 		r.response, r.vm, r.attempts = response, v.name(), attempt+1
 		r.brokenOff = r.brokenOff || h.disturbed.brokeOff(id, v.name(), sent, time.Now())
 		r.took = time.Since(began)
-		refused := response.Status == http.StatusServiceUnavailable || response.Status == http.StatusTooManyRequests
-		unanswered := response.Status == 0 && !errors.Is(response.Err, context.Canceled) && !errors.Is(response.Err, context.DeadlineExceeded)
-		cut := response.Err != nil && response.Status == http.StatusOK && errors.Is(response.Err, io.ErrUnexpectedEOF) && class.Resumable
 		left := limit - time.Since(began)
-		if cut {
+		if mayRetry(response, class) && attempt+1 < maxAttempts && left > 0 {
 			seen = response.Events
-		}
-		if (refused || unanswered || cut) && attempt+1 < maxAttempts && left > 0 {
 			kernel.Sleep(ctx, min(response.RetryAfter, left/retryWaitDivisor))
 			continue
 		}
-		r.outcome = outcomeOf(h.cfg.Site, q, class, response, sent.Sub(began), refused)
+		r.outcome = outcomeOf(h.cfg.Site, q, class, response, sent.Sub(began), isRefusal(response))
 		if r.outcome == failed && leaves {
 			r.outcome = gone
 		}
@@ -96,6 +91,25 @@
 	}
 }
 
+// isRefusal reports whether a response states that the request has not run.
+func isRefusal(response platformtest.LiveResult) bool {
+	return response.Status == http.StatusServiceUnavailable || response.Status == http.StatusTooManyRequests
+}
+
+// mayRetry reports whether a caller sends a request again after the given response: after a refusal, if
+// the connection ended without a response, or if it ended later and the answer may be resumed.
+func mayRetry(response platformtest.LiveResult, class *model.Class) bool {
+	switch {
+	case response.Err == nil:
+		return isRefusal(response)
+	case errors.Is(response.Err, context.Canceled) || errors.Is(response.Err, context.DeadlineExceeded):
+		return false
+	case response.Status == 0:
+		return true
+	}
+	return class.Resumable && response.Status == http.StatusOK && errors.Is(response.Err, io.ErrUnexpectedEOF)
+}
+
 // callerVM returns the VM that the load balancer connects a request's caller to on its n-th attempt:
 // one of the caller's data centre, or any other if none of them is in rotation.
 func (h *harness) callerVM(q *model.Request, n int) *vm {
--- a/internal/live/report.go
+++ b/internal/live/report.go
@@ -94,7 +94,7 @@
 // counts reports whether the request counts in the shares by size. Requests that failed because a
 // fault broke them off, and those whose callers left early, do not.
 func (r *result) counts() bool {
-	return r.outcome != gone && (!r.brokenOff || r.outcome == inTime || r.outcome == late)
+	return r.outcome != gone && !(r.outcome == failed && r.brokenOff)
 }
 
 // Report collects the outcomes of a day's requests. Requests can be added concurrently.
