Observability: what a target states of its limit is decoded, logged and counted

No decision is changed: a VM that lists limited_sends on its lines after event=target_limit sends on as before (hypothesis 1), alone within the limit (2), or in bursts (3).

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -48,6 +48,9 @@
 	tried place.Tried
 	// attempts counts the attempts at targets and takes retries from the budget.
 	attempts attemptTracker
+	// limitedSends counts the sends to targets that stated a limit on requests before. It is atomic
+	// because attempts may run concurrently.
+	limitedSends atomic.Int64
 	// sentAt is when the latest attempt at a model engine began.
 	sentAt time.Time
 	// quarantineReq identifies the request on all VMs. trial is set while this exchange tests
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -79,6 +79,9 @@
 	// Verdict classifies a response by its status and header. prefill says that the request was a
 	// prefill, whose response has no signature.
 	Verdict(status int, h http.Header, prefill bool) Verdict
+	// Limit returns the limit that a target's response states on the requests which the target
+	// accepts from all VMs together, in requests a second. stated is false if there is none.
+	Limit(h http.Header) (perS float64, stated bool)
 	// CallerHeader returns the response header for the caller, from that of the target.
 	CallerHeader(h http.Header) http.Header
 	// Handle decodes the response body of a prefill by the target at address.
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -87,6 +87,9 @@
 	if s := &x.attempts; s.retriesUsed > 0 || s.arrivals > 1 || s.prefills > 1 {
 		fields = append(fields, telemetry.F("arrivals", s.arrivals), telemetry.F("reads", s.prefills), telemetry.F("drawn", s.retriesUsed))
 	}
+	if n := x.limitedSends.Load(); n > 0 {
+		fields = append(fields, telemetry.F("limited_sends", n))
+	}
 	if x.targetClosed {
 		fields = append(fields, telemetry.F("print", x.quarantineReq.Fingerprint()))
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -13,6 +13,7 @@
 	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/httpsend"
 	"garnethoist.org/garnethoist/internal/place"
+	"garnethoist.org/garnethoist/internal/telemetry"
 )
 
 // outcome is how one attempt at a target ended.
@@ -100,6 +101,7 @@
 // may be called concurrently.
 func (x *exchange) sendTo(ctx context.Context, to httpsend.Destination, t *fleet.Target, d Directive, ticket *place.Ticket) (*httpsend.Response, outcome, error) {
 	d.TargetID = t.ID
+	x.countLimitedSend(t)
 	d.Remaining, d.Account = clock.Until(x.deadline), x.accountName()
 	req := &httpsend.Request{
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host,
@@ -111,6 +113,7 @@
 	if err != nil {
 		return nil, x.noteSendFailure(ctx, t, ticket, err), err
 	}
+	x.noteLimit(t, resp.Header)
 	switch x.g.proto.Verdict(resp.Status, resp.Header, d.PrefillOnly) {
 	case Refused:
 		x.addTrace(t, "refused", nil)
@@ -126,6 +129,24 @@
 	return resp, outcomeAnswered, nil
 }
 
+// countLimitedSend counts a send to a target that states a limit, for the log line.
+func (x *exchange) countLimitedSend(t *fleet.Target) {
+	if x.g.placer.Limited(t) {
+		x.limitedSends.Add(1)
+	}
+}
+
+// noteLimit records the limit on requests that a target's response states, and logs a change of it.
+func (x *exchange) noteLimit(t *fleet.Target, h http.Header) {
+	perS, stated := x.g.proto.Limit(h)
+	if !x.g.placer.ObserveLimit(t, perS, stated, clock.Now()) {
+		return
+	}
+	x.g.stats.TargetLimit(t.Service, stated)
+	x.g.log.Info(telemetry.EventTargetLimit, telemetry.F("target", t.ID), telemetry.F("stated", stated),
+		telemetry.F("per_s", perS), telemetry.F("service", t.Service), telemetry.F("request", x.meta.ID))
+}
+
 // noteSendFailure records a failed send in the trace, ends its ticket and returns the outcome.
 func (x *exchange) noteSendFailure(ctx context.Context, t *fleet.Target, ticket *place.Ticket, err error) outcome {
 	now := clock.Now()
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -25,6 +25,8 @@
 	bySize     metric.Int64Counter
 	admissions metric.Int64Counter
 	retries    metric.Int64Counter
+	// targetLimits counts changes of the limits that targets state.
+	targetLimits metric.Int64Counter
 }
 
 // NewStats registers the gateway's instruments with m.
@@ -50,7 +52,11 @@
 		return nil, errors.Wrap(err, "admissions counter")
 	}
 	retries, err := m.Int64Counter("garnet_retries", metric.WithDescription("sends to further targets, by whether attempts and retry budget allowed them"))
-	return &Stats{requests: requests, duration: duration, handlesNotFreed: handles, bySize: bySize, admissions: admissions, retries: retries}, errors.Wrap(err, "retries counter")
+	if err != nil {
+		return nil, errors.Wrap(err, "retries counter")
+	}
+	limits, err := m.Int64Counter("garnet_target_limits", metric.WithDescription("changes of the limits on requests that targets state, by whether one was stated"))
+	return &Stats{requests: requests, duration: duration, handlesNotFreed: handles, bySize: bySize, admissions: admissions, retries: retries, targetLimits: limits}, errors.Wrap(err, "limits counter")
 }
 
 // Request counts one request and its duration. kind is empty if the response came from a target.
@@ -85,5 +91,12 @@
 	)))
 }
 
+// TargetLimit counts a change of the limit that a target of the service states.
+func (s *Stats) TargetLimit(service string, stated bool) {
+	s.targetLimits.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(
+		attribute.String("service", service), attribute.Bool("stated", stated),
+	)))
+}
+
 // HandleNotFreed counts a handle whose freeing call failed.
 func (s *Stats) HandleNotFreed() { s.handlesNotFreed.Add(context.Background(), 1) }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -157,6 +157,7 @@
 	// It is reset to 1 when the target changes its stage.
 	stepSlowdown float64
 	stage        fleet.Stage
+	limit        rateLimit
 	// connErrors is the number of consecutive failures to reach the target. If it is above 0,
 	// retryAt is when the target may be tried again.
 	retryAt    time.Time
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -26,6 +26,7 @@
 	EventTransferFallback Event = "kv_transfer_fallback" // prefill at another engine failed; one engine runs the request
 	EventTargetSetAside   Event = "target_set_aside"     // a target is not used for a while after failures
 	EventTargetState      Event = "target_state"         // a target changed its state or became unreachable
+	EventTargetLimit      Event = "target_limit"         // a target began or ceased to state a limit on requests, or changed it
 	EventPeerState        Event = "peer_state"           // another VM was found or its address changed
 	EventTableVersion     Event = "table_version"        // a new version of the table of services is used
 	EventLeaseAcquired    Event = "lease_acquired"       // this process became the holder of a lease
