Observability: attempts to open connections to targets are counted by result

The lines of a VM that reaches no engine name single failed dials; none tells that none succeeds. garnet_target_dials counts connected, refused, timed_out and failed dials, so that a VM without a path (no connected, all others) differs from one whose engine is down. httpsend takes a dialer, so that tests can cut one VM's paths. No decision is changed.

--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,6 +29,8 @@
 	retries    metric.Int64Counter
 	// targetLimits counts changes of the limits that targets state.
 	targetLimits metric.Int64Counter
+	// dials counts attempts to open a connection to a target.
+	dials metric.Int64Counter
 }
 
 // NewStats registers the gateway's instruments with m.
@@ -56,7 +60,11 @@
 		return nil, errors.Wrap(err, "retries counter")
 	}
 	limits, err := m.Int64Counter("garnet_target_limits", metric.WithDescription("changes of the limits on requests that targets state, by whether one was stated"))
-	return &Stats{requests: requests, duration: duration, handlesNotFreed: handles, bySize: bySize, admissions: admissions, retries: retries, targetLimits: limits}, errors.Wrap(err, "limits counter")
+	if err != nil {
+		return nil, errors.Wrap(err, "limits counter")
+	}
+	dials, err := m.Int64Counter("garnet_target_dials", metric.WithDescription("attempts to open a connection to a target, by result"))
+	return &Stats{requests: requests, duration: duration, handlesNotFreed: handles, bySize: bySize, admissions: admissions, retries: retries, targetLimits: limits, dials: dials}, errors.Wrap(err, "dials counter")
 }
 
 // Request counts one request and its duration. kind is empty if the response came from a target.
@@ -98,5 +106,22 @@
 	)))
 }
 
+// Dial counts an attempt to open a connection to a target, which failed with err unless err is nil.
+func (s *Stats) Dial(err error) {
+	var timeout net.Error
+	result := "failed"
+	switch {
+	case err == nil:
+		result = "connected"
+	case errors.Is(err, syscall.ECONNREFUSED):
+		result = "refused"
+	case errors.Is(err, syscall.ETIMEDOUT), errors.As(err, &timeout) && timeout.Timeout():
+		result = "timed_out"
+	case errors.Is(err, context.Canceled):
+		result = "canceled"
+	}
+	s.dials.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(attribute.String("result", result))))
+}
+
 // HandleNotFreed counts a handle whose freeing call failed.
 func (s *Stats) HandleNotFreed() { s.handlesNotFreed.Add(context.Background(), 1) }
--- a/internal/httpsend/client.go
+++ b/internal/httpsend/client.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -67,8 +68,17 @@
 // ErrConnLimit reports that the destination's MaxConns connections are all in use.
 var ErrConnLimit = errors.New("httpsend: all connections to the target are in use")
 
-// Config holds the time limits of a Client's connections.
+// Dialer opens TCP connections.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Config holds the time limits of a Client's connections, and how they are opened.
 type Config struct {
+	// Dialer opens the connections. If it is nil, they are opened directly, within DialTimeout.
+	Dialer Dialer
+	// OnDial, if not nil, is called with the result of each attempt to open a connection.
+	OnDial func(err error)
 	// DialTimeout limits the time to open a connection.
 	DialTimeout time.Duration
 	// MaxIdleTime is how long an idle connection is kept for reuse.
@@ -125,6 +135,12 @@
 
 // New returns a client without connections.
 func New(cfg Config) *Client {
+	if cfg.OnDial == nil {
+		cfg.OnDial = func(error) {}
+	}
+	if cfg.Dialer == nil {
+		cfg.Dialer = silence.Dialer(cfg.DialTimeout, cfg.UnackedTimeout)
+	}
 	return &Client{cfg: cfg, pools: make(map[string]*pool)}
 }
 
@@ -144,7 +160,8 @@
 		return nil, ErrConnLimit
 	}
 	began := clock.Now()
-	nc, err := silence.Dialer(c.cfg.DialTimeout, c.cfg.UnackedTimeout).DialContext(ctx, "tcp", d.Address)
+	nc, err := c.cfg.Dialer.DialContext(ctx, "tcp", d.Address)
+	c.cfg.OnDial(err)
 	if err != nil {
 		c.releaseSlot(d.ID)
 		return nil, err
@@ -168,7 +185,7 @@
 // is refused, or if it is accepted and closed within probeWait without data, as a load balancer
 // without healthy targets does.
 func (c *Client) Probe(ctx context.Context, address string) error {
-	nc, err := silence.Dialer(c.cfg.DialTimeout, c.cfg.UnackedTimeout).DialContext(ctx, "tcp", address)
+	nc, err := c.cfg.Dialer.DialContext(ctx, "tcp", address)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return errors.Wrap(ErrNotListening, err.Error())
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,6 +90,8 @@
 	NewEngineClient func(c *httpsend.Client) stages.EngineClient
 	// NewCloud returns a client for the calls that one VM at a time makes on behalf of all.
 	NewCloud func(c *httpsend.Client, cfg settings.Cloud) Cloud
+	// TargetDialer opens connections to targets. If it is nil, garnet-node's own dialer opens them.
+	TargetDialer httpsend.Dialer
 	// ReadyPath is the path of the load balancer's health check.
 	ReadyPath string
 	// ConfigTable is the name of the store's table that holds the configuration.
@@ -207,8 +209,13 @@
 	k.Register(ModuleReadyServer, func(*kernel.Kernel) (any, error) {
 		return gateway.NewReadyServer(string(cfg.ReadyListen), a.ReadyPath), nil
 	})
-	k.Register(ModuleHTTPClient, func(*kernel.Kernel) (any, error) {
-		return httpsend.New(httpsend.Config{DialTimeout: targetDialTimeout, MaxIdleTime: targetMaxIdle, UnackedTimeout: targetUnackedTimeout}), nil
+	k.Register(ModuleHTTPClient, func(k *kernel.Kernel) (any, error) {
+		stats, err := kernel.Get[*gateway.Stats](k, ModuleStats)
+		if err != nil {
+			return nil, err
+		}
+		return httpsend.New(httpsend.Config{Dialer: a.TargetDialer, OnDial: stats.Dial, DialTimeout: targetDialTimeout,
+			MaxIdleTime: targetMaxIdle, UnackedTimeout: targetUnackedTimeout}), nil
 	})
 	k.Register(ModuleStages, func(k *kernel.Kernel) (any, error) { return provideStages(k, cfg, a) })
 	registerDuties(k, cfg, a)
