Callers of a VM that reaches no target are served: connections through other VMs

Cause: a VM had one way to an engine only, its own link, and took what that link did for what the engines did. The class: a failure of one's own is taken for that of all others.

Mend: a connection that cannot be opened directly within 100 ms is opened through another VM (HTTP CONNECT at the peer address, internal/tunnel). Two that succeed only that way in a row prove the path lost: from then on all are opened so at once, idle ones are closed, and the direct path is probed. VMs tell each other that they have no path, and decline to be asked. All decisions on a request stay where its caller has sent it; a connection that could not be opened has certainly run nothing.

--- a/internal/httpsend/client.go
+++ b/internal/httpsend/client.go
@@ -102,7 +102,8 @@
 	// MaxIdleTime is the longest time that a connection may have been idle to be reused; 0
 	// means the client's MaxIdleTime.
 	MaxIdleTime time.Duration
-	// OnConnect, if not nil, is called with the time that it took to open a new connection.
+	// OnConnect, if not nil, is called with the time that it took to open a new connection, unless that
+	// was opened through another VM.
 	OnConnect func(took time.Duration)
 }
 
@@ -166,7 +167,7 @@
 		c.releaseSlot(d.ID)
 		return nil, err
 	}
-	if d.OnConnect != nil {
+	if d.OnConnect != nil && nc.RemoteAddr().String() == d.Address {
 		d.OnConnect(clock.Since(began))
 	}
 	cn := newConn(nc, d.ID)
@@ -247,6 +248,20 @@
 	}
 }
 
+// CloseIdle closes all idle connections.
+func (c *Client) CloseIdle() {
+	c.mu.Lock()
+	var closing []*conn
+	for _, p := range c.pools {
+		closing = append(closing, p.idle...)
+		p.idle = nil
+	}
+	c.mu.Unlock()
+	for _, cn := range closing {
+		c.discard(cn)
+	}
+}
+
 // popIdle removes the most recently used connection from the pool and returns it. It returns nil if
 // the pool has no idle connection. It also returns nil if the connection has been idle for longer
 // than d.MaxIdleTime; that connection stays in the pool for requests without that limit.
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -39,12 +39,8 @@
 	k.Register(ModuleUsageCounter, func(*kernel.Kernel) (any, error) {
 		return usage.NewCounter(cfg.UsageWindow.D(), time.Now().UnixNano()), nil
 	})
-	k.Register(ModuleCloud, func(k *kernel.Kernel) (any, error) {
-		g := &kernel.Getter{Kernel: k}
-		client := kernel.Need[*httpsend.Client](g, ModuleHTTPClient)
-		if g.Err != nil {
-			return nil, g.Err
-		}
+	k.Register(ModuleCloud, func(*kernel.Kernel) (any, error) {
+		client := httpsend.New(httpsend.Config{DialTimeout: targetDialTimeout, MaxIdleTime: targetMaxIdle, UnackedTimeout: targetUnackedTimeout})
 		return a.NewCloud(client, cfg.Cloud), nil
 	})
 	k.Register(ModuleDutyHolder, func(k *kernel.Kernel) (any, error) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"garnethoist.org/garnethoist/internal/stages"
 	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/telemetry"
+	"garnethoist.org/garnethoist/internal/tunnel"
 	"garnethoist.org/garnethoist/internal/usage"
 	"garnethoist.org/garnethoist/internal/watch"
 )
@@ -45,6 +46,8 @@
 	ModulePlacer        = "place.placer"      // chooses targets
 	ModuleStats         = "gateway.stats"     // the gateway's metrics
 	ModuleReadyServer   = "gateway.ready"     // answers the load balancer's readiness checks
+	ModuleTunnelDialer  = "tunnel.dialer"     // a tunnel.Dialer, which opens connections to targets
+	ModuleTunnelServer  = "tunnel.server"     // a tunnel.Server, which opens connections for other VMs
 	ModuleHTTPClient    = "httpsend.client"   // sends requests to targets
 	ModuleStages        = "stages"            // controls the stages of engines, prefill or decode
 	ModuleQuarantine    = "quarantine"        // keeps requests that crash targets from all targets
@@ -63,7 +66,7 @@
 // because a module in Roots depends on them, directly or not. All modules stop in the reverse of
 // the order in which they started, so that a stopping VM hands over its duties before it drains its
 // requests.
-var Roots = []string{ModuleAdmin, ModuleReadyServer, ModulePlacer, ModulePeers, ModuleStages, ModuleReload, ModuleGateway, ModuleDuties}
+var Roots = []string{ModuleAdmin, ModuleReadyServer, ModulePlacer, ModulePeers, ModuleTunnelServer, ModuleStages, ModuleReload, ModuleGateway, ModuleDuties}
 
 // Store is a client of the platform's store: transactions on keys, and the feeds of tables.
 type Store interface {
@@ -210,13 +213,16 @@
 		return gateway.NewReadyServer(string(cfg.ReadyListen), a.ReadyPath), nil
 	})
 	k.Register(ModuleHTTPClient, func(k *kernel.Kernel) (any, error) {
-		stats, err := kernel.Get[*gateway.Stats](k, ModuleStats)
-		if err != nil {
-			return nil, err
+		g := &kernel.Getter{Kernel: k}
+		dialer, stats := kernel.Need[*tunnel.Dialer](g, ModuleTunnelDialer), kernel.Need[*gateway.Stats](g, ModuleStats)
+		if g.Err != nil {
+			return nil, g.Err
 		}
-		return httpsend.New(httpsend.Config{Dialer: a.TargetDialer, OnDial: stats.Dial, DialTimeout: targetDialTimeout,
-			MaxIdleTime: targetMaxIdle, UnackedTimeout: targetUnackedTimeout}), nil
+		client := httpsend.New(httpsend.Config{Dialer: dialer, OnDial: stats.Dial, MaxIdleTime: targetMaxIdle, UnackedTimeout: targetUnackedTimeout})
+		dialer.SetOnPathChange(client.CloseIdle)
+		return client, nil
 	})
+	registerTunnels(k, cfg, a)
 	k.Register(ModuleStages, func(k *kernel.Kernel) (any, error) { return provideStages(k, cfg, a) })
 	registerDuties(k, cfg, a)
 	k.Register(ModuleGateway, func(k *kernel.Kernel) (any, error) { return provideGateway(k, cfg, a) })
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -151,6 +151,9 @@
 		SendRecords: encodeSendRecords(p.placer.TakeSendRecords(), originHash(p.self.VM)),
 		Changing:    p.orders.OpenOrders(),
 	}
+	if p.pathLost != nil && p.pathLost() {
+		r.WithoutPath = []string{p.self.VM}
+	}
 	r.HoldsDuties = p.dutyFence != nil && p.dutyFence() != 0
 	var readTimes []time.Time
 	for _, f := range p.followed {
@@ -314,7 +317,7 @@
 		receivedAt: clock.Now(), digest: r.Digest, work: decodeWork(r.Work), newest: r.Newest,
 		changing: r.Changing, readTimes: r.readTimes(clock.Now()),
 		storeTimesMS: r.StoreTimesMS, holdsDuties: r.HoldsDuties, liveVMs: r.LiveVMs,
-		limits: decodeLimits(r.Limits, clock.Now()),
+		limits: decodeLimits(r.Limits, clock.Now()), withoutPath: r.WithoutPath,
 	}
 	var before map[string]place.Work
 	if s != nil {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -116,7 +116,9 @@
 	usage       Usage
 	quota       Quota
 	limits      Limits
-	copier      Copier
+	// pathLost reports whether this VM reaches no target directly.
+	pathLost func() bool
+	copier   Copier
 	// readAll is set once the members of all data centres have been read or copied.
 	readAll atomic.Bool
 	// dutyFence returns this VM's fencing number while it holds the duties, and 0 otherwise. The
@@ -203,6 +205,8 @@
 	changing map[string]fleet.Stage
 	// limits holds the limits that the VMs that the report covers have received from targets.
 	limits []place.LimitReport
+	// withoutPath names the VMs that reach no target directly.
+	withoutPath []string
 }
 
 // isFresh returns whether the report arrived at most maxReportAge ago.
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -17,6 +17,9 @@
 	// the next summary and one for the next digest. It covers the send records of about half a
 	// second in the largest installations.
 	maxQueuedSendRecords = 512
+	// maxWithoutPath is the maximum number of VMs without a path that a report names. Others decline when
+	// they are asked for connections.
+	maxWithoutPath = 512
 	// sentinelCount is the intended number of sentinels in all data centres together. Sentinels are
 	// the VMs that read changes from the store promptly.
 	sentinelCount = 4
@@ -146,6 +149,7 @@
 	// therefore valid for the highest version of all copies.
 	now := clock.Now()
 	holdsDuties, liveVMs := own.HoldsDuties, 1
+	withoutPath := slices.Clone(own.WithoutPath)
 	readTimes, storeTimes := own.readTimes(now), slices.Clone(own.StoreTimesMS)
 	changing := make(map[string]fleet.Stage, len(own.Changing))
 	maps.Copy(changing, own.Changing)
@@ -161,6 +165,7 @@
 			newest[i] = max(newest[i], s.newest[i])
 		}
 		maps.Copy(changing, s.changing)
+		withoutPath = append(withoutPath, s.withoutPath...)
 		holdsDuties = holdsDuties || s.holdsDuties
 		readTimes = latestTimes(readTimes, s.readTimes)
 		for i := range min(len(storeTimes), len(s.storeTimesMS)) {
@@ -170,6 +175,9 @@
 	r := &report{From: p.self, Incarnation: p.incarnation, Work: encodeWork(work), Newest: newest,
 		Changing: changing}
 	r.HoldsDuties, r.LiveVMs = holdsDuties, liveVMs
+	// Equal lists must have equal encodings, so that due recognises an unchanged report.
+	slices.Sort(withoutPath)
+	r.WithoutPath = withoutPath[:min(len(withoutPath), maxWithoutPath)]
 	r.AgesMS, r.StoreTimesMS, r.KnownVMs = agesMS(readTimes, now), storeTimes, p.knownVMs()
 	return r
 }
--- a/internal/peers/report.go
+++ b/internal/peers/report.go
@@ -71,6 +71,8 @@
 	// Limits holds limits that targets state on requests, or no longer state. It is not in each report,
 	// see limitsInterval.
 	Limits []limitItem `cbor:"17,keyasint,omitempty"`
+	// WithoutPath names the VMs that reach no target directly, of those that the report covers.
+	WithoutPath []string `cbor:"18,keyasint,omitempty"`
 	// LiveVMs is the number of VMs that the report covers. Only summaries and digests state it.
 	LiveVMs int `cbor:"16,keyasint,omitempty"`
 	// KnownVMs is the number of VMs that From knows. Only summaries and digests state it.
--- a/internal/peers/topology.go
+++ b/internal/peers/topology.go
@@ -23,6 +23,10 @@
 	rank int
 	// index is the number of known VMs of all data centres whose names sort before this VM's.
 	index int
+	// others holds all known VMs but this one.
+	others []knownMember
+	// withoutPath holds the VMs that, by their last reports, reach no target directly.
+	withoutPath map[string]bool
 	// dataCentres holds the names of all data centres.
 	dataCentres []string
 }
@@ -38,6 +42,7 @@
 		return t
 	}
 	t.at, t.live, t.rank = now, t.live[:0], 0
+	t.withoutPath = p.vmsWithoutPath()
 	for _, m := range t.local {
 		if m.VM == p.self.VM {
 			t.rank = len(t.live)
@@ -57,6 +62,9 @@
 		if vm < p.self.VM {
 			t.index++
 		}
+		if vm != p.self.VM {
+			t.others = append(t.others, m)
+		}
 		if vm != p.self.VM && m.DataCentre == p.self.DataCentre {
 			t.local = append(t.local, m)
 		}
--- a/internal/snapshot/server.go
+++ b/internal/snapshot/server.go
@@ -51,6 +51,8 @@
 	// mu guards the fields below.
 	mu        sync.Mutex
 	providers map[string]Provider
+	// connect handles CONNECT requests. It is nil if this VM handles none.
+	connect http.Handler
 	// received holds, by table, the addresses of the last VMs that have received a copy.
 	received map[string][]string
 }
@@ -68,14 +70,24 @@
 	s.providers[table] = p
 }
 
+// HandleConnect sets the handler of the CONNECT requests of other VMs. It must be called before Start.
+func (s *Server) HandleConnect(h http.Handler) { s.connect = h }
+
 // Start listens and serves in the background.
 func (s *Server) Start(ctx context.Context) error {
 	l, err := silence.Listen(ctx, s.address, transferTimeout)
 	if err != nil {
 		return errors.Wrap(err, "listen for snapshots")
 	}
-	handler := gin.New()
-	handler.GET(pathPrefix+":table", s.serve)
+	tables := gin.New()
+	tables.GET(pathPrefix+":table", s.serve)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodConnect && s.connect != nil {
+			s.connect.ServeHTTP(w, r)
+			return
+		}
+		tables.ServeHTTP(w, r)
+	})
 	s.http = &http.Server{Handler: handler, ReadHeaderTimeout: silenceTimeout, WriteTimeout: transferTimeout, ErrorLog: telemetry.StdLogger(s.log)}
 	go func() {
 		defer close(s.done)
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -27,6 +27,8 @@
 	EventTargetSetAside   Event = "target_set_aside"     // a target is not used for a while after failures
 	EventTargetState      Event = "target_state"         // a target changed its state or became unreachable
 	EventTargetLimit      Event = "target_limit"         // a target began or ceased to state a limit on requests, or changed it
+	EventPathLost         Event = "path_lost"            // this VM reaches targets only through other VMs
+	EventPathRegained     Event = "path_regained"        // this VM reaches targets again
 	EventPeerState        Event = "peer_state"           // another VM was found or its address changed
 	EventTableVersion     Event = "table_version"        // a new version of the table of services is used
 	EventLeaseAcquired    Event = "lease_acquired"       // this process became the holder of a lease
--- /dev/null
+++ b/internal/tunnel/server.go
@@ -0,0 +1,222 @@
+// Package tunnel opens connections to targets through other VMs, for a VM that cannot reach the targets
+// itself.
+//
+// A VM asks another one for a connection with an HTTP CONNECT request (RFC 9110, section 9.3.6). The
+// other VM opens a connection to the target and copies the bytes of both directions. It does not read
+// them: requests are counted, limited and retried by the VM that a caller has sent them to. A VM opens
+// connections for others only directly, so that tunnels are never chained.
+package tunnel
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"garnethoist.org/garnethoist/internal/clock"
+	"garnethoist.org/garnethoist/internal/kernel"
+)
+
+const (
+	// bufferBytes is the size of the buffer of each direction of a tunnel.
+	bufferBytes = 16 << 10
+	// quietTime is how long a tunnel must be without data after a response for no request to be in
+	// flight on it. It is above the gaps between the events of a stream.
+	quietTime = time.Second
+	// maxDrain limits how long a VM that stops waits for the tunnels of others.
+	maxDrain = 3 * time.Second
+	// drainPoll is the time between two checks of whether tunnels are in use.
+	drainPoll = 50 * time.Millisecond
+)
+
+// established is the response to a CONNECT request after which the tunnel begins.
+const established = "HTTP/1.1 200 Connection established\r\n\r\n"
+
+// ServerOptions holds the settings of a Server.
+type ServerOptions struct {
+	// Dial opens connections to targets directly.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Allowed reports whether a target has the given address.
+	Allowed func(address string) bool
+	// Limit is the maximum number of tunnels.
+	Limit int
+}
+
+// Server opens connections to targets on behalf of other VMs. It is safe for concurrent use.
+type Server struct {
+	opts     ServerOptions
+	draining atomic.Bool
+
+	mu      sync.Mutex
+	tunnels map[*tunnel]bool
+}
+
+// NewServer returns a server without tunnels.
+func NewServer(o ServerOptions) *Server {
+	return &Server{opts: o, tunnels: make(map[*tunnel]bool)}
+}
+
+// ServeHTTP handles a CONNECT request. It responds with 403 if no target has the address, with 503 if
+// this VM opens no tunnel now, with 502 if the target refuses the connection, and with 504 if the
+// target cannot be reached.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !s.opts.Allowed(r.Host) {
+		w.WriteHeader(http.StatusForbidden)
+		return
+	}
+	t := &tunnel{}
+	if !s.add(t) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer s.remove(t)
+	target, err := s.opts.Dial(r.Context(), r.Host)
+	if err != nil {
+		w.WriteHeader(statusOf(err))
+		return
+	}
+	defer target.Close()
+	peer, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	defer peer.Close()
+	if _, err := peer.Write([]byte(established)); err != nil {
+		return
+	}
+	t.relay(peer, target)
+}
+
+// statusOf returns the status for a target that could not be connected to.
+func statusOf(err error) int {
+	switch {
+	case errors.Is(err, errNoPath):
+		return http.StatusServiceUnavailable
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return http.StatusBadGateway
+	}
+	return http.StatusGatewayTimeout
+}
+
+// add registers a tunnel. It returns false if there are too many, or if this VM stops.
+func (s *Server) add(t *tunnel) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining.Load() || len(s.tunnels) >= s.opts.Limit {
+		return false
+	}
+	s.tunnels[t] = true
+	return true
+}
+
+// remove unregisters a tunnel.
+func (s *Server) remove(t *tunnel) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.tunnels, t)
+}
+
+// Count returns the number of tunnels.
+func (s *Server) Count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.tunnels)
+}
+
+// Start does nothing: the caller routes CONNECT requests to ServeHTTP.
+func (s *Server) Start(context.Context) error { return nil }
+
+// Stop refuses new tunnels and waits for the requests on the open ones.
+func (s *Server) Stop(ctx context.Context) error {
+	s.Drain(ctx)
+	return nil
+}
+
+// Drain refuses new tunnels, and waits until no request is in flight on the open ones, but for
+// maxDrain at most.
+func (s *Server) Drain(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, maxDrain)
+	defer cancel()
+	s.draining.Store(true)
+	for s.busy() && ctx.Err() == nil {
+		kernel.Sleep(ctx, drainPoll)
+	}
+}
+
+// busy reports whether a request may be in flight on some tunnel.
+func (s *Server) busy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for t := range s.tunnels {
+		if !t.quiet(clock.Now()) {
+			return true
+		}
+	}
+	return false
+}
+
+// tunnel is a connection of another VM to a target.
+type tunnel struct {
+	mu sync.Mutex
+	// respondedAt is when the target last sent data, or zero if the other VM has sent data since.
+	respondedAt time.Time
+}
+
+// quiet reports whether no request is in flight.
+func (t *tunnel) quiet(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.respondedAt.IsZero() && now.Sub(t.respondedAt) >= quietTime
+}
+
+// relay copies data between the other VM and the target until one of them closes its connection, and
+// then closes both.
+func (t *tunnel) relay(peer, target net.Conn) {
+	var responses sync.WaitGroup
+	responses.Go(func() {
+		t.copy(peer, target, true)
+		closeBoth(peer, target)
+	})
+	t.copy(target, peer, false)
+	closeBoth(peer, target)
+	responses.Wait()
+}
+
+// closeBoth closes both connections. Either may be closed already.
+func closeBoth(a, b net.Conn) {
+	_ = a.Close()
+	_ = b.Close()
+}
+
+// copy copies data until src ends or dst fails. response says that src is the target.
+func (t *tunnel) copy(dst, src net.Conn, response bool) {
+	buf := make([]byte, bufferBytes)
+	for {
+		n, err := src.Read(buf)
+		if n > 0 {
+			t.note(response)
+			if _, werr := dst.Write(buf[:n]); werr != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// note records that data was received from the target or from the other VM.
+func (t *tunnel) note(response bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.respondedAt = time.Time{}
+	if response {
+		t.respondedAt = clock.Now()
+	}
+}
