Targets that are down cost no more time than before connections went through other VMs

Callers would have waited 0.5 s and more instead of 250 ms for an engine whose host is gone, as each failed connection was tried through another VM, which may not respond itself (TestTargetsThatAreDownCostNoMoreTime failed: over 450 ms; passes).

Cause: the first failed connection was already taken for a possible loss of the path.

Mend: the first one that fails is the target's, and the request goes on to the next target; until one succeeds, further ones are tried through other VMs too, for 300 ms in all. A VM that is asked declines after two failures in a row, and a refusal by a VM that reaches targets ends the search. Tests of a lost path first dial until the VM knows of it, and no longer expect the very first connection to succeed; that first one fails as it does for a target that is down.

--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -23,8 +23,11 @@
 	// nextWayDelay is how long a connection may take before the next way to open it is tried too. It is
 	// above the round trip between regions.
 	nextWayDelay = 100 * time.Millisecond
-	// tunnelTimeout limits the time to open a connection through another VM, which has targetDialTimeout
-	// for its own.
+	// doubtTimeout limits the time to open a connection while it is not known whether this VM or the
+	// target is cut off. It is little more than that of a direct one.
+	doubtTimeout = 300 * time.Millisecond
+	// tunnelTimeout limits the time to open a connection through another VM, which may take the time of
+	// a direct one to find out that it cannot.
 	tunnelTimeout = 500 * time.Millisecond
 	// tunnelUnacked is how long data sent to another VM may stay unacknowledged, unless the request
 	// sets another limit.
@@ -65,8 +68,9 @@
 // Dialer opens connections to targets directly, and through other VMs where that fails. It is safe for
 // concurrent use.
 //
-// A direct connection that is not open within nextWayDelay is tried through one other VM at the same
-// time. Once connections have succeeded only that way, the path counts as lost: connections are then
+// After a direct connection has failed, and until one succeeds, it is not known whether this VM or the
+// target is cut off. A connection that is not open within nextWayDelay is then tried through other VMs
+// at the same time. Once connections have succeeded only that way, the path counts as lost: they are
 // opened through other VMs at once, and the path is probed until it is regained.
 type Dialer struct {
 	kernel.Background
@@ -85,7 +89,7 @@
 
 // NewDialer returns a dialer whose path is not lost.
 func NewDialer(o Options) *Dialer {
-	return &Dialer{opts: o, path: pathState{indirect: make(map[string]time.Time), unreachedTargets: make(map[string]bool)}, peer: silence.Dialer(tunnelTimeout, tunnelUnacked),
+	return &Dialer{opts: o, path: pathState{indirect: make(map[string]time.Time)}, peer: silence.Dialer(tunnelTimeout, tunnelUnacked),
 		onPathChange: func() {}, probing: make(chan struct{}, 1), declined: make(map[string]time.Time)}
 }
 
@@ -121,9 +125,12 @@
 	switch {
 	case err == nil:
 		d.noteReached(address)
-	case d.path.unreached(address):
-		d.startProbes()
-		return nil, errNoPath
+	case ctx.Err() == nil:
+		d.path.noteUnreached()
+		if d.path.isDoubtful() {
+			d.startProbes()
+			return nil, errNoPath
+		}
 	}
 	return nc, err
 }
@@ -135,27 +142,35 @@
 // syscall.ECONNREFUSED only if this VM reaches targets.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	d.path.noteUse(address, clock.Now())
-	if d.path.isLost() {
-		nc, err := firstOf(ctx, d.tunnels(maxPeersLost, address))
-		if err != nil && !errors.Is(err, errDeclined) {
-			return nc, err
-		}
+	direct := &directWay{d: d, network: network, address: address}
+	switch {
+	case d.path.isLost(), d.path.isIndirect(address):
+		return d.race(ctx, tunnelTimeout, direct, append(d.tunnels(maxPeersLost, address), direct.dial))
+	case d.path.isSound():
+		nc, err := d.opts.Direct.DialContext(ctx, network, address)
 		if err == nil {
-			return nc, nil
+			d.noteReached(address)
+		} else if ctx.Err() == nil {
+			d.path.noteUnreached()
 		}
+		return nc, err
 	}
-	direct := &directWay{d: d, network: network, address: address}
-	ways := append([]way{direct.dial}, d.tunnels(maxPeers, address)...)
-	if d.path.isIndirect(address) {
-		ways = append(d.tunnels(maxPeersLost, address), direct.dial)
-	}
-	nc, err := firstOf(ctx, ways)
-	if err != nil {
+	return d.race(ctx, doubtTimeout, direct, append([]way{direct.dial}, d.tunnels(maxPeers, address)...))
+}
+
+// race opens a connection in the first way that succeeds, and records whether the direct way does.
+func (d *Dialer) race(ctx context.Context, limit time.Duration, direct *directWay, ways []way) (net.Conn, error) {
+	limited, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	nc, err := firstOf(limited, ways)
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return nil, err
+	case err != nil:
 		return nil, d.failure(direct, err)
-	}
-	if direct.isConn(nc) {
-		d.noteReached(address)
-	} else {
+	case direct.isConn(nc):
+		d.noteReached(direct.address)
+	default:
 		direct.prove()
 	}
 	return nc, nil
@@ -167,6 +182,8 @@
 func (d *Dialer) failure(direct *directWay, err error) error {
 	directErr := direct.error()
 	switch {
+	case directErr == nil && errors.Is(err, context.DeadlineExceeded):
+		return dialError(syscall.ETIMEDOUT)
 	case directErr == nil:
 		return err
 	case !d.path.isLost() && !d.path.isIndirect(direct.address):
@@ -300,13 +317,16 @@
 	case resp.StatusCode == http.StatusOK && br.Buffered() == 0:
 		return nil
 	case resp.StatusCode == http.StatusBadGateway:
-		return dialError(syscall.ECONNREFUSED)
+		return errTargetRefused
 	case resp.StatusCode == http.StatusGatewayTimeout:
 		return dialError(syscall.ETIMEDOUT)
 	}
 	return errors.Wrapf(errDeclined, "status %d", resp.StatusCode)
 }
 
+// errTargetRefused means that a target refused the connection of a VM that reaches other targets.
+var errTargetRefused = dialError(syscall.ECONNREFUSED)
+
 // dialError returns the error of a target that another VM could not connect to.
 func dialError(errno syscall.Errno) error {
 	return &net.OpError{Op: "dial through another VM", Net: "tcp", Err: os.NewSyscallError("connect", errno)}
@@ -336,6 +356,9 @@
 	w.conn, w.err, w.done = nc, err, true
 	lostRace := w.lostRace
 	w.mu.Unlock()
+	if err != nil {
+		w.d.path.noteUnreached()
+	}
 	if lostRace {
 		w.judge()
 	}
@@ -384,8 +407,9 @@
 }
 
 // firstOf tries the ways to open a connection, each nextWayDelay after the one before it or once that
-// has failed. It returns the first connection and closes any others. If all ways fail, it returns the
-// last error that is not errDeclined, or else errDeclined.
+// has failed. It returns the first connection and closes any others. If all ways fail, if ctx ends, or if
+// the target is known to refuse connections, it returns the last error that is not errDeclined, or else
+// errDeclined.
 func firstOf(ctx context.Context, ways []way) (net.Conn, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -422,6 +446,10 @@
 			if !errors.Is(r.err, errDeclined) {
 				last = r.err
 			}
+			if errors.Is(r.err, errTargetRefused) {
+				go closeRest(results, pending)
+				return nil, last
+			}
 			if started < len(ways) {
 				start()
 			}
@@ -429,7 +457,10 @@
 			start()
 		case <-ctx.Done():
 			go closeRest(results, pending)
-			return nil, ctx.Err()
+			if errors.Is(last, errDeclined) {
+				last = ctx.Err()
+			}
+			return nil, last
 		}
 	}
 }
--- a/internal/tunnel/path.go
+++ b/internal/tunnel/path.go
@@ -9,8 +9,8 @@
 	// minProofs is the number of successive connections that must succeed through other VMs and fail
 	// directly for the path to count as lost. A target that is down fails both ways and proves nothing.
 	minProofs = 2
-	// minDoubts is the number of targets that must have been tried in vain, with no other reached
-	// meanwhile, for this VM to open no connections for others.
+	// minDoubts is the number of successive direct connections that must fail for this VM to open none for
+	// others.
 	minDoubts = 2
 	// maxRecent is the number of addresses that are kept for probes of the path.
 	maxRecent = 8
@@ -26,8 +26,8 @@
 	// lost is set while this VM is taken to reach no target, and proofs counts the successive proofs.
 	lost   bool
 	proofs int
-	// unreachedTargets holds the targets that could not be reached since one was reached.
-	unreachedTargets map[string]bool
+	// unreached is the number of direct connections that have failed since one succeeded.
+	unreached int
 	// recent holds the last addresses to which connections were opened, and nextRecent the index of the
 	// one to probe next.
 	recent     []string
@@ -45,21 +45,28 @@
 	return p.lost
 }
 
-// isDoubtful reports whether the path is lost or may be.
+// isSound reports whether the last direct connection succeeded.
+func (p *pathState) isSound() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.unreached == 0
+}
+
+// isDoubtful reports whether the path is lost or probably is.
 func (p *pathState) isDoubtful() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.lost || len(p.unreachedTargets) >= minDoubts
+	return p.doubtful()
 }
 
-// unreached records that a direct connection to a target failed. It returns whether the path is doubtful.
-func (p *pathState) unreached(address string) (doubtful bool) {
+// doubtful is isDoubtful for callers that hold p.mu.
+func (p *pathState) doubtful() bool { return p.lost || p.unreached >= minDoubts }
+
+// noteUnreached records that a direct connection failed.
+func (p *pathState) noteUnreached() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.unreachedTargets) < minDoubts {
-		p.unreachedTargets[address] = true
-	}
-	return p.lost || len(p.unreachedTargets) >= minDoubts
+	p.unreached++
 }
 
 // noteUse records that a connection to a target is opened.
@@ -107,7 +114,7 @@
 		out = append(out, p.probes[0])
 		p.probes = p.probes[1:]
 	}
-	if p.lost || len(p.unreachedTargets) >= minDoubts {
+	if p.doubtful() && len(p.recent) > 0 {
 		p.nextRecent++
 		out = append(out, p.recent[p.nextRecent%len(p.recent)])
 	}
@@ -125,8 +132,7 @@
 		p.probes = nil
 	}
 	regained = p.lost
-	p.lost, p.proofs = false, 0
-	clear(p.unreachedTargets)
+	p.lost, p.proofs, p.unreached = false, 0, 0
 	return regained
 }
 
