Failures of the network are not told to other VMs

A VM whose paths fall silent thus speaks ill of every engine that it had connections to.

Cause: a connection on which nothing is acknowledged (ETIMEDOUT) counted like an answer that the engine broke off. Mend: it counts against the engine at this VM only; an engine that is down is found so by each VM itself.

--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -280,7 +280,7 @@
 	default:
 		x.addTrace(c.Target, "cut", err)
 		x.checkTargetExit(c.Target, err, x.sentAt, s.ranFor(clock.Now()))
-		c.Ticket.End(place.Bad, clock.Now())
+		c.Ticket.End(failureResult(err), clock.Now())
 	}
 	return outcomeUnknown, err
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -189,7 +189,7 @@
 	body, err := readBuffered(resp)
 	if err != nil {
 		x.addTrace(c.Target, "cut", err)
-		result := place.Bad
+		result := failureResult(err)
 		if x.endedLocally() {
 			result = place.Neutral
 		}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -160,7 +160,7 @@
 	case notSent:
 		ticket.End(place.Unreachable, now)
 	default:
-		ticket.End(place.Bad, now)
+		ticket.End(failureResult(err), now)
 	}
 	if notSent {
 		return outcomeNotSent
@@ -168,6 +168,15 @@
 	return outcomeUnknown
 }
 
+// failureResult returns the result of a request that was sent and failed with err. A connection whose
+// other end acknowledges nothing is lost by the network, for all that this VM can tell.
+func failureResult(err error) place.Result {
+	if errors.Is(err, syscall.ETIMEDOUT) {
+		return place.Lost
+	}
+	return place.Bad
+}
+
 // noteUnreachable counts a target that could not be reached and reports whether another one may be
 // tried. A host that refuses the connection costs no time and is not counted: if many targets have
 // just exited, the request goes on to those that are up.
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -442,6 +442,27 @@
 	is.Equal(choose(b, later).Target.ID, "failing")
 }
 
+// The failures of a VM whose connections the network loses do not keep other VMs from a sound target.
+func TestFailuresOfTheNetworkAreNotTold(t *testing.T) {
+	for result, kept := range map[place.Result]bool{place.Lost: true, place.Bad: false} {
+		is := is.New(t)
+		cut, other := trainedPlacer(t, place.DefaultConfig("a"), peerWork{}), trainedPlacer(t, place.DefaultConfig("a"), peerWork{"busy": {Prefill: 20 * time.Millisecond, Prefills: 2}})
+		now := time.Now()
+		target := []*fleet.Target{engine("sound", fleet.Prefill), engine("d", fleet.Decode)}
+		for range 20 {
+			c, ok := cut.Prefill(target, spec, sessionPrompt(100), place.Tried{}, now)
+			is.True(ok)
+			cut.Commit(c, sessionPrompt(100), now)
+			c.Ticket.End(result, now)
+		}
+		other.Observe(cut.TakeSendRecords(), now)
+		targets := append(target, engine("busy", fleet.Prefill))
+		c, ok := other.Prefill(targets, spec, sessionPrompt(100), nil, now)
+		is.True(ok)
+		is.Equal(c.Target.ID == "sound", kept)
+	}
+}
+
 // Two prefills that took 20 times as long as estimated, as in a stall or an unknown queue, do not
 // make a target count as slow.
 func TestTwoSlowPrefillsDoNotMakeATargetSlow(t *testing.T) {
--- a/internal/place/ticket.go
+++ b/internal/place/ticket.go
@@ -80,6 +80,8 @@
 	Refused
 	// Bad: the target failed.
 	Bad
+	// Lost: the network lost the connection. This says nothing about how other VMs reach the target.
+	Lost
 	// Unreachable: no connection to the target could be opened.
 	Unreachable
 )
@@ -136,13 +138,18 @@
 	case Refused:
 		s.noteRefusal(now)
 	case Bad:
-		s.failureRate += failureWeight * (1 - s.failureRate)
+		s.noteFailure()
 		p.recordOwn(SendRecord{Target: t.id, Failed: true}, now)
+	case Lost:
+		s.noteFailure()
 	case Unreachable:
 		s.noteConnectFailure(now)
 	}
 }
 
+// noteFailure records that a request of this VM to the target failed. The caller holds Placer.mu.
+func (s *state) noteFailure() { s.failureRate += failureWeight * (1 - s.failureRate) }
+
 // noteConnectFailure records that the target could not be reached. The caller holds Placer.mu.
 func (s *state) noteConnectFailure(now time.Time) {
 	wait := firstRetryDelay << min(s.connErrors, maxRetryDoublings)
