Requests that may run only once survive an engine that is silent for a second

Callers got 502 (outcome_unknown) for a stream that may run once when a sound engine fell silent for a second and went on, 250 to 450 ms after it was sent (TestEngineThatPausesServesWhatMustNotBeRepeated: 502 before, 200 in three of three runs now; packets are dropped for a second at the engine's side).

Cause: unacknowledged data ended every request early to leave time for another target. Such a request is sent to no other one, so giving it up gains nothing. Mend: its limit is 2.5 s, past which the caller of a lost stream has left. Requests that may be repeated, and prefills, keep the short limit. By the users' news a user timeout also ends keep-alive probes: a lost connection of such a stream shows after some 3 s instead of 2 s.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -41,12 +41,19 @@
 	minUnacked     = 250 * time.Millisecond // lower limit of unackedTimeout
 	maxUnacked     = time.Second            // upper limit of unackedTimeout
 	unackedDivisor = 8                      // between the limits, the timeout is the time left divided by unackedDivisor
+	// maxUnackedOnce is the limit for a request that must not be sent to another target. A sound engine
+	// may be silent for a second, and giving it up gains nothing. After it the caller of a stream whose
+	// connection is lost has left.
+	maxUnackedOnce = 2500 * time.Millisecond
 )
 
-// unackedTimeout returns the limit for unacknowledged data of a request with the given time left.
-// The limit is short compared to the time left, so that enough time remains to try another target
-// or to send an error.
-func unackedTimeout(left time.Duration) time.Duration {
+// unackedTimeout returns the limit for unacknowledged data of a request with the given time left. If the
+// request may be sent to another target, the limit is short compared to the time left, so that enough
+// time remains for that.
+func unackedTimeout(left time.Duration, repeatable bool) time.Duration {
+	if !repeatable {
+		return maxUnackedOnce
+	}
 	return min(max((left/unackedDivisor).Truncate(minUnacked), minUnacked), maxUnacked)
 }
 
@@ -105,7 +112,7 @@
 	d.Remaining, d.Account = clock.Until(x.deadline), x.accountName()
 	req := &httpsend.Request{
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host,
-		Header: x.g.proto.TargetHeader(x.r.Header, d), Body: x.body, UnackedTimeout: unackedTimeout(d.Remaining),
+		Header: x.g.proto.TargetHeader(x.r.Header, d), Body: x.body, UnackedTimeout: unackedTimeout(d.Remaining, d.PrefillOnly || x.route.Repeatable()),
 		BeforeSend: x.keyStillValid,
 	}
 	match := func(status int, h http.Header) bool { return x.g.proto.BelongsTo(x.meta.ID, status, h) }
--- a/internal/proc/relay.go
+++ b/internal/proc/relay.go
@@ -128,6 +128,37 @@
 	})
 }
 
+// Pause makes the kernel drop every packet that arrives for the open connections for the time d. What
+// was sent meanwhile is sent again afterwards.
+func (r *Relay) Pause(d time.Duration) {
+	r.mu.Lock()
+	paused := make([]net.Conn, 0, len(r.conns))
+	for c := range r.conns {
+		dropPackets(c)
+		paused = append(paused, c)
+	}
+	r.mu.Unlock()
+	time.Sleep(d)
+	for _, c := range paused {
+		acceptPackets(c)
+	}
+}
+
+// acceptPackets reverts dropPackets.
+func acceptPackets(c net.Conn) {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
+	})
+}
+
 // discards reports whether data that arrives on a connection is discarded.
 func (r *Relay) discards(c net.Conn) bool {
 	r.mu.Lock()
