--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -129,9 +130,6 @@
 	return len(s.tunnels)
 }
 
-// Start does nothing: the caller routes CONNECT requests to ServeHTTP.
-func (s *Server) Start(context.Context) error { return nil }
-
 // Stop refuses new tunnels and waits for the requests on the open ones.
 func (s *Server) Stop(ctx context.Context) error {
 	s.Drain(ctx)
@@ -176,37 +174,44 @@
 }
 
 // relay copies data between the other VM and the target until one of them closes its connection, and
-// then closes both.
+// then closes both. A reset is passed on, so that what the other VM has withdrawn does not reach the
+// target later.
 func (t *tunnel) relay(peer, target net.Conn) {
 	var responses sync.WaitGroup
 	responses.Go(func() {
-		t.copy(peer, target, true)
-		closeBoth(peer, target)
+		end(peer, target, t.copy(peer, target, true))
 	})
-	t.copy(target, peer, false)
-	closeBoth(peer, target)
+	end(peer, target, t.copy(target, peer, false))
 	responses.Wait()
 }
 
-// closeBoth closes both connections. Either may be closed already.
-func closeBoth(a, b net.Conn) {
-	_ = a.Close()
-	_ = b.Close()
+// end closes both connections, with a reset if err is not nil. Either may be closed already.
+func end(a, b net.Conn, err error) {
+	for _, c := range []net.Conn{a, b} {
+		if l, ok := c.(interface{ SetLinger(sec int) error }); ok && err != nil {
+			_ = l.SetLinger(0)
+		}
+		_ = c.Close()
+	}
 }
 
-// copy copies data until src ends or dst fails. response says that src is the target.
-func (t *tunnel) copy(dst, src net.Conn, response bool) {
+// copy copies data until src ends, or until either connection fails. response says that src is the
+// target.
+func (t *tunnel) copy(dst, src net.Conn, response bool) error {
 	buf := make([]byte, bufferBytes)
 	for {
 		n, err := src.Read(buf)
 		if n > 0 {
 			t.note(response)
 			if _, werr := dst.Write(buf[:n]); werr != nil {
-				return
+				return werr
 			}
 		}
+		if errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) {
+			return nil
+		}
 		if err != nil {
-			return
+			return err
 		}
 	}
 }
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -273,6 +273,30 @@
 	is.Equal(s.Count(), 0) // the tunnel ends with its connection
 }
 
+// A connection that a VM resets is reset at the target too: what was sent before may be withdrawn.
+func TestResetReachesTheTarget(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 2, 2)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	g.targets = append(g.targets, l.Addr().String())
+	g.vms[0].path.Inject(platformtest.PathSilent)
+	for !g.vms[0].dialer.PathLost() {
+		_ = g.echo(g.vms[0], g.targets[0]) // fails until the VM knows
+	}
+	nc, err := g.vms[0].dialer.DialContext(context.Background(), "tcp", l.Addr().String())
+	is.NoErr(err)
+	c, err := l.Accept()
+	is.NoErr(err)
+	defer c.Close()
+	is.NoErr(nc.(*net.TCPConn).SetLinger(0))
+	is.NoErr(nc.Close())
+	is.NoErr(c.SetReadDeadline(time.Now().Add(5 * time.Second)))
+	_, err = c.Read(make([]byte, 1))
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
+
 // A VM that stops opens no tunnels, and waits for the requests on those that are open.
 func TestStoppingVMKeepsTunnelsInUse(t *testing.T) {
 	is := is.New(t)
