--- a/internal/place/limit.go
+++ b/internal/place/limit.go
@@ -10,31 +10,31 @@
 )
 
 // A target may limit the requests that it accepts from all VMs together. The limit is divided into
-// tokens, one for each request, at equal intervals. The VMs own the tokens in turn, in the order of
-// their indexes in the group, and a VM sends a request to the target only if it owns a token that it
+// permits, one for each request, at equal intervals. The VMs own the permits in turn, in the order of
+// their indexes in the group, and a VM sends a request to the target only if it owns a permit that it
 // has not used. What the VMs send together therefore does not depend on how soon they learn of each
 // other's requests, on how many they are, or on which of them reach each other.
 //
-// When the limit or the size of the group changes, the tokens are divided anew.
+// When the limit or the size of the group changes, the permits are divided anew.
 //
-// Tokens are due by the wall clock. Clocks that differ shift the tokens of a VM and change neither
+// Permits are due by the wall clock. Clocks that differ shift the permits of a VM and change neither
 // their number nor their rate.
 
 const (
-	// tokenValidity is how long a token may be used after it is due, besides the time of validTokens
-	// tokens. Unused tokens lapse, because a group of any size could otherwise save up one for each of
-	// its VMs. In a window of any length W, the VMs use the tokens of W + tokenValidity, and
-	// validTokens + 1, at most.
-	tokenValidity = time.Second
-	validTokens   = 2
-	// minTokenSpacing is the least time between two tokens that a VM uses, as a fraction of the time
-	// between two of its tokens. It limits what a VM gains when its tokens are due at other times
+	// permitValidity is how long a permit may be used after it is due, besides the time of validPermits
+	// permits. Unused permits lapse, because a group of any size could otherwise save up one for each of
+	// its VMs. In a window of any length W, the VMs use the permits of W + permitValidity, and
+	// validPermits + 1, at most.
+	permitValidity = time.Second
+	validPermits   = 2
+	// minPermitSpacing is the least time between two permits that a VM uses, as a fraction of the time
+	// between two of its permits. It limits what a VM gains when its permits are due at other times
 	// because the limit, or the size of the group, has changed.
-	minTokenSpacing = 0.75
+	minPermitSpacing = 0.75
 	// minLimitPerS is the least rate at which a limited target is sent requests. Its responses state
 	// when the limit ends.
 	minLimitPerS = 0.25
-	// minLimitChange is the smallest change of a limit, as a fraction, that changes the tokens. Those
+	// minLimitChange is the smallest change of a limit, as a fraction, that changes the permits. Those
 	// that are due lapse with each change.
 	minLimitChange = 0.1
 	// limitReportTTL is how long a limit that this VM has received is reported to other VMs.
@@ -68,14 +68,14 @@
 	// and ownAt is when this VM itself received such a response. They are zero if there was none.
 	heardAt time.Time
 	ownAt   time.Time
-	// tokensPerS is the rate of the tokens, and size the number of VMs that share them. They hold since
-	// tokensSince. Tokens that were due before are not used: others may have used the same part of the
+	// permitsPerS is the rate of the permits, and size the number of VMs that share them. They hold since
+	// permitsSince. Permits that were due before are not used: others may have used the same part of the
 	// limit, or a former process of this VM.
-	tokensPerS  float64
-	size        int
-	tokensSince time.Time
-	// usedToken is when the token that this VM used last was due.
-	usedToken time.Time
+	permitsPerS  float64
+	size         int
+	permitsSince time.Time
+	// usedPermit is when the permit that this VM used last was due.
+	usedPermit time.Time
 }
 
 // Membership returns this VM's index among the VMs of its group and the size of the group. All VMs
@@ -134,8 +134,8 @@
 
 // set sets the limit, which a VM received at heardAt. The caller holds Placer.mu.
 func (l *limitState) set(limit RateLimit, heardAt, now time.Time) {
-	if perS := max(limit.PerS, minLimitPerS); limit.Stated && (!l.Stated || math.Abs(perS-l.tokensPerS) > minLimitChange*l.tokensPerS) {
-		l.tokensPerS, l.tokensSince = perS, now
+	if perS := max(limit.PerS, minLimitPerS); limit.Stated && (!l.Stated || math.Abs(perS-l.permitsPerS) > minLimitChange*l.permitsPerS) {
+		l.permitsPerS, l.permitsSince = perS, now
 	}
 	l.RateLimit, l.heardAt = limit, heardAt
 }
@@ -166,40 +166,40 @@
 	if s == nil || !s.limit.Stated {
 		return true
 	}
-	_, ok := p.nextToken(id, &s.limit, now)
+	_, ok := p.nextPermit(id, &s.limit, now)
 	return ok
 }
 
-// takeToken takes the token for a request to the target run with this id. It returns false if the
+// takePermit takes the permit for a request to the target run with this id. It returns false if the
 // target's limit does not permit the request. The caller holds p.mu.
-func (p *Placer) takeToken(id string, now time.Time) bool {
+func (p *Placer) takePermit(id string, now time.Time) bool {
 	s := p.states[id]
 	if s == nil || !s.limit.Stated {
 		return true
 	}
-	due, ok := p.nextToken(id, &s.limit, now)
+	due, ok := p.nextPermit(id, &s.limit, now)
 	if ok {
-		s.limit.usedToken = due
+		s.limit.usedPermit = due
 	}
 	return ok
 }
 
-// nextToken returns when the oldest token that this VM may use now was due. It returns false if there
+// nextPermit returns when the oldest permit that this VM may use now was due. It returns false if there
 // is none. The caller holds p.mu.
-func (p *Placer) nextToken(id string, l *limitState, now time.Time) (due time.Time, ok bool) {
+func (p *Placer) nextPermit(id string, l *limitState, now time.Time) (due time.Time, ok bool) {
 	index, size := p.membership()
 	if size != l.size {
-		l.size, l.tokensSince = size, now
+		l.size, l.permitsSince = size, now
 	}
-	interval := float64(time.Second) / l.tokensPerS
+	interval := float64(time.Second) / l.permitsPerS
 	period := interval * float64(max(size, 1))
-	earliest := now.Add(-tokenValidity - time.Duration(validTokens*interval))
-	for _, t := range []time.Time{l.tokensSince, l.usedToken.Add(time.Duration(minTokenSpacing * period))} {
+	earliest := now.Add(-permitValidity - time.Duration(validPermits*interval))
+	for _, t := range []time.Time{l.permitsSince, l.usedPermit.Add(time.Duration(minPermitSpacing * period))} {
 		if t.After(earliest) {
 			earliest = t
 		}
 	}
-	// The offset differs by target, so that the tokens of several targets are not due at once.
+	// The offset differs by target, so that the permits of several targets are not due at once.
 	offset := period*float64(xxhash.Sum64String(id)>>32)/(1<<32) + interval*float64(index)
 	n := math.Ceil((float64(earliest.UnixNano()) - offset) / period)
 	due = time.Unix(0, int64(offset+n*period))
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -74,7 +74,7 @@
 	if best == nil {
 		return Choice{}, false
 	}
-	p.takeToken(best.RunID(), now)
+	p.takePermit(best.RunID(), now)
 	p.recordOwn(SendRecord{Target: best.RunID()}, now)
 	ticket := p.begin(best, Work{Running: 1}, now)
 	ticket.task = taskPlain
@@ -192,9 +192,9 @@
 	if !p.withinLimit(c.Target.RunID(), now) || (c.reserved != "" && !p.withinLimit(c.reserved, now)) {
 		return false
 	}
-	p.takeToken(c.Target.RunID(), now)
+	p.takePermit(c.Target.RunID(), now)
 	if q.reservedTarget = c.reserved; c.reserved != "" {
-		p.takeToken(c.reserved, now)
+		p.takePermit(c.reserved, now)
 	}
 	p.recordOwnPrompt(SendRecord{Target: c.Target.RunID(), Missing: q.Tokens - c.Cached, Prefills: true}, q, now)
 	p.occupyLink(q, now)
@@ -255,7 +255,7 @@
 	return best, lowest
 }
 
-// reservedSeat returns the decode target whose token Commit has taken for the request, and the seat
+// reservedSeat returns the decode target whose permit Commit has taken for the request, and the seat
 // there. It returns a nil target if there is none, or if that target cannot be used any more. The
 // caller holds p.mu.
 func (p *Placer) reservedSeat(targets []*fleet.Target, est estimates, q *Prompt, tried Tried, now time.Time) (*fleet.Target, seat) {
@@ -289,7 +289,7 @@
 		if t == nil {
 			return Choice{}, false
 		}
-		p.takeToken(t.RunID(), now)
+		p.takePermit(t.RunID(), now)
 	}
 	p.recordOwnPrompt(SendRecord{Target: t.RunID(), Missing: q.Tokens}, q, now)
 	p.occupyLink(q, now)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -62,7 +62,7 @@
 	Deferred bool
 	// BodyBytes is the number of bytes that each send of the request puts on the VM's link.
 	BodyBytes int
-	// reservedTarget is the id of the run of the limited decode target at which a token is reserved
+	// reservedTarget is the id of the run of the limited decode target at which a permit is reserved
 	// for the request while another target prefills the prompt, or empty.
 	reservedTarget string
 	// Parts are the parts of the prompt in order. The last one belongs to this request alone.
