A VM that stops does not outstay its grace period for the tunnels of others

Cause: the wait for the tunnels of other VMs began when the gateway had drained, up to 0.4 s before the end of the grace period, lasted up to 3 s, and took a tunnel that had never been used for one with a request in flight.

Mend: the wait ends 0.4 s before the time by which the VM has to end, and an unused tunnel is not waited for (TestStoppingVMDoesNotOutstayItsGracePeriod failed before).

--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -29,8 +29,10 @@
 	// quietTime is how long a tunnel must be without data after a response for no request to be in
 	// flight on it. It is above the gaps between the events of a stream.
 	quietTime = time.Second
-	// maxDrain limits how long a VM that stops waits for the tunnels of others.
-	maxDrain = 3 * time.Second
+	// maxDrain limits how long a VM that stops waits for the tunnels of others, and drainMargin is kept
+	// free between the end of that wait and the time by which the VM has to end.
+	maxDrain    = 3 * time.Second
+	drainMargin = 400 * time.Millisecond
 	// drainPoll is the time between two checks of whether tunnels are in use.
 	drainPoll = 50 * time.Millisecond
 )
@@ -137,9 +139,13 @@
 }
 
 // Drain refuses new tunnels, and waits until no request is in flight on the open ones, but for
-// maxDrain at most.
+// maxDrain at most and no longer than drainMargin before the deadline of ctx.
 func (s *Server) Drain(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, maxDrain)
+	limit := maxDrain
+	if end, ok := ctx.Deadline(); ok {
+		limit = min(limit, time.Until(end)-drainMargin)
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	s.draining.Store(true)
 	for s.busy() && ctx.Err() == nil {
@@ -162,7 +168,9 @@
 // tunnel is a connection of another VM to a target.
 type tunnel struct {
 	mu sync.Mutex
-	// respondedAt is when the target last sent data, or zero if the other VM has sent data since.
+	// waiting is set if the other VM has sent data after the target, and respondedAt is when the target
+	// last sent data.
+	waiting     bool
 	respondedAt time.Time
 }
 
@@ -170,7 +178,7 @@
 func (t *tunnel) quiet(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.respondedAt.IsZero() && now.Sub(t.respondedAt) >= quietTime
+	return !t.waiting && now.Sub(t.respondedAt) >= quietTime
 }
 
 // relay copies data between the other VM and the target until one of them closes its connection, and
@@ -220,7 +228,7 @@
 func (t *tunnel) note(response bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.respondedAt = time.Time{}
+	t.waiting = !response
 	if response {
 		t.respondedAt = clock.Now()
 	}
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -324,6 +324,38 @@
 	}
 }
 
+// A VM that stops ends in time although a request on a tunnel is not answered, and at once if no tunnel
+// is in use.
+func TestStoppingVMDoesNotOutstayItsGracePeriod(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 2, 2)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	g.targets = append(g.targets, l.Addr().String())
+	g.vms[0].path.Inject(platformtest.PathSilent)
+	for !g.vms[0].dialer.PathLost() {
+		_ = g.echo(g.vms[0], g.targets[0]) // fails until the VM knows
+	}
+	nc, err := g.vms[0].dialer.DialContext(context.Background(), "tcp", l.Addr().String())
+	is.NoErr(err)
+	defer nc.Close()
+	const grace, rest = 2500 * time.Millisecond, 200 * time.Millisecond
+	drain := func() time.Duration {
+		ctx, cancel := context.WithTimeout(context.Background(), grace)
+		defer cancel()
+		began := time.Now()
+		g.vms[1].server.Drain(ctx)
+		return time.Since(began)
+	}
+	time.Sleep(1200 * time.Millisecond) // past the echoes
+	is.True(drain() < time.Second)
+	_, err = fmt.Fprintln(nc, "unanswered")
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond)
+	is.True(drain() < grace-rest)
+}
+
 // Targets that are down delay a VM with a path little longer than a direct connection would, also where
 // other VMs do not respond.
 func TestTargetsThatAreDownCostNoMoreTime(t *testing.T) {
