--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -158,6 +158,20 @@
 	is.New(g.t).True(v.dialer.PathLost())
 }
 
+// dialIdleTarget cuts the VM's path, and opens a connection to a new target that never responds. It
+// returns the target's listener and the connection.
+func (g *group) dialIdleTarget(v *vm) (net.Listener, net.Conn) {
+	g.t.Helper()
+	is := is.New(g.t)
+	g.cutOff(v, platformtest.PathSilent)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	g.targets = append(g.targets, l.Addr().String())
+	nc, err := v.dialer.DialContext(context.Background(), "tcp", l.Addr().String())
+	is.NoErr(err)
+	return l, nc
+}
+
 // Connections of VMs without a path are opened through the others, also if most VMs have none, and
 // directly again once the path is back.
 func TestVMsWithoutAPathConnectThroughOthers(t *testing.T) {
@@ -277,16 +291,8 @@
 func TestResetReachesTheTarget(t *testing.T) {
 	is := is.New(t)
 	g := newGroup(t, 2, 2)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
+	l, nc := g.dialIdleTarget(g.vms[0])
 	defer l.Close()
-	g.targets = append(g.targets, l.Addr().String())
-	g.vms[0].path.Inject(platformtest.PathSilent)
-	for !g.vms[0].dialer.PathLost() {
-		_ = g.echo(g.vms[0], g.targets[0]) // fails until the VM knows
-	}
-	nc, err := g.vms[0].dialer.DialContext(context.Background(), "tcp", l.Addr().String())
-	is.NoErr(err)
 	c, err := l.Accept()
 	is.NoErr(err)
 	defer c.Close()
@@ -329,16 +335,8 @@
 func TestStoppingVMDoesNotOutstayItsGracePeriod(t *testing.T) {
 	is := is.New(t)
 	g := newGroup(t, 2, 2)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
+	l, nc := g.dialIdleTarget(g.vms[0])
 	defer l.Close()
-	g.targets = append(g.targets, l.Addr().String())
-	g.vms[0].path.Inject(platformtest.PathSilent)
-	for !g.vms[0].dialer.PathLost() {
-		_ = g.echo(g.vms[0], g.targets[0]) // fails until the VM knows
-	}
-	nc, err := g.vms[0].dialer.DialContext(context.Background(), "tcp", l.Addr().String())
-	is.NoErr(err)
 	defer nc.Close()
 	const grace, rest = 2500 * time.Millisecond, 200 * time.Millisecond
 	drain := func() time.Duration {
@@ -350,7 +348,7 @@
 	}
 	time.Sleep(1200 * time.Millisecond) // past the echoes
 	is.True(drain() < time.Second)
-	_, err = fmt.Fprintln(nc, "unanswered")
+	_, err := fmt.Fprintln(nc, "unanswered")
 	is.NoErr(err)
 	time.Sleep(50 * time.Millisecond)
 	is.True(drain() < grace-rest)
