Observability: framing of targets' responses, bytes after the last event

A line now tells whether a target's response had neither a length nor chunks, and how many bytes followed the last event of its stream, which the lines of the incident did not. Counter garnet_target_bodies.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -92,6 +92,11 @@
 	eventInterval time.Duration
 	// lastEventID is the id of the last event that the caller received.
 	lastEventID string
+	// endsWithConn is set if the body of the latest answer ended with the target's connection. It is
+	// atomic because attempts may run concurrently. trailingBytes is the number of bytes that followed
+	// the last event of a stream.
+	endsWithConn  atomic.Bool
+	trailingBytes int
 	// lastStopCheck is the latest comparison of the time that the response may need with the time
 	// until the gateway ends; nil if the gateway is not stopping.
 	lastStopCheck *stopCheck
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -265,6 +265,7 @@
 	}
 	s.ticket = c.Ticket
 	err = s.relay(resp)
+	x.noteBody(resp, err)
 	x.eventInterval = s.eventInterval()
 	c.Ticket.ObserveLength(s.events)
 	switch {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -187,6 +187,7 @@
 	}
 	defer resp.Close()
 	body, err := readBuffered(resp)
+	x.noteBody(resp, err)
 	if err != nil {
 		x.addTrace(c.Target, "cut", err)
 		result := failureResult(err)
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -6,6 +6,7 @@
 	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/fleet"
+	"garnethoist.org/garnethoist/internal/httpsend"
 	"garnethoist.org/garnethoist/internal/telemetry"
 )
 
@@ -29,6 +30,12 @@
 	}
 }
 
+// noteBody counts the body of an answer. err is nil if it was complete.
+func (x *exchange) noteBody(resp *httpsend.Response, err error) {
+	x.g.stats.Body(resp.Framing, err == nil)
+	x.endsWithConn.Store(resp.Framing == httpsend.FramedByConn)
+}
+
 // report logs the request and counts it. It is called once, after the response; err is the error
 // that the request ended with.
 func (x *exchange) report(err error) {
@@ -99,6 +106,12 @@
 	if x.lastEventID != "" {
 		fields = append(fields, telemetry.F("last_event", x.lastEventID))
 	}
+	if x.endsWithConn.Load() {
+		fields = append(fields, telemetry.F("framing", httpsend.FramedByConn))
+	}
+	if x.trailingBytes > 0 {
+		fields = append(fields, telemetry.F("trailing_bytes", x.trailingBytes))
+	}
 	if !x.firstByteAt.IsZero() {
 		fields = append(fields, telemetry.F("first_ms", x.firstByteAt.Sub(x.arrived).Milliseconds()))
 	}
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -13,6 +13,7 @@
 
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/fair"
+	"garnethoist.org/garnethoist/internal/httpsend"
 	"garnethoist.org/garnethoist/internal/telemetry"
 )
 
@@ -31,6 +32,8 @@
 	targetLimits metric.Int64Counter
 	// dials counts attempts to open a connection to a target.
 	dials metric.Int64Counter
+	// bodies counts the bodies of targets' responses.
+	bodies metric.Int64Counter
 }
 
 // NewStats registers the gateway's instruments with m.
@@ -64,7 +67,11 @@
 		return nil, errors.Wrap(err, "limits counter")
 	}
 	dials, err := m.Int64Counter("garnet_target_dials", metric.WithDescription("attempts to open a connection to a target, by result"))
-	return &Stats{requests: requests, duration: duration, handlesNotFreed: handles, bySize: bySize, admissions: admissions, retries: retries, targetLimits: limits, dials: dials}, errors.Wrap(err, "dials counter")
+	if err != nil {
+		return nil, errors.Wrap(err, "dials counter")
+	}
+	bodies, err := m.Int64Counter("garnet_target_bodies", metric.WithDescription("bodies of targets' answers, by framing and by whether they were complete"))
+	return &Stats{requests: requests, duration: duration, handlesNotFreed: handles, bySize: bySize, admissions: admissions, retries: retries, targetLimits: limits, dials: dials, bodies: bodies}, errors.Wrap(err, "bodies counter")
 }
 
 // Request counts one request and its duration. kind is empty if the response came from a target.
@@ -123,5 +130,12 @@
 	s.dials.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(attribute.String("result", result))))
 }
 
+// Body counts the body of a target's answer.
+func (s *Stats) Body(f httpsend.Framing, complete bool) {
+	s.bodies.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(
+		attribute.String("framing", f.String()), attribute.Bool("complete", complete),
+	)))
+}
+
 // HandleNotFreed counts a handle whose freeing call failed.
 func (s *Stats) HandleNotFreed() { s.handlesNotFreed.Add(context.Background(), 1) }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -130,6 +130,7 @@
 func (s *stream) finish(resp *httpsend.Response) error {
 	s.writeHeader(resp)
 	if len(s.partial) > 0 {
+		s.x.trailingBytes = len(s.partial)
 		if err := s.write(s.partial); err != nil {
 			return err
 		}
--- a/internal/httpsend/send.go
+++ b/internal/httpsend/send.go
@@ -75,12 +75,50 @@
 // sent.
 type Match func(status int, h http.Header) bool
 
+// Framing is what the end of a response's body is recognized by (RFC 9112, section 6.3).
+type Framing int
+
+// The framings of a body.
+const (
+	// FramedByLength means that the header states the length, or that there is no body.
+	FramedByLength Framing = iota + 1
+	// FramedByChunks means that a last chunk ends the body.
+	FramedByChunks
+	// FramedByConn means that the body ends with the connection.
+	FramedByConn
+)
+
+// String returns the name of the framing in logs and metrics.
+func (f Framing) String() string {
+	switch f {
+	case FramedByLength:
+		return "length"
+	case FramedByChunks:
+		return "chunks"
+	case FramedByConn:
+		return "connection"
+	}
+	return "unknown"
+}
+
+// framingOf returns the framing of a response's body.
+func framingOf(resp *http.Response) Framing {
+	switch {
+	case resp.ContentLength >= 0 || resp.Body == http.NoBody:
+		return FramedByLength
+	case len(resp.TransferEncoding) > 0:
+		return FramedByChunks
+	}
+	return FramedByConn
+}
+
 // Response is a response whose head has been read. Read returns the body. Close must be called.
 type Response struct {
 	Status int
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if the header does not state it.
-	Length int64
+	Length  int64
+	Framing Framing
 
 	client *Client
 	conn   *conn
@@ -156,7 +194,7 @@
 		return nil, newError(Unanswered, err)
 	}
 	return &Response{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framingOf(resp),
 		client: c, conn: cn, resp: resp, writeDone: written, ctx: ctx,
 	}, nil
 }
