Streams that end inside an event with their connection are cut off, not complete

Cause: a response without length and chunks ends with its connection, and a crashed engine's connection ends like that of a complete response. The gateway completed the caller's response at any end of a body and passed on the half event as its last bytes.

Why this works: such a body is complete only if it ends after an event. Otherwise it is an error of phase Cut like any other: resumed where the route allows it, aborted where not, and the engine is checked for a crash.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -187,6 +187,9 @@
 	}
 	defer resp.Close()
 	body, err := readBuffered(resp)
+	if err == nil && x.route.Kind == fleet.Streaming && resp.Status == http.StatusOK && isTruncated(resp, body) {
+		err = resp.Truncated()
+	}
 	x.noteBody(resp, err)
 	if err != nil {
 		x.addTrace(c.Target, "cut", err)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -131,7 +131,7 @@
 // closedByTarget reports whether err means that the target closed the connection. A connection lost
 // by the network shows as a timeout.
 func closedByTarget(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, httpsend.ErrTruncated) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 // hasExited reports whether a target's process has exited. The process counts as exited if nothing
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -126,8 +127,14 @@
 	return s.lastWriteAt.Sub(s.firstEventAt) / time.Duration(s.events-1)
 }
 
-// finish completes the caller's response. Bytes after the last complete event are part of the body.
+// finish completes the caller's response. Bytes after the last complete event are part of the body,
+// unless the body ended with the target's connection: then they are the beginning of an event that was
+// cut off.
 func (s *stream) finish(resp *httpsend.Response) error {
+	if isTruncated(resp, s.partial) {
+		s.x.trailingBytes = len(s.partial)
+		return resp.Truncated()
+	}
 	s.writeHeader(resp)
 	if len(s.partial) > 0 {
 		s.x.trailingBytes = len(s.partial)
@@ -168,6 +175,19 @@
 	return nil
 }
 
+// isTruncated reports whether a response whose body has ended, with the given bytes at its end, was cut
+// off inside an event.
+func isTruncated(resp *httpsend.Response, end []byte) bool {
+	return resp.Framing == httpsend.FramedByConn && holdsEvents(resp) && completeEventsLen(end) < len(end)
+}
+
+// holdsEvents reports whether the body of a response to a request on a streaming route is a series of
+// events, which it is unless the response states another type.
+func holdsEvents(resp *httpsend.Response) bool {
+	contentType := resp.Header.Get("Content-Type")
+	return contentType == "" || strings.HasPrefix(contentType, "text/event-stream")
+}
+
 // completeEventsLen returns the length of the complete events at the start of p. An event ends with
 // a blank line.
 func completeEventsLen(p []byte) int {
--- a/internal/httpsend/send.go
+++ b/internal/httpsend/send.go
@@ -275,8 +275,15 @@
 	return nil, errors.New("too many responses to other requests")
 }
 
-// Read reads the body. It returns io.EOF at the end of a complete body; any other error is an
-// *Error of phase Cut.
+// ErrTruncated reports that a body lacks its end although its framing does not show it.
+var ErrTruncated = errors.New("httpsend: the body is truncated")
+
+// Truncated returns the error of a body that was read to its end and whose content shows that it was
+// cut off. A body that ends with its connection may look complete when the target has exited.
+func (r *Response) Truncated() error { return newError(Cut, ErrTruncated) }
+
+// Read reads the body. It returns io.EOF at the end of a body that is complete by its framing; any other
+// error is an *Error of phase Cut.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.resp.Body.Read(p)
 	switch {
