The end of a VM in between is no longer taken for the end of a target's response

Callers saw: nothing was reported; found while the cause of the truncated answers was looked for elsewhere. A VM that reaches its targets through another one took half of a body for the whole when that VM was killed or stopped, plain answers included.

Cause: a tunnel ended with a plain close whoever ended it, which for a response without length and chunks is the sign of a complete body.

Why this works: what the target sends is passed on in chunks. Only the VM in between, having read the target's end, writes the last chunk, so that any other end is an unexpected one, whatever the kernel or the network makes of it. Through a VM of the software before this one each end counts as unexpected. The check for crashed targets, which probes their connections, no longer takes such an end for an exited target either.

--- a/internal/httpsend/client.go
+++ b/internal/httpsend/client.go
@@ -365,6 +365,9 @@
 	if cn.br.Buffered() > 0 {
 		return false
 	}
+	if b, ok := cn.nc.(interface{ Buffered() int }); ok && b.Buffered() > 0 {
+		return false
+	}
 	sc, ok := cn.nc.(syscall.Conn)
 	if !ok {
 		return true
--- a/internal/httpsend/send.go
+++ b/internal/httpsend/send.go
@@ -155,8 +155,8 @@
 		c.discard(cn)
 		return nil, newError(NotSent, ErrWithheld)
 	}
-	if tcp, ok := cn.nc.(*net.TCPConn); ok && r.ResetOnFailure {
-		if err := tcp.SetLinger(0); err != nil {
+	if l, ok := cn.nc.(interface{ SetLinger(sec int) error }); ok && r.ResetOnFailure {
+		if err := l.SetLinger(0); err != nil {
 			c.discard(cn)
 			return nil, newError(NotSent, err)
 		}
--- a/internal/silence/silence.go
+++ b/internal/silence/silence.go
@@ -40,13 +40,13 @@
 
 // SetUnackedTimeout makes the kernel close c with an error once data written to c has been
 // unacknowledged for d, or once the peer has kept its receive window closed for d. It has no effect
-// on connections other than TCP.
+// on connections that give no access to a socket.
 func SetUnackedTimeout(c net.Conn, d time.Duration) error {
-	tcp, ok := c.(*net.TCPConn)
+	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return nil
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := sc.SyscallConn()
 	if err != nil {
 		return errors.Wrap(err, "silence: access the socket")
 	}
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -293,35 +293,41 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
 	defer stop()
-	if err := connect(nc, address); err != nil {
+	c, err := connect(nc, address)
+	if err != nil {
 		_ = nc.Close()
 		return nil, err
 	}
 	if !stop() {
 		return nil, errors.Wrapf(errDeclined, "%v", ctx.Err())
 	}
-	return nc, nil
+	return c, nil
 }
 
-// connect asks the VM at the other end of nc for a tunnel to a target.
-func connect(nc net.Conn, address string) error {
-	if _, err := fmt.Fprintf(nc, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n\r\n", address, address); err != nil {
-		return errors.Wrapf(errDeclined, "%v", err)
+// connect asks the VM at the other end of nc for a tunnel to a target, and returns the connection to the
+// target.
+func connect(nc net.Conn, address string) (net.Conn, error) {
+	tcp, ok := nc.(*net.TCPConn)
+	if !ok {
+		return nil, errors.Errorf("unexpected connection type %T", nc)
+	}
+	if _, err := fmt.Fprintf(nc, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n\r\n", address, address, headerFraming, framingChunked); err != nil {
+		return nil, errors.Wrapf(errDeclined, "%v", err)
 	}
-	br := bufio.NewReaderSize(nc, len(established))
+	br := bufio.NewReaderSize(nc, framedReadBytes)
 	resp, err := http.ReadResponse(br, &http.Request{Method: http.MethodConnect})
 	if err != nil {
-		return errors.Wrapf(errDeclined, "%v", err)
+		return nil, errors.Wrapf(errDeclined, "%v", err)
 	}
-	switch {
-	case resp.StatusCode == http.StatusOK && br.Buffered() == 0:
-		return nil
-	case resp.StatusCode == http.StatusBadGateway:
-		return errTargetRefused
-	case resp.StatusCode == http.StatusGatewayTimeout:
-		return dialError(syscall.ETIMEDOUT)
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return newConn(tcp, br, isFramed(resp.Header)), nil
+	case http.StatusBadGateway:
+		return nil, errTargetRefused
+	case http.StatusGatewayTimeout:
+		return nil, dialError(syscall.ETIMEDOUT)
 	}
-	return errors.Wrapf(errDeclined, "status %d", resp.StatusCode)
+	return nil, errors.Wrapf(errDeclined, "status %d", resp.StatusCode)
 }
 
 // errTargetRefused means that a target refused the connection of a VM that reaches other targets.
--- a/internal/tunnel/ending_test.go
+++ b/internal/tunnel/ending_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -133,6 +134,32 @@
 	}
 }
 
+// A VM in between whose software does not state the target's end may have ended the connection itself.
+func TestEndIsUnknownThroughAnOlderVM(t *testing.T) {
+	is := is.New(t)
+	target := platformtest.NewEngine("i-plain", "")
+	defer target.Close()
+	dialer := tunnel.NewDialer(tunnel.Options{Direct: &net.Dialer{}, Log: telemetry.Discard()})
+	s := tunnel.NewServer(tunnel.ServerOptions{Dial: dialer.DialDirect, Allowed: func(string) bool { return true }, Limit: 8})
+	older := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Header = http.Header{}
+		s.ServeHTTP(w, r)
+	}))
+	defer older.Close()
+	defer older.CloseClientConnections()
+	client := newIndirectClient(t, &vmInBetween{address: older.Listener.Addr().String(), target: target.Address()})
+	resp := get(t, client, target.Address())
+	body, err := io.ReadAll(resp)
+	is.NoErr(err)
+	is.Equal(string(body), platformtest.PlainBody("i-plain", "q"))
+	resp.Close()
+	target.SetEndsWithConn(true)
+	resp = get(t, client, target.Address())
+	defer resp.Close()
+	_, err = io.ReadAll(resp)
+	is.True(errors.Is(err, io.ErrUnexpectedEOF))
+}
+
 // The end of a target's response reaches the VM that asked for the tunnel: an orderly close as the end of
 // the body, and a reset as a cut.
 func TestEndOfTheTargetReachesTheOtherVM(t *testing.T) {
--- /dev/null
+++ b/internal/tunnel/framing.go
@@ -0,0 +1,107 @@
+package tunnel
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// A connection ends in the same way when the VM in between exits as when the target closes it. So that
+// both can be told apart, what the target sends is passed on in the chunked coding (RFC 9112, section
+// 7.1): the last chunk states that the target has closed the connection.
+const (
+	headerFraming   = "Tunnel-Framing"
+	framingChunked  = "chunked"
+	chunkOverhead   = 32
+	framedReadBytes = 4 << 10
+)
+
+// established and establishedFramed are the responses to a CONNECT request after which the tunnel begins.
+const (
+	established       = "HTTP/1.1 200 Connection established\r\n\r\n"
+	establishedFramed = "HTTP/1.1 200 Connection established\r\n" + headerFraming + ": " + framingChunked + "\r\n\r\n"
+)
+
+// isFramed reports whether a header asks for the chunked coding, or states that it is used.
+func isFramed(h http.Header) bool { return h.Get(headerFraming) == framingChunked }
+
+// chunkWriter passes on what a target sends, in the chunked coding if framed is set.
+type chunkWriter struct {
+	framed bool
+	w      *bufio.Writer
+	chunks io.WriteCloser
+}
+
+// newChunkWriter returns a chunkWriter to peer.
+func newChunkWriter(peer net.Conn, framed bool) *chunkWriter {
+	w := bufio.NewWriterSize(peer, bufferBytes+chunkOverhead)
+	return &chunkWriter{framed: framed, w: w, chunks: httputil.NewChunkedWriter(w)}
+}
+
+// Write implements io.Writer. Each call sends its data at once.
+func (c *chunkWriter) Write(p []byte) (int, error) {
+	dst := io.Writer(c.w)
+	if c.framed {
+		dst = c.chunks
+	}
+	n, err := dst.Write(p)
+	if err != nil {
+		return n, err
+	}
+	return n, c.w.Flush()
+}
+
+// End states that the target has closed the connection.
+func (c *chunkWriter) End() error {
+	if !c.framed {
+		return nil
+	}
+	if err := c.chunks.Close(); err != nil {
+		return err
+	}
+	return c.w.Flush()
+}
+
+// conn is a connection to a target through another VM. It reads io.EOF only if the target has closed the
+// connection, and io.ErrUnexpectedEOF if the other VM has.
+type conn struct {
+	net.Conn
+	tcp *net.TCPConn
+	br  *bufio.Reader
+	// body is what the target sends.
+	body io.Reader
+	// framed is unset if the other VM does not state the target's end.
+	framed bool
+}
+
+// newConn returns a connection whose data follows in br.
+func newConn(tcp *net.TCPConn, br *bufio.Reader, framed bool) *conn {
+	c := &conn{Conn: tcp, tcp: tcp, br: br, body: br, framed: framed}
+	if framed {
+		c.body = httputil.NewChunkedReader(br)
+	}
+	return c
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.body.Read(p)
+	if errors.Is(err, io.EOF) && !c.framed {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// Buffered returns the number of bytes that have been received and not read.
+func (c *conn) Buffered() int { return c.br.Buffered() }
+
+// SetLinger sets what Close does with data that was not sent, as net.TCPConn does.
+func (c *conn) SetLinger(sec int) error { return c.tcp.SetLinger(sec) }
+
+// SyscallConn implements syscall.Conn.
+func (c *conn) SyscallConn() (syscall.RawConn, error) { return c.tcp.SyscallConn() }
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -2,9 +2,10 @@
 // itself.
 //
 // A VM asks another one for a connection with an HTTP CONNECT request (RFC 9110, section 9.3.6). The
-// other VM opens a connection to the target and copies the bytes of both directions. It does not read
-// them: requests are counted, limited and retried by the VM that a caller has sent them to. A VM opens
-// connections for others only directly, so that tunnels are never chained.
+// other VM opens a connection to the target and copies the bytes of both directions, those of the target
+// in chunks, so that the target's end can be told from its own. It does not read them: requests are
+// counted, limited and retried by the VM that a caller has sent them to. A VM opens connections for
+// others only directly, so that tunnels are never chained.
 package tunnel
 
 import (
@@ -37,9 +38,6 @@
 	drainPoll = 50 * time.Millisecond
 )
 
-// established is the response to a CONNECT request after which the tunnel begins.
-const established = "HTTP/1.1 200 Connection established\r\n\r\n"
-
 // ServerOptions holds the settings of a Server.
 type ServerOptions struct {
 	// Dial opens connections to targets directly.
@@ -90,10 +88,15 @@
 		return
 	}
 	defer peer.Close()
-	if _, err := peer.Write([]byte(established)); err != nil {
+	framed := isFramed(r.Header)
+	response := established
+	if framed {
+		response = establishedFramed
+	}
+	if _, err := io.WriteString(peer, response); err != nil {
 		return
 	}
-	t.relay(peer, target)
+	t.relay(peer, target, framed)
 }
 
 // statusOf returns the status for a target that could not be connected to.
@@ -183,11 +186,16 @@
 
 // relay copies data between the other VM and the target until one of them closes its connection, and
 // then closes both. A reset is passed on, so that what the other VM has withdrawn does not reach the
-// target later.
-func (t *tunnel) relay(peer, target net.Conn) {
+// target later. framed says that what the target sends is passed on in the chunked coding.
+func (t *tunnel) relay(peer, target net.Conn, framed bool) {
 	var responses sync.WaitGroup
 	responses.Go(func() {
-		end(peer, target, t.copy(peer, target, true))
+		w := newChunkWriter(peer, framed)
+		err := t.copy(w, target, true)
+		if err == nil {
+			err = w.End()
+		}
+		end(peer, target, err)
 	})
 	end(peer, target, t.copy(target, peer, false))
 	responses.Wait()
@@ -205,7 +213,7 @@
 
 // copy copies data until src ends, or until either connection fails. response says that src is the
 // target.
-func (t *tunnel) copy(dst, src net.Conn, response bool) error {
+func (t *tunnel) copy(dst io.Writer, src net.Conn, response bool) error {
 	buf := make([]byte, bufferBytes)
 	for {
 		n, err := src.Read(buf)
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -296,7 +296,7 @@
 	c, err := l.Accept()
 	is.NoErr(err)
 	defer c.Close()
-	is.NoErr(nc.(*net.TCPConn).SetLinger(0))
+	is.NoErr(nc.(interface{ SetLinger(sec int) error }).SetLinger(0))
 	is.NoErr(nc.Close())
 	is.NoErr(c.SetReadDeadline(time.Now().Add(5 * time.Second)))
 	_, err = c.Read(make([]byte, 1))
