Streams of engines that crash between two events are cut off, not complete

Callers saw: nothing was reported. Found while the cause of the truncated answers was looked for elsewhere: what an engine sends are whole events, so that most crashes fall between two of them.

Cause: a response without length and chunks that ends between two events is complete for all that its bytes say.

TestLastStreamOfALeavingTargetIsComplete guards the other side.

Why this works: at such an end the engine's address is probed once (50 ms while it listens, merged for the streams of one engine). An engine that has exited and is listed as staying has crashed. Events were passed on already; the end of such a response comes up to 50 ms later. Bodies with a length or chunks are not probed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,11 +117,12 @@
 	quarantine Quarantine
 	usage      Usage
 	allowances Allowances
-	// exitChecks merges concurrent checks of whether the process of a target has exited.
-	exitChecks singleflight.Group
-	client     *httpsend.Client
-	log        *telemetry.Logger
-	stats      *Stats
+	// exitChecks and crashChecks merge concurrent checks of whether the process of a target has exited.
+	exitChecks  singleflight.Group
+	crashChecks singleflight.Group
+	client      *httpsend.Client
+	log         *telemetry.Logger
+	stats       *Stats
 
 	server *http.Server
 	// wg counts the goroutines of the server and of calls that no request waits for.
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -263,7 +263,7 @@
 	if resp.Status != http.StatusOK {
 		return x.relayFailure(s, c, resp)
 	}
-	s.ticket = c.Ticket
+	s.target, s.ticket = c.Target, c.Ticket
 	err = s.relay(resp)
 	x.noteBody(resp, err)
 	x.eventInterval = s.eventInterval()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -11,6 +11,7 @@
 
 	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/errkind"
+	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/httpsend"
 	"garnethoist.org/garnethoist/internal/place"
 	"garnethoist.org/garnethoist/internal/quarantine"
@@ -27,7 +28,8 @@
 // target continues after the last event.
 type stream struct {
 	x *exchange
-	// ticket counts the request as work at the current target.
+	// target is the current target, and ticket counts the request as work at it.
+	target *fleet.Target
 	ticket *place.Ticket
 	// headerSent is set once the response header went to the caller.
 	headerSent bool
@@ -135,6 +137,9 @@
 		s.x.trailingBytes = len(s.partial)
 		return resp.Truncated()
 	}
+	if resp.Framing == httpsend.FramedByConn && s.x.g.hasCrashed(s.target) {
+		return resp.Truncated()
+	}
 	s.writeHeader(resp)
 	if len(s.partial) > 0 {
 		s.x.trailingBytes = len(s.partial)
