Plain answers of targets that crash are cut off, not complete

Cause: as for streams: the connection of a target that exits ends like that of a complete response.

Evidence: TestPlainBodyOfACrashedTargetIsNotComplete failed before, 200 with half of the body.

Why this works: the check of the streams is made for each answer that ends with its connection, failures included.

--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -290,7 +290,7 @@
 // of a stream or another attempt is possible.
 func (x *exchange) relayFailure(s *stream, c place.Choice, resp *httpsend.Response) (outcome, error) {
 	x.g.usage.Ran(x.accountName(), clock.Now())
-	body, err := readBuffered(resp)
+	body, err := x.readAnswer(c.Target, resp)
 	c.Ticket.End(place.Bad, clock.Now())
 	x.addTrace(c.Target, strconv.Itoa(resp.Status), err)
 	if err == nil {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -186,10 +186,7 @@
 		return plainCall{out: out, err: err, target: c.Target}
 	}
 	defer resp.Close()
-	body, err := readBuffered(resp)
-	if err == nil && x.route.Kind == fleet.Streaming && resp.Status == http.StatusOK && isTruncated(resp, body) {
-		err = resp.Truncated()
-	}
+	body, err := x.readAnswer(c.Target, resp)
 	x.noteBody(resp, err)
 	if err != nil {
 		x.addTrace(c.Target, "cut", err)
@@ -209,6 +206,20 @@
 	return plainCall{resp: &bufferedResponse{status: resp.Status, header: resp.Header, body: body}, out: outcomeAnswered}
 }
 
+// readAnswer reads the whole body of a target's answer, as readBuffered does. A body that ends with its
+// connection is taken to be cut off if the target has crashed, or if it is a stream and ends inside an
+// event.
+func (x *exchange) readAnswer(t *fleet.Target, resp *httpsend.Response) ([]byte, error) {
+	body, err := readBuffered(resp)
+	switch {
+	case err != nil || resp.Framing != httpsend.FramedByConn:
+		return body, err
+	case x.route.Kind == fleet.Streaming && resp.Status == http.StatusOK && isTruncated(resp, body), x.g.hasCrashed(t):
+		return nil, resp.Truncated()
+	}
+	return body, nil
+}
+
 // errResponseTooLarge means that a response body is larger than maxBufferedBody.
 var errResponseTooLarge = errors.New("gateway: response too large to buffer")
 
