--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -190,6 +190,8 @@
 		gap = longEventInterval
 	}
 	e.SetGap(gap)
+	// The responses of half of the targets end with their connections.
+	e.SetEndsWithConn((uint64(s.index)+h.cfg.Seed)%2 == 0)
 	h.inspectAccounts(e)
 	e.CrashOn(crashingBody, func(e *platformtest.Engine) { h.replaceCrashed(s, e) })
 	s.target, s.unavailable = e, false
