Observability: software versions of targets, and what a resumed stream goes on from

The version in a target's entry and the header Resumes are decoded. Lines and the counter garnet_streams_resumed tell whether a stream went on at another version, and whether its caller or the VM resumed it, which tells the hypotheses of the incident apart.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -245,6 +245,8 @@
 	Service    string
 	Address    string
 	DataCentre string
+	// Version is the version of the target's software, not of its weights. Versions have no order.
+	Version string
 	// Slots is how many requests the target runs at once.
 	Slots int
 	// Leaving targets accept no new requests.
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -21,6 +21,9 @@
 	Key string
 	// LastEventID is the id of the last event that the caller received, if it resumes a stream.
 	LastEventID string
+	// Resumes is the ID of the request that brought the first event of the stream that the caller
+	// resumes, if it says so.
+	Resumes string
 	// Prompt describes the prompt of a request to a model engine. It is nil for other requests.
 	Prompt *place.Prompt
 }
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -103,6 +103,12 @@
 	if x.lastStopCheck != nil {
 		fields = append(fields, telemetry.F("stop_ms", x.lastStopCheck.remaining.Milliseconds()), telemetry.F("needed_ms", x.lastStopCheck.needed.Milliseconds()))
 	}
+	if x.version != "" {
+		fields = append(fields, telemetry.F("version", x.version))
+	}
+	if x.meta.LastEventID != "" {
+		fields = append(fields, telemetry.F("resumes", x.meta.Resumes), telemetry.F("resumes_after", x.meta.LastEventID))
+	}
 	if x.lastEventID != "" {
 		fields = append(fields, telemetry.F("last_event", x.lastEventID))
 	}
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -34,6 +34,8 @@
 	dials metric.Int64Counter
 	// bodies counts the bodies of targets' responses.
 	bodies metric.Int64Counter
+	// resumed counts the streams that went on at another target.
+	resumed metric.Int64Counter
 }
 
 // NewStats registers the gateway's instruments with m.
@@ -71,7 +73,11 @@
 		return nil, errors.Wrap(err, "dials counter")
 	}
 	bodies, err := m.Int64Counter("garnet_target_bodies", metric.WithDescription("bodies of targets' answers, by framing and by whether they were complete"))
-	return &Stats{requests: requests, duration: duration, handlesNotFreed: handles, bySize: bySize, admissions: admissions, retries: retries, targetLimits: limits, dials: dials, bodies: bodies}, errors.Wrap(err, "bodies counter")
+	if err != nil {
+		return nil, errors.Wrap(err, "bodies counter")
+	}
+	resumed, err := m.Int64Counter("garnet_streams_resumed", metric.WithDescription("streams that were resumed, by whether their callers did, and by how the version of the new target's software compares"))
+	return &Stats{requests: requests, duration: duration, handlesNotFreed: handles, bySize: bySize, admissions: admissions, retries: retries, targetLimits: limits, dials: dials, bodies: bodies, resumed: resumed}, errors.Wrap(err, "resumed streams counter")
 }
 
 // Request counts one request and its duration. kind is empty if the response came from a target.
@@ -137,5 +143,13 @@
 	)))
 }
 
+// Resumed counts a stream that went on at a target. byCaller says that its caller has resumed it, and
+// comparison how the version of the target's software compares with that which began the stream.
+func (s *Stats) Resumed(byCaller bool, comparison versionComparison) {
+	s.resumed.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(
+		attribute.Bool("by_caller", byCaller), attribute.String("version", string(comparison)),
+	)))
+}
+
 // HandleNotFreed counts a handle whose freeing call failed.
 func (s *Stats) HandleNotFreed() { s.handlesNotFreed.Add(context.Background(), 1) }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -80,6 +80,9 @@
 		return nil
 	}
 	s.writeHeader(resp)
+	if s.events == 0 {
+		s.x.noteVersion(s.target)
+	}
 	if id, ok := lastEventID(s.partial[:complete]); ok {
 		s.x.lastEventID = id
 	}
--- a/internal/watch/encode.go
+++ b/internal/watch/encode.go
@@ -20,9 +20,10 @@
 	DataCentres []string
 	Stages      []string
 	Targets     []targetItem
+	Versions    []string
 }
 
-// targetItem is the encoding of a fleet.Target. Service, DataCentre and Stage are indices of the
+// targetItem is the encoding of a fleet.Target. Service, DataCentre, Stage and Version are indices of the
 // lists of targetList; the fields of the same names as those of fleet.Target hold their values.
 type targetItem struct {
 	_          struct{} `cbor:",toarray"`
@@ -35,6 +36,7 @@
 	Leaving    bool
 	Spot       bool
 	Born       int64
+	Version    int
 }
 
 // nameTable assigns indices to names.
@@ -66,7 +68,7 @@
 
 // encodeTargets encodes the targets of a view except those in skip, in compressed form.
 func encodeTargets(v *fleet.View, skip func(id string) bool) ([]byte, error) {
-	var services, dataCentres, stages nameTable
+	var services, dataCentres, stages, versions nameTable
 	var list targetList
 	for _, ts := range v.Targets {
 		for _, t := range ts {
@@ -83,10 +85,10 @@
 			}
 			list.Targets = append(list.Targets, targetItem{ID: t.ID, Address: packed, Service: services.index(t.Service),
 				DataCentre: dataCentres.index(t.DataCentre), Stage: stages.index(string(t.Stage)), Slots: t.Slots,
-				Leaving: t.Leaving, Spot: t.Spot, Born: t.Born})
+				Leaving: t.Leaving, Spot: t.Spot, Born: t.Born, Version: versions.index(t.Version)})
 		}
 	}
-	list.Services, list.DataCentres, list.Stages = services.names, dataCentres.names, stages.names
+	list.Services, list.DataCentres, list.Stages, list.Versions = services.names, dataCentres.names, stages.names, versions.names
 	data, err := cbor.Marshal(list)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode targets")
@@ -130,6 +132,9 @@
 	if t.DataCentre, err = nameAt(list.DataCentres, item.DataCentre); err != nil {
 		return nil, err
 	}
+	if t.Version, err = nameAt(list.Versions, item.Version); err != nil {
+		return nil, err
+	}
 	stage, err := nameAt(list.Stages, item.Stage)
 	t.Stage = fleet.Stage(stage)
 	return t, err
