Streams that are cut off are resumed within the response at their version only

Cause: after a cut the request was sent to any engine that admitted it; the version in an engine's entry was not read. The class: what a request is bound to by its first attempt is not part of the choice for the next.

Why this works: once events of a version went to the caller, only targets of that version are candidates for each further step of the request, prefills included. If none is left, the caller's response is cut off as before, and the caller may resume it.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -62,7 +62,7 @@
 // limitsUsedUp reports whether the request could be sent to some target if the limits that targets
 // state on requests were not used up.
 func (x *exchange) limitsUsedUp() bool {
-	return x.g.placer.LimitsUsedUp(x.view.Targets[x.service], x.tried, clock.Now())
+	return x.g.placer.LimitsUsedUp(x.candidates(), x.tried, clock.Now())
 }
 
 // refuseLimited returns the error of a request that no target may be sent because of the limits that
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -92,7 +92,8 @@
 	eventInterval time.Duration
 	// lastEventID is the id of the last event that the caller received.
 	lastEventID string
-	// version is the software version of the target whose events the caller received last, or "".
+	// version is the software version of the targets whose events the caller has received, or "" if it
+	// has received none.
 	version string
 	// endsWithConn is set if the body of the latest answer ended with the target's connection. It is
 	// atomic because attempts may run concurrently. trailingBytes is the number of bytes that followed
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -148,7 +148,7 @@
 		}
 		x.meta.Prompt.MaxWait = x.admissionInput(clock.Now()).MaxWait()
 		x.meta.Prompt.Deferred = x.queueTicket != nil
-		c, ok := x.g.placer.Prefill(x.view.Targets[x.service], spec, x.meta.Prompt, x.excludedForPrefill(), clock.Now())
+		c, ok := x.g.placer.Prefill(x.candidates(), spec, x.meta.Prompt, x.excludedForPrefill(), clock.Now())
 		if !ok {
 			if x.limitsUsedUp() {
 				return c, x.refuseLimited()
@@ -186,7 +186,7 @@
 		return x.excludeForTrial(x.tried)
 	}
 	tried := maps.Clone(x.tried)
-	for _, t := range x.view.Targets[x.service] {
+	for _, t := range x.candidates() {
 		if t.Stage == fleet.Prefill {
 			tried[t.ID] = true
 		}
@@ -201,7 +201,7 @@
 	if spec == nil {
 		return place.Choice{}, false
 	}
-	return x.g.placer.Decode(x.view.Targets[x.service], spec, x.meta.Prompt, prefillChoice.Target.DataCentre, x.tried, clock.Now())
+	return x.g.placer.Decode(x.candidates(), spec, x.meta.Prompt, prefillChoice.Target.DataCentre, x.tried, clock.Now())
 }
 
 // formatChoice formats a choice for the log line: the kind of step, the expected time to the first
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -74,7 +74,7 @@
 		return
 	}
 	x.reloadView()
-	choice, ok := x.g.placer.Plain(x.view.Targets[x.service], x.excludeForTrial(x.tried), rand.Uint64(), clock.Now())
+	choice, ok := x.g.placer.Plain(x.candidates(), x.excludeForTrial(x.tried), rand.Uint64(), clock.Now())
 	if !ok {
 		if x.limitsUsedUp() {
 			c.startErr = x.refuseLimited()
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -190,5 +190,5 @@
 	if x.trial == nil {
 		return tried
 	}
-	return x.g.placer.AllButOne(x.view.Targets[x.service], tried, x.trial.Fingerprint[:])
+	return x.g.placer.AllButOne(x.candidates(), tried, x.trial.Fingerprint[:])
 }
--- a/internal/gateway/version.go
+++ b/internal/gateway/version.go
@@ -13,6 +13,27 @@
 	unknownVersion versionComparison = "unknown"
 )
 
+// candidates returns the targets that may serve the request. A stream that has begun may go on only at the
+// software version that began it.
+func (x *exchange) candidates() []*fleet.Target {
+	targets := x.view.Targets[x.service]
+	if x.version == "" {
+		return targets
+	}
+	return ofVersion(targets, x.version)
+}
+
+// ofVersion returns the targets of one software version.
+func ofVersion(targets []*fleet.Target, version string) []*fleet.Target {
+	var out []*fleet.Target
+	for _, t := range targets {
+		if t.Version == version {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
 // noteVersion records the version of the target whose events are about to go to the caller.
 func (x *exchange) noteVersion(t *fleet.Target) {
 	byCaller := x.meta.LastEventID != "" && x.version == ""
@@ -27,5 +48,7 @@
 		}
 		x.g.stats.Resumed(byCaller, comparison)
 	}
-	x.version = t.Version
+	if x.version == "" {
+		x.version = t.Version
+	}
 }
