--- a/internal/proc/relay.go
+++ b/internal/proc/relay.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -235,15 +236,15 @@
 	var back sync.WaitGroup
 	back.Go(func() {
 		r.copy(in, out, true)
-		in.Close()
 	})
 	r.copy(out, in, false)
-	out.Close()
 	back.Wait()
 }
 
-// copy forwards data from src to dst until either is closed. back is true for data to the client.
+// copy forwards data from src to dst until either is closed, and then closes dst, or resets it if src was
+// reset. back is true for data to the client.
 func (r *Relay) copy(dst, src net.Conn, back bool) {
+	defer dst.Close()
 	buf := make([]byte, bufferBytes)
 	for {
 		n, err := src.Read(buf)
@@ -260,6 +261,9 @@
 		}
 		if err != nil {
 			r.keepSilent(src)
+			if errors.Is(err, syscall.ECONNRESET) {
+				reset(dst)
+			}
 			return
 		}
 	}
--- a/internal/proc/relay_test.go
+++ b/internal/proc/relay_test.go
@@ -3,10 +3,12 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"garnethoist.org/garnethoist/internal/proc"
 )
@@ -73,3 +75,27 @@
 		})
 	}
 }
+
+// A connection that its destination resets is reset at the client too, and one that it closes is closed.
+func TestRelayPassesResetsOn(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	r, err := proc.NewRelay(l.Addr().String())
+	is.NoErr(err)
+	defer r.Close()
+	for _, linger := range []int{-1, 0} {
+		c, err := net.Dial("tcp", r.Addr())
+		is.NoErr(err)
+		defer c.Close()
+		out, err := l.Accept()
+		is.NoErr(err)
+		is.NoErr(out.(*net.TCPConn).SetLinger(linger))
+		is.NoErr(out.Close())
+		is.NoErr(c.SetReadDeadline(time.Now().Add(time.Second)))
+		_, err = c.Read(make([]byte, 1))
+		is.Equal(errors.Is(err, syscall.ECONNRESET), linger == 0)
+		is.Equal(errors.Is(err, io.EOF), linger != 0)
+	}
+}
