Streams that callers resume go on at the version that began them, at any VM, or are refused

Cause: a VM that is asked to go on with a stream knew nothing of the attempt that began it. The class: what holds for a request over all of its attempts was known to one VM only.

Why this works: the VM that serves a stream's first event sends its version to three VMs, which any VM finds by hashing the request that the caller names, before the event goes out; a VM that stops hands its records over. Where nobody has the record, the store tells, in a row of the service's versions to which each version is added before the first stream begins at it: with a single version there, all streams of the service began at that one, whoever is cut off. Otherwise the request is refused (version_unknown); nothing is sent on a guess.

--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -47,6 +47,8 @@
 	// TargetsLimited means that the targets limit the requests which they accept, and the limits are
 	// used up.
 	TargetsLimited Kind = "targets_limited"
+	// VersionUnknown means that it is not known at which software version a stream may go on.
+	VersionUnknown Kind = "version_unknown"
 	// NoTarget means that no target could take the request.
 	NoTarget Kind = "no_target"
 	// Quarantined means that the request is suspected of crashing targets.
@@ -133,6 +135,7 @@
 	InFlightLimited:  {Status: http.StatusTooManyRequests, Outcome: NotRun, RetryAfter: time.Second},
 	CannotFinish:     {Status: http.StatusServiceUnavailable, Outcome: NotRun, RetryAfter: time.Second},
 	TargetsLimited:   {Status: http.StatusServiceUnavailable, Outcome: NotRun, RetryAfter: time.Second},
+	VersionUnknown:   {Status: http.StatusServiceUnavailable, Outcome: NotRun, RetryAfter: time.Second},
 	NoTarget:         {Status: http.StatusServiceUnavailable, Outcome: NotRun, RetryAfter: 2 * time.Second},
 	Quarantined:      {Status: http.StatusServiceUnavailable, Outcome: NotRun, RetryAfter: time.Minute, CallerFault: true},
 	Stopping:         {Status: http.StatusServiceUnavailable, Outcome: NotRun, RetryAfter: time.Second},
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -78,6 +78,15 @@
 	return r.Kind == Idempotent || (r.Kind == Streaming && r.Resumable)
 }
 
+// Services returns the names of the services that may run the route's requests.
+func (r *Route) Services() []string {
+	names := make([]string, 0, len(r.Shares))
+	for _, s := range r.Shares {
+		names = append(names, s.Service)
+	}
+	return names
+}
+
 // Pick returns the service for a request according to the weights of the shares; random must be
 // uniform in [0, 1).
 func (r *Route) Pick(random float64) string {
@@ -120,6 +129,8 @@
 	MaxConns int
 	// Engine is nil for a plain service.
 	Engine *EngineSpec
+	// Resumable says that streams of one of the service's routes may be resumed. NewConfig sets it.
+	Resumable bool
 	// Scaling is nil if package scaling may not choose the number of targets.
 	Scaling *Scaling
 }
@@ -166,7 +177,7 @@
 }
 
 // NewConfig returns a configuration with its routes indexed for Match. It changes Engine.Objective
-// and Engine.MaxGap of each given service to the shortest values of the service's routes.
+// and Engine.MaxGap of each given service to the shortest values of the service's routes, and Resumable.
 func NewConfig(version uint64, routes []*Route, services []*Service, limits Limits) *Config {
 	c := &Config{
 		Version: version, Limits: limits,
@@ -176,7 +187,7 @@
 	for _, s := range services {
 		c.Services[s.Name] = s
 	}
-	c.setEngineObjectives(routes)
+	c.setServiceProperties(routes)
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		c.byHost[host] = append(c.byHost[host], r)
@@ -187,12 +198,16 @@
 	return c
 }
 
-// setEngineObjectives sets Objective and MaxGap of each service's engines to the shortest values of
-// the service's routes.
-func (c *Config) setEngineObjectives(routes []*Route) {
+// setServiceProperties sets Objective and MaxGap of each service's engines to the shortest values of
+// the service's routes, and Resumable of each service.
+func (c *Config) setServiceProperties(routes []*Route) {
 	for _, r := range routes {
 		for _, share := range r.Shares {
-			if s := c.Services[share.Service]; s != nil && s.Engine != nil {
+			s := c.Services[share.Service]
+			if s != nil && r.Kind == Streaming && r.Resumable {
+				s.Resumable = true
+			}
+			if s != nil && s.Engine != nil {
 				s.Engine.MaxGap = shorterNonZero(s.Engine.MaxGap, r.MaxGap)
 				s.Engine.Objective = shorterNonZero(s.Engine.Objective, r.Objective)
 			}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -15,6 +15,7 @@
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/fair"
 	"garnethoist.org/garnethoist/internal/fleet"
+	"garnethoist.org/garnethoist/internal/origin"
 	"garnethoist.org/garnethoist/internal/place"
 	"garnethoist.org/garnethoist/internal/quarantine"
 	"garnethoist.org/garnethoist/internal/retry"
@@ -95,6 +96,8 @@
 	// version is the software version of the targets whose events the caller has received, or "" if it
 	// has received none.
 	version string
+	// originSource is what told where the stream that the caller resumes began, or "".
+	originSource origin.Source
 	// endsWithConn is set if the body of the latest answer ended with the target's connection. It is
 	// atomic because attempts may run concurrently. trailingBytes is the number of bytes that followed
 	// the last event of a stream.
@@ -159,6 +162,9 @@
 	ctx, cancel := clock.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	defer context.AfterFunc(x.g.abortCtx, cancel)()
+	if err := x.findVersion(ctx); err != nil {
+		return err
+	}
 	x.tried = place.Tried{}
 	x.g.retryBudgets.forService(x.service).Request(x.g.sinceStart())
 	x.attempts = attemptTracker{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,6 +95,7 @@
 	Quarantine Quarantine
 	Usage      Usage
 	Allowances Allowances
+	Origins    Origins
 	// Client sends the requests to targets.
 	Client *httpsend.Client
 	// FirstStart says that the whole group of VMs starts for the first time, so that no earlier
@@ -117,6 +118,7 @@
 	quarantine Quarantine
 	usage      Usage
 	allowances Allowances
+	origins    Origins
 	// exitChecks and crashChecks merge concurrent checks of whether the process of a target has exited.
 	exitChecks  singleflight.Group
 	crashChecks singleflight.Group
@@ -161,7 +163,7 @@
 // New returns a gateway that does not listen yet.
 func New(p Options, limits Limits) *Gateway {
 	g := &Gateway{
-		listen: p.Listen, keeper: p.Keeper, placer: p.Placer, proto: p.Protocol, group: p.Group, freshness: p.Freshness, quarantine: p.Quarantine, usage: p.Usage, allowances: p.Allowances,
+		listen: p.Listen, keeper: p.Keeper, placer: p.Placer, proto: p.Protocol, group: p.Group, freshness: p.Freshness, quarantine: p.Quarantine, usage: p.Usage, allowances: p.Allowances, origins: p.Origins,
 		client: p.Client, log: p.Log, stats: p.Stats, rng: newRNG(),
 		started: clock.Now(), conns: newCallerConns(p.Descriptors, p.Client.OpenConns, p.Log),
 	}
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -107,7 +107,7 @@
 		fields = append(fields, telemetry.F("version", x.version))
 	}
 	if x.meta.LastEventID != "" {
-		fields = append(fields, telemetry.F("resumes", x.meta.Resumes), telemetry.F("resumes_after", x.meta.LastEventID))
+		fields = append(fields, telemetry.F("resumes", x.meta.Resumes), telemetry.F("resumes_after", x.meta.LastEventID), telemetry.F("origin", x.originSource))
 	}
 	if x.lastEventID != "" {
 		fields = append(fields, telemetry.F("last_event", x.lastEventID))
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "bodies counter")
 	}
-	resumed, err := m.Int64Counter("garnet_streams_resumed", metric.WithDescription("streams that were resumed, by whether their callers did, and by how the version of the new target's software compares"))
+	resumed, err := m.Int64Counter("garnet_streams_resumed", metric.WithDescription("streams that were resumed, by whether their callers resumed them, and by how the version of the new target's software compares with that which began them"))
 	return &Stats{requests: requests, duration: duration, handlesNotFreed: handles, bySize: bySize, admissions: admissions, retries: retries, targetLimits: limits, dials: dials, bodies: bodies, resumed: resumed}, errors.Wrap(err, "resumed streams counter")
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"garnethoist.org/garnethoist/internal/gateway"
 	"garnethoist.org/garnethoist/internal/httpsend"
 	"garnethoist.org/garnethoist/internal/kernel"
+	"garnethoist.org/garnethoist/internal/origin"
 	"garnethoist.org/garnethoist/internal/peers"
 	"garnethoist.org/garnethoist/internal/place"
 	"garnethoist.org/garnethoist/internal/quarantine"
@@ -49,6 +50,8 @@
 	ModuleTunnelDialer  = "tunnel.dialer"     // a tunnel.Dialer, which opens connections to targets
 	ModuleTunnelServer  = "tunnel.server"     // a tunnel.Server, which opens connections for other VMs
 	ModuleHTTPClient    = "httpsend.client"   // sends requests to targets
+	ModuleVersions      = "origin.versions"   // admits software versions of targets
+	ModuleOrigins       = "origin"            // tells at which software version a stream may go on
 	ModuleStages        = "stages"            // controls the stages of engines, prefill or decode
 	ModuleQuarantine    = "quarantine"        // keeps requests that crash targets from all targets
 	ModuleDuties        = "node.duties"       // depends on the modules of the configured duties
@@ -223,6 +226,7 @@
 		return client, nil
 	})
 	registerTunnels(k, cfg, a)
+	registerOrigins(k)
 	k.Register(ModuleStages, func(k *kernel.Kernel) (any, error) { return provideStages(k, cfg, a) })
 	registerDuties(k, cfg, a)
 	k.Register(ModuleGateway, func(k *kernel.Kernel) (any, error) { return provideGateway(k, cfg, a) })
@@ -365,6 +369,7 @@
 		Freshness: kernel.Need[*watch.Freshness](g, ModuleFreshness), Client: client,
 		Usage:      kernel.Need[*usage.Counter](g, ModuleUsageCounter),
 		Allowances: kernel.Need[*quota.Keeper](g, ModuleQuota),
+		Origins:    kernel.Need[*origin.Origins](g, ModuleOrigins),
 		FirstStart: cfg.FirstStart, Quarantine: kernel.Need[*quarantine.Keeper](g, ModuleQuarantine),
 		Log: kernel.Need[*telemetry.Logger](g, ModuleLog), Stats: kernel.Need[*gateway.Stats](g, ModuleStats),
 	}, gatewayLimits(cfg))
--- /dev/null
+++ b/internal/node/origins.go
@@ -0,0 +1,34 @@
+package node
+
+import (
+	"garnethoist.org/garnethoist/internal/fleet"
+	"garnethoist.org/garnethoist/internal/kernel"
+	"garnethoist.org/garnethoist/internal/origin"
+	"garnethoist.org/garnethoist/internal/peers"
+	"garnethoist.org/garnethoist/internal/telemetry"
+)
+
+// registerOrigins registers the modules that tell at which software version a stream may go on.
+func registerOrigins(k *kernel.Kernel) {
+	k.Register(ModuleVersions, func(k *kernel.Kernel) (any, error) {
+		g := &kernel.Getter{Kernel: k}
+		group, keeper := kernel.Need[*peers.Peers](g, ModulePeers), kernel.Need[*fleet.Keeper](g, ModuleFleetKeeper)
+		if g.Err != nil {
+			return nil, g.Err
+		}
+		v := origin.NewVersions(keeper, kernel.Need[Store](g, ModuleStore), group, kernel.Need[*telemetry.Logger](g, ModuleLog))
+		keeper.OnChange(func(*fleet.View) { v.NotifyView() })
+		group.SetVersions(v)
+		return v, g.Err
+	})
+	k.Register(ModuleOrigins, func(k *kernel.Kernel) (any, error) {
+		g := &kernel.Getter{Kernel: k}
+		group, versions := kernel.Need[*peers.Peers](g, ModulePeers), kernel.Need[*origin.Versions](g, ModuleVersions)
+		if g.Err != nil {
+			return nil, g.Err
+		}
+		records := origin.NewRecords()
+		group.SetOrigins(records)
+		return origin.New(records, versions, group), nil
+	})
+}
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -35,21 +35,28 @@
 	// of targets.
 	nextUsed   time.Time
 	nextLimits time.Time
+	// nextVersions is when the software versions are due again, and versionsNumber the number of those
+	// that were sent last.
+	nextVersions   time.Time
+	versionsNumber uint64
 }
 
-// due returns whether r must be sent now: if it contains send records, the use of client accounts or
-// the limits of targets, if it differs from the last report, or if the last report was sent at least heartbeatInterval ago.
+// due returns whether r must be sent now: if it contains send records, the use of client accounts, the
+// limits of targets or new software versions, if it differs from the last report, or if the last report was sent at least heartbeatInterval ago.
 // If so, due assigns r the next number. Ages and store times change all the time and are not
 // compared.
 func (s *sender) due(r *report) bool {
-	records, used, limits, ages, storeTimes := r.SendRecords, r.Used, r.Limits, r.AgesMS, r.StoreTimesMS
-	r.SendRecords, r.Used, r.Limits, r.AgesMS, r.StoreTimesMS = nil, nil, nil, nil, nil
+	records, used, limits, versions, ages, storeTimes := r.SendRecords, r.Used, r.Limits, r.Versions, r.AgesMS, r.StoreTimesMS
+	r.SendRecords, r.Used, r.Limits, r.Versions, r.AgesMS, r.StoreTimesMS = nil, nil, nil, nil, nil, nil
 	body := string(encode(r))
-	r.SendRecords, r.Used, r.Limits, r.AgesMS, r.StoreTimesMS = records, used, limits, ages, storeTimes
-	if len(records) == 0 && len(used) == 0 && len(limits) == 0 && body == s.last && clock.Since(s.lastAt) < heartbeatInterval {
+	r.SendRecords, r.Used, r.Limits, r.Versions, r.AgesMS, r.StoreTimesMS = records, used, limits, versions, ages, storeTimes
+	if len(records) == 0 && len(used) == 0 && len(limits) == 0 && !r.versionsChanged && body == s.last && clock.Since(s.lastAt) < heartbeatInterval {
 		return false
 	}
 	s.last, s.lastAt = body, clock.Now()
+	if len(versions) > 0 {
+		s.versionsNumber, s.nextVersions = r.versionsNumber, s.lastAt.Add(versionsInterval)
+	}
 	s.number++
 	r.Number = s.number
 	return true
@@ -78,6 +85,7 @@
 			s := p.summary(r)
 			p.addUsed(s, &summary, quota.Local)
 			p.addLimits(s, &summary, p.receivedLimits(false))
+			p.addVersions(s, &summary)
 			if summary.due(s) {
 				if !p.sendSummary(s) {
 					p.requeueSendRecords(s.SendRecords)
@@ -89,6 +97,7 @@
 			d := p.digest(r)
 			p.addUsed(d, &digest, quota.All)
 			p.addLimits(d, &digest, p.receivedLimits(true))
+			p.addVersions(d, &digest)
 			if digest.due(d) {
 				p.sendTo(datagram{Report: d}, p.localAddrs())
 				nextDigest, idle = now.Add(p.digestPause(d)), false
@@ -96,6 +105,7 @@
 		}
 		p.addUsed(r, &own, quota.Own)
 		p.addLimits(r, &own, nil)
+		p.addVersions(r, &own)
 		if own.due(r) {
 			idle = false
 			heartbeat := !now.Before(nextHeartbeat)
@@ -241,6 +251,12 @@
 			p.handleUsageReply(d.UsageReply)
 		case d.Suspects != nil:
 			p.handleSuspects(d.Suspects)
+		case d.Origins != nil:
+			p.handleOrigins(d.Origins)
+		case d.OriginQuestion != nil:
+			p.handleOriginQuestion(d.OriginQuestion)
+		case d.OriginReply != nil:
+			p.handleOriginReply(d.OriginReply)
 		case d.Report != nil && d.Report.From.VM != p.self.VM:
 			p.handleReport(d.Report)
 		}
@@ -273,6 +289,7 @@
 			p.limits.ObserveLimits(decodeLimits(r.Limits, now), now)
 		}
 	}
+	p.observeVersions(r)
 	if p.sendsDigests() && p.isRelay() {
 		p.NotifyWork()
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -29,6 +29,7 @@
 	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/kernel"
+	"garnethoist.org/garnethoist/internal/origin"
 	"garnethoist.org/garnethoist/internal/place"
 	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/telemetry"
@@ -116,6 +117,8 @@
 	usage       Usage
 	quota       Quota
 	limits      Limits
+	origins     OriginRecords
+	versions    Versions
 	// pathLost reports whether this VM reaches no target directly.
 	pathLost func() bool
 	copier   Copier
@@ -165,6 +168,8 @@
 	// inGrace marks the followed tables, by index, for which compareVersions waits for a newer
 	// version to arrive.
 	inGrace map[int]bool
+	// originWaits holds the channels that wait for replies about a stream's version.
+	originWaits map[origin.Key]map[chan originReply]bool
 	// lastBroadcast is when a summary was last sent to all VMs of a data centre, by data centre.
 	lastBroadcast map[string]time.Time
 }
@@ -221,7 +226,8 @@
 		vmReports: make(map[string]*receivedReport), dataCentreReports: make(map[string]*receivedReport),
 		sums:    make(map[string]place.Work),
 		inGrace: make(map[int]bool), lastBroadcast: make(map[string]time.Time),
-		joined: make(chan struct{}), wake: make(chan struct{}, 1),
+		originWaits: make(map[origin.Key]map[chan originReply]bool),
+		joined:      make(chan struct{}), wake: make(chan struct{}, 1),
 	}
 }
 
@@ -261,6 +267,7 @@
 
 // Stop closes the socket and waits for the background loops to end.
 func (p *Peers) Stop(ctx context.Context) error {
+	p.handOverOrigins()
 	err := p.conn.Close()
 	if bgErr := p.Background.Stop(ctx); err == nil {
 		err = bgErr
--- a/internal/peers/report.go
+++ b/internal/peers/report.go
@@ -28,6 +28,11 @@
 	UsageReply    *usageReply    `cbor:"6,keyasint,omitempty"`
 	// Suspects describes requests that are suspected of crashing their targets.
 	Suspects *suspectsMessage `cbor:"4,keyasint,omitempty"`
+	// Origins states at which software versions streams began. OriginQuestion asks a VM for that, and
+	// OriginReply returns it.
+	Origins        *originMessage  `cbor:"7,keyasint,omitempty"`
+	OriginQuestion *originQuestion `cbor:"8,keyasint,omitempty"`
+	OriginReply    *originReply    `cbor:"9,keyasint,omitempty"`
 }
 
 // report states the work of one VM, the total work of all VMs of one data centre (a summary), or
@@ -73,6 +78,13 @@
 	Limits []limitItem `cbor:"17,keyasint,omitempty"`
 	// WithoutPath names the VMs that reach no target directly, of those that the report covers.
 	WithoutPath []string `cbor:"18,keyasint,omitempty"`
+	// Versions holds the software versions of services' targets that are known to be in the store. It is
+	// not in each report, see versionsInterval.
+	Versions []versionsItem `cbor:"19,keyasint,omitempty"`
+	// versionsNumber is the number of Versions, and versionsChanged is set if Versions differs from that of
+	// the sender's last report with them.
+	versionsNumber  uint64
+	versionsChanged bool
 	// LiveVMs is the number of VMs that the report covers. Only summaries and digests state it.
 	LiveVMs int `cbor:"16,keyasint,omitempty"`
 	// KnownVMs is the number of VMs that From knows. Only summaries and digests state it.
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -29,6 +29,8 @@
 	EventTargetLimit      Event = "target_limit"         // a target began or ceased to state a limit on requests, or changed it
 	EventPathLost         Event = "path_lost"            // this VM reaches targets only through other VMs
 	EventPathRegained     Event = "path_regained"        // this VM reaches targets again
+	EventVersionsAdmitted Event = "versions_admitted"    // streams may begin at further software versions of a service's targets
+	EventVersionsMissing  Event = "versions_missing"     // the software versions of a service's targets could not be admitted
 	EventPeerState        Event = "peer_state"           // another VM was found or its address changed
 	EventTableVersion     Event = "table_version"        // a new version of the table of services is used
 	EventLeaseAcquired    Event = "lease_acquired"       // this process became the holder of a lease
