Soak: engines of two software versions, and callers that resume their streams at other VMs

Engines are replaced by those of the other version, callers resume streams that were cut off, twice at most, and the checker asks that a stream's events are of one version over all attempts (one_version).

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -57,12 +57,19 @@
 	nonIdempotent bool
 	tokens        int
 	probe         bool
+	// after and resumes are set if the request resumes a stream: the last event that the caller has, and
+	// the request that brought the first one.
+	after   int
+	resumes string
 }
 
 // name returns the kind's name in reports. All version routes share one name.
 func (k requestKind) name() string {
-	if k.probe {
+	switch {
+	case k.probe:
 		return "probe"
+	case k.after > 0:
+		return k.route + "_resumed"
 	}
 	return k.route
 }
@@ -93,7 +100,11 @@
 		}
 		for range requestsPerConnection {
 			kind := requestKinds[r.IntN(len(requestKinds))]
-			reply := h.send(c, v, ids.next(), kind)
+			id := ids.next()
+			reply := h.send(c, v, id, kind)
+			if kind.tokens > 0 {
+				h.followStream(r, ids, id, kind, reply)
+			}
 			kernel.Sleep(ctx, time.Duration(r.ExpFloat64()*float64(thinkTime)))
 			if reply.Err != nil || reply.Closes || ctx.Err() != nil {
 				break
@@ -120,6 +131,31 @@
 	return ready[r.IntN(len(ready))]
 }
 
+// maxResumes is how often a caller resumes a stream.
+const maxResumes = 2
+
+// followStream resumes a stream that was cut off at other VMs, if its route allows it, and has the checker
+// check the versions of its events. reply is what the request id brought.
+func (h *harness) followStream(r *rand.Rand, ids *idSource, id string, kind requestKind, reply platformtest.Result) {
+	versions, _ := platformtest.ReadVersionedEvents(reply.Body, 0)
+	for try := 0; try < maxResumes && reply.Err != nil && len(versions) > 0 && len(versions) < platformtest.Events && !kind.nonIdempotent; try++ {
+		v := h.pickVM(r)
+		c, err := platformtest.DialCaller(string(v.cfg.Listen), dialTimeout)
+		if err != nil {
+			h.count("no_connection")
+			continue
+		}
+		kind.after, kind.resumes = len(versions), id
+		reply = h.send(c, v, ids.next(), kind)
+		c.Close()
+		more, _ := platformtest.ReadVersionedEvents(reply.Body, len(versions))
+		versions = append(versions, more...)
+	}
+	if len(versions) > 0 {
+		h.check.StreamEnded(id, versions, h.now())
+	}
+}
+
 // send sends one request and has the checker check the answer.
 func (h *harness) send(c *platformtest.Caller, v *vm, id string, kind requestKind) platformtest.Result {
 	account, key := "", ""
@@ -129,7 +165,7 @@
 	h.check.Sent(id, v.name, kind.nonIdempotent, h.now())
 	h.check.SetKey(id, account, key)
 	reply := c.Do(platformtest.Call{ID: id, Path: "/" + kind.route + "/x", Tokens: kind.tokens,
-		Body: requestBody(id), Timeout: callTimeout, Key: key})
+		Body: requestBody(id), Timeout: callTimeout, Key: key, After: kind.after, Resumes: kind.resumes})
 	a := newAnswer(id, kind, reply)
 	h.check.Answered(id, a, h.now())
 	h.count(kind.name() + " " + outcomeName(a, reply))
@@ -151,12 +187,13 @@
 		return Answer{}
 	}
 	target := strings.TrimSuffix(strings.TrimPrefix(r.Signature, "seal-"), "-"+id)
-	body := platformtest.StreamBody()
-	if kind.tokens == 0 {
-		body = platformtest.PlainBody(target, id)
+	whole := r.Body == platformtest.PlainBody(target, id)
+	if kind.tokens > 0 {
+		versions, ok := platformtest.ReadVersionedEvents(r.Body, kind.after)
+		whole = ok && strings.HasSuffix(r.Body, "\n\n") && kind.after+len(versions) == platformtest.Events
 	}
 	return Answer{Succeeded: true, Target: target,
-		Whole: r.Body == body && r.Signature == platformtest.Signature(target, id)}
+		Whole: whole && r.Signature == platformtest.Signature(target, id)}
 }
 
 // outcomeName returns the outcome of a request as reports count it.
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -16,6 +16,8 @@
 const (
 	// WholeAnswer: a successful answer is the complete answer of a target that ran this request.
 	WholeAnswer Invariant = "whole_answer"
+	// OneVersion: a stream holds events of one software version, over all attempts of its caller.
+	OneVersion Invariant = "one_version"
 	// AtMostOnce: a non-idempotent request runs at most once.
 	AtMostOnce Invariant = "at_most_once"
 	// RefusalNotRun: a request refused as not run did not run before and never runs later.
@@ -349,6 +351,17 @@
 	}
 }
 
+// StreamEnded checks the software versions of the events of a stream, over all attempts of its caller.
+func (c *Checker) StreamEnded(id string, versions []string, at time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	one := true
+	for _, v := range versions {
+		one = one && v == versions[0]
+	}
+	c.check(OneVersion, one, at, "%s holds events of %v", id, versions)
+}
+
 func contains(list []string, s string) bool {
 	for _, have := range list {
 		if have == s {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -63,6 +63,10 @@
 	return v.process, v.incarnation
 }
 
+// softwareVersions are the versions of the engines' software, which serve side by side. The engine that
+// replaces another one is of the next version.
+var softwareVersions = []string{"s1", "s2"}
+
 // slot is a fixed address and link, at which one target after the other runs.
 type slot struct {
 	index   int
@@ -184,6 +188,9 @@
 		return err
 	}
 	e.Born = time.Now().UnixMilli()
+	if stage != "" {
+		e.Version = softwareVersions[(s.index+s.incarnation)%len(softwareVersions)]
+	}
 	e.Observe(observer{h: h, s: s})
 	gap := eventInterval
 	if s.index%3 == 0 {
