Records of streams' versions outlast homes that stop, also if these do not come back

Callers would see: a stream refused (version_unknown) after its three homes had stopped one after the other, though each had handed its records over.

Cause: VMs that have stopped still count as homes, so that records were handed to them and nobody else was asked.

Why this works: a VM that stops hands its records to the first six homes, and three spare ones are asked after 50 ms, or once the homes have replied that they don't know.

--- a/internal/origin/group_test.go
+++ b/internal/origin/group_test.go
@@ -143,7 +143,7 @@
 		known[i] = m.vm
 	}
 	var out []*testVM
-	for _, i := range Homes(k, known) {
+	for _, i := range Homes(k, known, HomeCount) {
 		if v.members[i] != v {
 			out = append(out, v.members[i])
 		}
--- a/internal/origin/homes.go
+++ b/internal/origin/homes.go
@@ -7,8 +7,13 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// homeCount is the number of homes of a record: the VMs that keep it.
-const homeCount = 3
+const (
+	// HomeCount is the number of homes of a record: the VMs that keep it.
+	HomeCount = 3
+	// SpareCount is the number of further VMs that get the records of a VM that stops, and are asked if
+	// homes do not reply: VMs that have stopped still count as homes.
+	SpareCount = 3
+)
 
 // Member is a VM that may be a home.
 type Member struct {
@@ -22,10 +27,10 @@
 	weight uint64
 }
 
-// Homes returns the indices of the members that are the homes of a key, by rendezvous hashing, so that few
-// homes change when a VM joins or leaves. They are in different data centres as far as possible, as a data
-// centre may be cut off from the others. VMs that know the same members agree on them.
-func Homes(k Key, members []Member) []int {
+// Homes returns the indices of the members that are the first n homes of a key, by rendezvous hashing, so
+// that few homes change when a VM joins or leaves. They are in different data centres as far as possible, as
+// a data centre may be cut off from the others. VMs that know the same members agree on them.
+func Homes(k Key, members []Member, n int) []int {
 	best := make(map[string]weighted)
 	all := make([]weighted, 0, len(members))
 	for i, m := range members {
@@ -40,11 +45,11 @@
 		first = append(first, w)
 	}
 	slices.SortFunc(first, compareWeight)
-	homes := make([]int, 0, homeCount)
-	for _, w := range first[:min(homeCount, len(first))] {
+	homes := make([]int, 0, n)
+	for _, w := range first[:min(n, len(first))] {
 		homes = append(homes, w.index)
 	}
-	for len(homes) < min(homeCount, len(members)) {
+	for len(homes) < min(n, len(members)) {
 		homes = append(homes, heaviest(all, homes))
 	}
 	return homes
--- a/internal/origin/records_test.go
+++ b/internal/origin/records_test.go
@@ -64,22 +64,22 @@
 			const keys = 3000
 			for i := range keys {
 				k := KeyOf(fmt.Sprint("q", i))
-				homes := Homes(k, all)
-				is.Equal(len(homes), min(n, homeCount))
+				homes := Homes(k, all, HomeCount)
+				is.Equal(len(homes), min(n, HomeCount))
 				seen := make(map[string]bool)
 				for _, h := range homes {
 					seen[all[h].DataCentre] = true
 					load[all[h].VM]++
 				}
 				is.Equal(len(seen), len(homes))
-				if n < homeCount+1 {
+				if n < HomeCount+1 {
 					continue
 				}
 				// Without one of its homes, a key keeps the other two.
 				left := homes[0]
 				rest := append(append([]Member{}, all[:left]...), all[left+1:]...)
 				kept := 0
-				for _, h := range Homes(k, rest) {
+				for _, h := range Homes(k, rest, HomeCount) {
 					if rest[h] == all[homes[1]] || rest[h] == all[homes[2]] {
 						kept++
 					}
@@ -87,7 +87,7 @@
 				is.Equal(kept, 2)
 			}
 			for _, c := range load {
-				is.True(c <= 30+5*homeCount*keys/n)
+				is.True(c <= 30+5*HomeCount*keys/n)
 			}
 		})
 	}
@@ -97,6 +97,6 @@
 func BenchmarkHomes(b *testing.B) {
 	all := members(2000, 5)
 	for i := range b.N {
-		Homes(KeyOf(fmt.Sprint(i)), all)
+		Homes(KeyOf(fmt.Sprint(i)), all, HomeCount)
 	}
 }
--- a/internal/origin/resolver.go
+++ b/internal/origin/resolver.go
@@ -20,8 +20,8 @@
 type Group interface {
 	// TellOrigin sends a record to its homes. It does not block, and the record may be lost.
 	TellOrigin(r Record)
-	// AskOrigin asks the homes of a record for it. It returns false once all of them have replied that they
-	// do not know it, or when ctx ends.
+	// AskOrigin asks the homes of a record for it, and spare ones for those that do not reply. It returns
+	// false once all of them have replied that they do not know it, or when ctx ends.
 	AskOrigin(ctx context.Context, k Key) (Origin, bool)
 }
 
--- a/internal/peers/origins.go
+++ b/internal/peers/origins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"garnethoist.org/garnethoist/internal/clock"
@@ -13,7 +14,8 @@
 	// versionsInterval is the longest time between two reports of one sender that state the software
 	// versions that are known to be in the store.
 	versionsInterval = time.Second
-	// askAgainAfter is when a question that was not answered is sent again, as it may have been lost.
+	// askAgainAfter is when a question that was not answered is sent again, as it may have been lost, and
+	// to spare homes too.
 	askAgainAfter = 50 * time.Millisecond
 	// recordsPerDatagram is the maximum number of records in one datagram.
 	recordsPerDatagram = 500
@@ -77,8 +79,8 @@
 	Any      bool
 }
 
-// homesOf returns the homes of a key other than this VM.
-func (p *Peers) homesOf(k origin.Key) []knownMember {
+// homesOf returns those of the first n homes of a key that are not this VM.
+func (p *Peers) homesOf(k origin.Key, n int) []knownMember {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.currentTopology()
@@ -88,7 +90,7 @@
 	}
 	members = append(members, origin.Member{VM: p.self.VM, DataCentre: p.self.DataCentre})
 	var homes []knownMember
-	for _, i := range origin.Homes(k, members) {
+	for _, i := range origin.Homes(k, members, n) {
 		if i < len(t.others) {
 			homes = append(homes, t.others[i])
 		}
@@ -98,7 +100,7 @@
 
 // TellOrigin implements origin.Group.
 func (p *Peers) TellOrigin(r origin.Record) {
-	p.tellOrigins([]origin.Record{r}, p.homesOf(r.Key))
+	p.tellOrigins([]origin.Record{r}, p.homesOf(r.Key, origin.HomeCount))
 }
 
 // tellOrigins sends records to VMs.
@@ -114,7 +116,7 @@
 	}
 }
 
-// handOverOrigins sends the records that this VM keeps to the homes that they have without it.
+// handOverOrigins sends the records that this VM keeps to their other homes, spare ones included.
 func (p *Peers) handOverOrigins() {
 	if p.origins == nil {
 		return
@@ -122,7 +124,7 @@
 	byHome := make(map[string][]origin.Record)
 	homes := make(map[string]knownMember)
 	for _, r := range p.origins.All(clock.Now()) {
-		for _, m := range p.homesOf(r.Key) {
+		for _, m := range p.homesOf(r.Key, origin.HomeCount+origin.SpareCount) {
 			homes[m.VM] = m
 			byHome[m.VM] = append(byHome[m.VM], r)
 		}
@@ -190,19 +192,22 @@
 
 // AskOrigin implements origin.Group.
 func (p *Peers) AskOrigin(ctx context.Context, k origin.Key) (origin.Origin, bool) {
-	homes := p.homesOf(k)
-	// Each home is asked at most twice.
-	replies := make(chan originReply, 2*len(homes))
+	homes := p.homesOf(k, origin.HomeCount)
+	// Each home, and each spare one, is asked at most twice.
+	replies := make(chan originReply, 2*(origin.HomeCount+origin.SpareCount))
 	p.waitForOrigin(k, replies)
 	defer p.stopWaiting(k, replies)
 	unanswered := make(map[string]bool, len(homes))
-	for _, m := range homes {
-		unanswered[m.VM] = true
-	}
 	p.askHomes(k, homes, unanswered)
 	again := time.NewTimer(askAgainAfter)
 	defer again.Stop()
-	for len(unanswered) > 0 {
+	for sparesAsked := false; ; {
+		if len(unanswered) == 0 {
+			if sparesAsked {
+				return origin.Origin{}, false
+			}
+			again.Reset(0)
+		}
 		select {
 		case r := <-replies:
 			if r.Version != "" {
@@ -210,21 +215,23 @@
 			}
 			delete(unanswered, r.From)
 		case <-again.C:
-			p.askHomes(k, homes, unanswered)
+			answered := func(m knownMember) bool { return !unanswered[m.VM] && slices.Contains(homes, m) }
+			p.askHomes(k, slices.DeleteFunc(p.homesOf(k, origin.HomeCount+origin.SpareCount), answered), unanswered)
+			sparesAsked = true
 		case <-ctx.Done():
 			return origin.Origin{}, false
 		}
 	}
-	return origin.Origin{}, false
 }
 
-// askHomes asks the homes of a key that have not replied.
+// askHomes asks VMs for the record of a key and adds them to unanswered.
 func (p *Peers) askHomes(k origin.Key, homes []knownMember, unanswered map[string]bool) {
+	addrs := make([]netip.AddrPort, 0, len(homes))
 	for _, m := range homes {
-		if unanswered[m.VM] {
-			p.sendTo(datagram{OriginQuestion: &originQuestion{From: p.self.VM, Key: k[:]}}, []netip.AddrPort{m.addr})
-		}
+		unanswered[m.VM] = true
+		addrs = append(addrs, m.addr)
 	}
+	p.sendTo(datagram{OriginQuestion: &originQuestion{From: p.self.VM, Key: k[:]}}, addrs)
 }
 
 // waitForOrigin has the replies about a key sent to a channel.
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"garnethoist.org/garnethoist/internal/fleet"
+	"garnethoist.org/garnethoist/internal/origin"
 	"garnethoist.org/garnethoist/internal/peers"
 	"garnethoist.org/garnethoist/internal/place"
 	"garnethoist.org/garnethoist/internal/proc"
@@ -152,6 +153,9 @@
 	quota    *quota.Keeper
 	// limits keeps the limits of targets.
 	limits *place.Placer
+	// records and versions are what the VM knows of the software versions of streams.
+	records  *origin.Records
+	versions *origin.Versions
 }
 
 // ports allocates ports for all tests of the package.
@@ -184,6 +188,10 @@
 	addQuota(t, v)
 	v.limits = place.New(place.DefaultConfig(m.DataCentre), v.peers, func(*fleet.Target) bool { return false })
 	v.peers.SetLimits(v.limits)
+	v.records = origin.NewRecords()
+	v.peers.SetOrigins(v.records)
+	v.versions = origin.NewVersions(fleet.NewKeeper(), table, v.peers, telemetry.Discard())
+	v.peers.SetVersions(v.versions)
 	if err := v.peers.Start(context.Background()); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -28,6 +28,10 @@
 			c.Ran("q", "e1", "", s)
 			c.Answered("q", soak.Answer{Succeeded: true, Target: "e1"}, s)
 		}, soak.WholeAnswer},
+		{"a stream goes on at another version", func(c *soak.Checker) {
+			c.StreamEnded("q", []string{"s1", "s1"}, s)
+			c.StreamEnded("q", []string{"s1", "s2"}, s)
+		}, soak.OneVersion},
 		{"idempotent request runs twice",
 			func(c *soak.Checker) { c.Sent("r", "vm", false, 0); c.Ran("r", "e1", "", s); c.Ran("r", "e2", "", s) },
 			""},
