Stages: the plan that keeps a decode engine of each version is taken back

Hypothesis of: a version whose last decode engine is kept always has somewhere for its streams to go on.

Supposed from the lines: plans are made anew while orders are open and take the engines of those orders for what they were, and with the choice bound by versions each plan picks other engines.

Conclusion: the plan has to count open orders first.

--- a/internal/stages/plan.go
+++ b/internal/stages/plan.go
@@ -26,12 +26,10 @@
 // Plan returns the changes after which a service has want prefill engines, spread over the data
 // centres in proportion to the number of engines in each. Each data centre with two or more engines
 // keeps one engine of each stage, and one with twoPerStageSize or more keeps two of each, as a data
-// centre may be cut off from the others. Each software version with two or more engines keeps a decode
-// engine, as streams go on only at the version that began them. Leaving engines are not counted. The
-// engines with the fewest streams change first.
+// centre may be cut off from the others. Leaving engines are not counted. The engines with the
+// fewest streams change first.
 func Plan(targets []*fleet.Target, want int, load Load) []Change {
-	p := newPlanner(targets, load)
-	out := p.restoreDecode(targets)
+	var out []Change
 	groups := byDataCentre(targets)
 	total, prefill := countEngines(targets)
 	enough := prefill == want
@@ -42,11 +40,11 @@
 		// Later data centres receive the remainder of the division.
 		part := want * len(g) / total
 		want, total = want-part, total-len(g)
-		if n := p.countPrefill(g); enough && abs(n-part) <= 1 {
+		if _, n := countEngines(g); enough && abs(n-part) <= 1 {
 			// The data centre differs by the remainder of the division only.
 			part = n
 		}
-		out = append(out, p.planDataCentre(g, part)...)
+		out = append(out, planDataCentre(g, part, load)...)
 	}
 	return out
 }
@@ -126,116 +124,45 @@
 	return 2
 }
 
-// planner plans the changes of one service's engines.
-type planner struct {
-	load Load
-	// decode is the number of decode engines of each software version, as planned so far.
-	decode map[string]int
-	// restored holds the engines that are to decode because their version has no other engine that does.
-	restored map[*fleet.Target]bool
-}
-
-// newPlanner returns a planner that has planned nothing.
-func newPlanner(targets []*fleet.Target, load Load) *planner {
-	p := &planner{load: load, decode: make(map[string]int), restored: make(map[*fleet.Target]bool)}
-	for _, t := range targets {
-		if !t.Leaving && t.Stage == fleet.Decode {
-			p.decode[t.Version]++
-		}
-	}
-	return p
-}
-
-// stage returns the stage of an engine as planned so far, but for the changes of planDataCentre.
-func (p *planner) stage(t *fleet.Target) fleet.Stage {
-	if p.restored[t] {
-		return fleet.Decode
-	}
-	return t.Stage
-}
-
-// countPrefill returns how many of the engines prefill. None of them is leaving.
-func (p *planner) countPrefill(group []*fleet.Target) int {
-	n := 0
-	for _, t := range group {
-		if p.stage(t) == fleet.Prefill {
-			n++
-		}
-	}
-	return n
-}
-
-// restoreDecode returns the changes after which each version with two or more engines has a decode engine.
-func (p *planner) restoreDecode(targets []*fleet.Target) []Change {
-	prefill := make(map[string][]*fleet.Target)
-	for _, t := range targets {
-		if !t.Leaving && t.Stage == fleet.Prefill && p.decode[t.Version] == 0 {
-			prefill[t.Version] = append(prefill[t.Version], t)
-		}
-	}
-	var out []Change
-	for version, engines := range prefill {
-		if len(engines) < 2 {
-			continue
-		}
-		t := p.byLoad(engines)[0]
-		p.restored[t] = true
-		p.decode[version]++
-		out = append(out, Change{Target: t, Stage: fleet.Decode})
-	}
-	return out
-}
-
-// byLoad sorts engines by their streams, the fewest first.
-func (p *planner) byLoad(engines []*fleet.Target) []*fleet.Target {
-	loads := make(map[*fleet.Target]int, len(engines))
-	for _, t := range engines {
-		loads[t] = p.load(t.RunID())
-	}
-	sort.SliceStable(engines, func(i, j int) bool { return loads[engines[i]] < loads[engines[j]] })
-	return engines
-}
-
 // planDataCentre returns the changes after which one data centre has want prefill engines, within
-// the limits of minPerStage and of what the versions need. A single engine is never changed.
-func (p *planner) planDataCentre(group []*fleet.Target, want int) []Change {
+// the limits of minPerStage. A single engine is never changed.
+func planDataCentre(group []*fleet.Target, want int, load Load) []Change {
 	n := len(group)
 	if n < 2 {
 		return nil
 	}
 	want = min(max(want, minPerStage(n)), n-minPerStage(n))
-	prefill := p.countPrefill(group)
+	prefill := 0
+	for _, t := range group {
+		if t.Stage == fleet.Prefill {
+			prefill++
+		}
+	}
 	from, to := fleet.Decode, fleet.Prefill
 	if prefill > want {
 		from, to = to, from
 	}
-	var eligible []*fleet.Target
+	if prefill == want {
+		return nil
+	}
+	type loadedEngine struct {
+		target *fleet.Target
+		load   int
+	}
+	var eligible []loadedEngine
 	for _, t := range group {
-		if p.stage(t) == from {
-			eligible = append(eligible, t)
+		if t.Stage == from {
+			eligible = append(eligible, loadedEngine{t, load(t.RunID())})
 		}
 	}
+	sort.SliceStable(eligible, func(i, j int) bool { return eligible[i].load < eligible[j].load })
 	var out []Change
-	for _, t := range p.byLoad(eligible) {
-		if len(out) == abs(want-prefill) {
-			break
-		}
-		if to == fleet.Prefill && p.isLastDecode(t) {
-			continue
-		}
-		if to == fleet.Prefill {
-			p.decode[t.Version]--
-		}
-		out = append(out, Change{Target: t, Stage: to})
+	for _, e := range eligible[:min(abs(want-prefill), len(eligible))] {
+		out = append(out, Change{Target: e.target, Stage: to})
 	}
 	return out
 }
 
-// isLastDecode reports whether an engine is the last decode engine of its version, while others decode.
-func (p *planner) isLastDecode(t *fleet.Target) bool {
-	return len(p.decode) > 1 && p.decode[t.Version] == 1
-}
-
 // abs returns the absolute value of n.
 func abs(n int) int {
 	if n < 0 {
