--- a/internal/gateway/identity.go
+++ b/internal/gateway/identity.go
@@ -14,9 +14,26 @@
 	}
 	return quarantine.Request{
 		Account: x.accountName(), Source: source, Method: x.r.Method, Host: x.r.Host, URI: x.r.RequestURI, Body: x.body,
+		Service: x.service, Parts: x.sharedPartIDs(),
 	}
 }
 
+// maxSharedParts is the maximum number of the parts of a prompt that are known by id, the first ones.
+const maxSharedParts = 32
+
+// sharedPartIDs returns the ids of the parts of the prompt that other prompts may share.
+func (x *exchange) sharedPartIDs() []string {
+	if x.meta.Prompt == nil {
+		return nil
+	}
+	parts := x.meta.Prompt.SharedParts()
+	ids := make([]string, 0, min(len(parts), maxSharedParts))
+	for _, part := range parts[:cap(ids)] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // addressOf returns the host part of a remote address.
 func addressOf(remote string) string {
 	address, _, err := net.SplitHostPort(remote)
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -7,6 +7,7 @@
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/httpsend"
+	"garnethoist.org/garnethoist/internal/quarantine"
 	"garnethoist.org/garnethoist/internal/telemetry"
 )
 
@@ -83,7 +84,8 @@
 		fields = append(fields, u.logFields()...)
 	}
 	if p := x.meta.Prompt; p != nil {
-		fields = append(fields, telemetry.F("prompt", p.Tokens), telemetry.F("output", p.Output), telemetry.F("max_output", p.MaxOutput))
+		fields = append(fields, telemetry.F("prompt", p.Tokens), telemetry.F("output", p.Output), telemetry.F("max_output", p.MaxOutput),
+			telemetry.F("parts", quarantine.FormatParts(x.quarantineReq.Parts)))
 	}
 	if size := x.sizeClass; size != nil {
 		fields = append(fields, telemetry.F("prompt_size", size.Prompt), telemetry.F("answer_size", size.Answer))
--- a/internal/gateway/version.go
+++ b/internal/gateway/version.go
@@ -54,6 +54,7 @@
 		return errkind.New(errkind.VersionUnknown, "it is not known at which software version the stream may go on")
 	}
 	x.service, x.version = at.Service, at.Version
+	x.quarantineReq.Service = x.service
 	return nil
 }
 
--- a/internal/place/cache.go
+++ b/internal/place/cache.go
@@ -28,7 +28,7 @@
 // size tokens. A cached part saves work only if all parts before it are cached too.
 func (c *cacheModel) cachedTokens(q *Prompt, size float64) int {
 	tokens := 0
-	for _, part := range q.sharedParts() {
+	for _, part := range q.SharedParts() {
 		lastUse, ok := c.lastUse[part.Hash]
 		if !ok || c.tokensAdded-lastUse > size {
 			break
@@ -84,7 +84,7 @@
 // recordOwnPrompt adds the parts of the prompt q to the record of a request that this VM sends,
 // and passes the record to recordOwn. The caller holds p.mu.
 func (p *Placer) recordOwnPrompt(r SendRecord, q *Prompt, now time.Time) {
-	for _, part := range q.sharedParts() {
+	for _, part := range q.SharedParts() {
 		r.Parts = append(r.Parts, part.Hash)
 	}
 	p.recordOwn(r, now)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -37,7 +37,8 @@
 
 // Part is one part of a prompt, such as a common prefix, that other prompts may share.
 type Part struct {
-	// Hash identifies the content of the part.
+	// ID names the content. Hash is a hash of ID; callers may choose ids with equal hashes.
+	ID   string
 	Hash uint64
 	// Tokens is the length of the part in tokens.
 	Tokens int
@@ -69,9 +70,9 @@
 	Parts []Part
 }
 
-// sharedParts returns the parts that other prompts may share: all but the last one. A part that is
+// SharedParts returns the parts that other prompts may share: all but the last one. A part that is
 // the only one counts as shared.
-func (p *Prompt) sharedParts() []Part {
+func (p *Prompt) SharedParts() []Part {
 	if len(p.Parts) < 2 {
 		return p.Parts
 	}
@@ -81,7 +82,7 @@
 // sharedTokens returns the length of the shared parts in tokens.
 func (p *Prompt) sharedTokens() int {
 	tokens := 0
-	for _, part := range p.sharedParts() {
+	for _, part := range p.SharedParts() {
 		tokens += part.Tokens
 	}
 	return tokens
--- a/internal/place/thin.go
+++ b/internal/place/thin.go
@@ -66,7 +66,7 @@
 // session returns the hash of the last part that other prompts may share, which identifies the
 // prompt's session. It returns false if the prompt has no parts.
 func (q *Prompt) session() (uint64, bool) {
-	parts := q.sharedParts()
+	parts := q.SharedParts()
 	if len(parts) == 0 {
 		return 0, false
 	}
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -68,7 +68,7 @@
 	v, starts := k.Table.RecordCrash(r, c)
 	k.log.Warn(telemetry.EventTargetCrashed, telemetry.F("target", c.Run),
 		telemetry.F("ran_ms", c.At.Sub(c.Began).Milliseconds()), telemetry.F("print", v.ID.Fingerprint),
-		telemetry.F("caller", r.Source), telemetry.F("ends", v.Crashes))
+		telemetry.F("caller", r.Source), telemetry.F("ends", v.Crashes), telemetry.F("parts", FormatParts(r.Parts)))
 	if starts {
 		k.logQuarantined(v, "here")
 		k.queueSave(v.ID)
--- a/internal/quarantine/print.go
+++ b/internal/quarantine/print.go
@@ -14,6 +14,7 @@
 	"hash"
 	"hash/fnv"
 	"io"
+	"strings"
 )
 
 // fingerprintBytes is the size of a Fingerprint. It is large enough that two different requests
@@ -40,8 +41,31 @@
 	// URI is the request target as sent, with its query.
 	URI  string
 	Body []byte
+	// Service is the service that runs the request, and Parts are the ids of the parts of its prompt that
+	// other prompts may share. They identify the parts, not the request.
+	Service string
+	Parts   []string
 }
 
+// FormatParts formats the ids of prompt parts for logs. Callers choose the ids, so their length is limited.
+func FormatParts(ids []string) string {
+	var b strings.Builder
+	for i, id := range ids {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		if b.Len()+len(id) > maxPartsText {
+			b.WriteString("...")
+			break
+		}
+		b.WriteString(id)
+	}
+	return b.String()
+}
+
+// maxPartsText is the maximum length of formatted part ids, in bytes.
+const maxPartsText = 256
+
 // Fingerprint returns the request's fingerprint. It hashes the whole request, which takes about
 // 30 µs for 40 KB.
 func (r *Request) Fingerprint() Fingerprint {
