Stages: engines that have open orders count at the ordered stage

Cause: the plan went by the listed stages and dropped those of its changes that were ordered already. An engine is listed at its old stage until it has changed. When other engines were the least loaded meanwhile, these were ordered as well, up to all. Evidence: TestOpenOrdersCountInThePlan had four engines ordered where two are planned. Why it works: the plan is made for the view after the open orders; orders that were not sent do not count.

--- a/internal/stages/controller.go
+++ b/internal/stages/controller.go
@@ -308,17 +308,62 @@
 // this VM knows it from the journal or another VM has announced it.
 func (c *Controller) pendingChanges(v *fleet.View) []Change {
 	var out []Change
-	for _, ch := range PlanAll(v, c.prefillCount, c.load) {
-		c.mu.Lock()
-		open := c.openOrders[ch.Target.RunID()] != nil
-		c.mu.Unlock()
-		if !open && !c.changingElsewhere(ch.Target.RunID()) {
+	for _, ch := range PlanAll(c.withOpenOrders(v), c.prefillCount, c.load) {
+		if _, open := c.orderedStage(ch.Target); !open {
 			out = append(out, ch)
 		}
 	}
 	return out
 }
 
+// withOpenOrders returns the view that v will be when the open orders have been carried out.
+func (c *Controller) withOpenOrders(v *fleet.View) *fleet.View {
+	out := &fleet.View{Config: v.Config, Targets: make(map[string][]*fleet.Target, len(v.Targets))}
+	for name, targets := range v.Targets {
+		for _, t := range targets {
+			if stage, open := c.orderedStage(t); open && stage != t.Stage && !c.notSent(t) {
+				changed := *t
+				changed.Stage, t = stage, &changed
+			}
+			out.Targets[name] = append(out.Targets[name], t)
+		}
+	}
+	return out
+}
+
+// notSent reports whether an engine will not carry out its open order.
+func (c *Controller) notSent(t *fleet.Target) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := c.openOrders[t.RunID()]
+	return o != nil && o.notSent
+}
+
+// markNotSent records that an engine will not carry out its open order.
+func (c *Controller) markNotSent(t *fleet.Target) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o := c.openOrders[t.RunID()]; o != nil {
+		o.notSent = true
+	}
+}
+
+// orderedStage returns the stage of an engine's open order, or false if it has none.
+func (c *Controller) orderedStage(t *fleet.Target) (fleet.Stage, bool) {
+	c.mu.Lock()
+	o := c.openOrders[t.RunID()]
+	c.mu.Unlock()
+	switch {
+	case o != nil:
+		return o.row.Stage, true
+	case !c.changingElsewhere(t.RunID()):
+		return t.Stage, false
+	case t.Stage == fleet.Prefill:
+		return fleet.Decode, true
+	}
+	return fleet.Prefill, true
+}
+
 // closedOrders returns the run ids of the engines whose orders are no longer open: the engine shows
 // the ordered stage or is gone, or the order has timed out. Their rows can be removed from the
 // journal.
@@ -440,6 +485,7 @@
 	defer cancel()
 	report, err := c.engines.Report(call, ch.Target)
 	if err != nil || report.Busy {
+		c.markNotSent(ch.Target)
 		c.log.Warn(telemetry.EventOrderRefused, telemetry.F("engine", ch.Target.ID), telemetry.F("busy", report.Busy), telemetry.F("cause", err))
 		return
 	}
@@ -458,6 +504,9 @@
 		telemetry.F("engine", ch.Target.ID), telemetry.F("stage", string(ch.Stage)), telemetry.F("fence", t.Fence),
 		telemetry.F("sequence", report.Sequence),
 	}
+	if errors.Is(err, ErrRefused) || errors.Is(err, ErrWithheld) {
+		c.markNotSent(ch.Target)
+	}
 	if err != nil {
 		c.log.Warn(telemetry.EventOrderRefused, append(fields, telemetry.F("cause", err))...)
 		return
--- a/internal/stages/journal.go
+++ b/internal/stages/journal.go
@@ -30,6 +30,8 @@
 	seenAt time.Duration
 	// outcomeUnknown is set if this VM sent the order and got no response.
 	outcomeUnknown bool
+	// notSent is set if the engine was not sent the order or refused it.
+	notSent bool
 }
 
 // readJournal replaces openOrders with the rows of the journal. It is called at the start of a
--- a/internal/stages/stages_test.go
+++ b/internal/stages/stages_test.go
@@ -442,6 +442,33 @@
 	is.Equal(e.executed()[2].engine, restarted.ID)
 }
 
+// Guards against all engines of a service being ordered to prefill: while engines changed their stage, the
+// least loaded ones were others, which were ordered as well.
+func TestOpenOrdersCountInThePlan(t *testing.T) {
+	is := is.New(t)
+	e := &fakeEngines{} // knows no view, so that the engines are listed as decode engines for the whole test
+	k := newKeeper()
+	c := newController("a", k, store.NewMemory(), e, bootClock)
+	ordered := func(id string) bool {
+		for _, o := range e.executed() {
+			if o.engine == id {
+				return true
+			}
+		}
+		return false
+	}
+	c.SetEngineState(func(engine string) int {
+		if ordered(engine) {
+			return 1
+		}
+		return 0
+	}, func(string) bool { return false })
+	start(t, c)
+	eventually(t, "two engines are ordered", func() bool { return len(e.executed()) == 2 })
+	time.Sleep(time.Second)
+	is.Equal(len(e.executed()), 2)
+}
+
 // Guards against a deadlock: the placer calls Changing while it holds its own lock, and the
 // controller asks the placer for the decode demand, so the controller must not hold its own lock
 // while it asks.
