Parts of prompts that crash targets are held at all VMs

Cause: what VMs know of crashes was kept by whole request. Requests that share one part of their prompts, no two alike, are each new. The class: an identity chosen more narrowly than what can be at fault. Why it works: crashes count for parts; a run that goes well clears the parts in it, so that what sound requests share is cleared; parts at the same crashes are told apart by requests with one of them.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -59,6 +59,8 @@
 	// attempt at the request during that time.
 	quarantineReq quarantine.Request
 	trial         *quarantine.ID
+	// partTrial is set while this exchange tests whether a held part of its prompt still crashes targets.
+	partTrial *quarantine.PartVerdict
 	// unreachableCount is the number of targets that could not be reached, except those whose host
 	// refused the connection.
 	unreachableCount int
@@ -149,6 +151,9 @@
 	if err := x.checkQuarantine(); err != nil {
 		return err
 	}
+	if err := x.checkParts(); err != nil {
+		return err
+	}
 	if err := x.takeAllowance(); err != nil {
 		return err
 	}
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -273,7 +273,7 @@
 		x.addTrace(c.Target, strconv.Itoa(resp.Status), nil)
 		c.Ticket.ObserveAnswer(s.events, s.lastWriteAt.Sub(s.firstEventAt))
 		c.Ticket.End(place.Good, clock.Now())
-		x.noteServed()
+		x.noteServed(c.Target)
 		return outcomeAnswered, nil
 	case x.endedLocally():
 		x.addTrace(c.Target, "ended", err)
@@ -294,7 +294,7 @@
 	c.Ticket.End(place.Bad, clock.Now())
 	x.addTrace(c.Target, strconv.Itoa(resp.Status), err)
 	if err == nil {
-		x.noteServed()
+		x.noteFailed(c.Target)
 	}
 	if err != nil || s.headerSent {
 		return outcomeUnknown, errkind.New(errkind.TargetFailed, "the engine failed with status %d", resp.Status)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -42,7 +42,7 @@
 type plainCall struct {
 	attempt attempt
 	sentAt  time.Time
-	// target is set only if err is not nil, and resp only if err is nil.
+	// resp is set only if err is nil.
 	target *fleet.Target
 	resp   *bufferedResponse
 	out    outcome
@@ -146,7 +146,7 @@
 		}
 		x.attempts.finish(call.attempt, call.out)
 		if call.err == nil {
-			x.noteServed()
+			x.noteServed(call.target)
 		}
 		if call.err == nil && !(call.resp.status >= http.StatusInternalServerError && x.route.Kind == fleet.Idempotent) {
 			return x.writeResponse(call.resp)
@@ -203,7 +203,7 @@
 		result = place.Bad
 	}
 	c.Ticket.End(result, clock.Now())
-	return plainCall{resp: &bufferedResponse{status: resp.Status, header: resp.Header, body: body}, out: outcomeAnswered}
+	return plainCall{resp: &bufferedResponse{status: resp.Status, header: resp.Header, body: body}, out: outcomeAnswered, target: c.Target}
 }
 
 // readAnswer reads the whole body of a target's answer, as readBuffered does. A body that ends with its
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -35,9 +35,14 @@
 	EndTrial(id quarantine.ID)
 	// RecordCrash records that a target crashed as it began to run a request.
 	RecordCrash(r *quarantine.Request, crash quarantine.Crash)
-	// RecordSuccess records that a target has run a request, which therefore does not crash
-	// targets.
-	RecordSuccess(r *quarantine.Request)
+	// RecordSuccess records that a target of a software version has run a request, which therefore does
+	// not crash targets.
+	RecordSuccess(r *quarantine.Request, version string)
+	// PartVerdict returns what is known of the parts of a request's prompt. BeginPartTrial and EndPartTrial
+	// are like BeginTrial and EndTrial, for all requests with a held part.
+	PartVerdict(r *quarantine.Request, now time.Time) quarantine.PartVerdict
+	BeginPartTrial(id quarantine.ID) bool
+	EndPartTrial(id quarantine.ID)
 }
 
 const (
@@ -78,11 +83,42 @@
 	return nil
 }
 
-// endTrial ends the trial of a suspect, so that this VM may make another one.
+// endTrial ends the trial of a suspect and that of a held part, so that this VM may make others.
 func (x *exchange) endTrial() {
 	if x.trial != nil {
 		x.g.quarantine.EndTrial(*x.trial)
 	}
+	if x.partTrial != nil {
+		x.g.quarantine.EndPartTrial(x.partTrial.ID)
+	}
+}
+
+// checkParts refuses a request if a part of its prompt is held, unless it is sent as a trial. It is called
+// before each attempt, as checkQuarantine is.
+func (x *exchange) checkParts() error {
+	now := clock.Now()
+	v := x.g.quarantine.PartVerdict(&x.quarantineReq, now)
+	if !v.Held() {
+		return nil
+	}
+	if t := x.partTrial; t != nil && t.ID == v.ID && t.Crashes == v.Crashes {
+		return nil
+	}
+	if v.Blocked && !(v.TrialDue(now) && x.g.group.Owns(v.TrialKey)) {
+		return refuseForPart(v, max(v.TrialAt.Sub(now), trialRetryAfter))
+	}
+	if x.partTrial != nil || !x.g.quarantine.BeginPartTrial(v.ID) {
+		return refuseForPart(v, trialRetryAfter)
+	}
+	x.partTrial = &v
+	return nil
+}
+
+// refuseForPart returns the refusal of a request for a held part of its prompt.
+func refuseForPart(v quarantine.PartVerdict, retryAfter time.Duration) error {
+	e := errkind.New(errkind.Quarantined, "%d targets ended as they began to answer prompts with the part %q of this one", v.Crashes, v.Part)
+	e.RetryAfter = retryAfter.Round(time.Millisecond)
+	return e
 }
 
 // beginAttempt counts an attempt that is about to be made, or returns why it must not be made. The
@@ -94,7 +130,10 @@
 	if err := x.checkQuarantine(); err != nil {
 		return attempt{}, err
 	}
-	if x.trial != nil && x.attempts.arrivals > 0 {
+	if err := x.checkParts(); err != nil {
+		return attempt{}, err
+	}
+	if (x.trial != nil || x.partTrial != nil) && x.attempts.arrivals > 0 {
 		// A further attempt, even one made because the first is overdue, could crash a second
 		// target.
 		return attempt{}, errNoAttemptLeft
@@ -106,9 +145,19 @@
 	return a, nil
 }
 
-// noteServed records that a target has run the request to its end, or for longer than
-// quarantine.BlameWindow, and that the request therefore does not crash targets.
-func (x *exchange) noteServed() { x.g.quarantine.RecordSuccess(&x.quarantineReq) }
+// noteServed records that t has run the request to its end, or for longer than quarantine.BlameWindow,
+// and that the request therefore does not crash targets.
+func (x *exchange) noteServed(t *fleet.Target) {
+	x.g.quarantine.RecordSuccess(&x.quarantineReq, t.Version)
+}
+
+// noteFailed records that t has answered the request with an error. The request does not crash targets,
+// but t may not have begun to answer its prompt.
+func (x *exchange) noteFailed(t *fleet.Target) {
+	r := x.quarantineReq
+	r.Parts = nil
+	x.g.quarantine.RecordSuccess(&r, t.Version)
+}
 
 // checkTargetExit checks in the background whether a target that closed the connection has exited,
 // and if so records the crash for the quarantine. sentAt is when the request was sent to the
@@ -120,7 +169,7 @@
 	}
 	x.targetClosed = true
 	g, request := x.g, x.quarantineReq
-	crash := quarantine.Crash{Run: t.RunID(), Began: sentAt, At: clock.Now()}
+	crash := quarantine.Crash{Run: t.RunID(), Version: t.Version, Began: sentAt, At: clock.Now()}
 	g.wg.Go(func() {
 		if g.hasExited(t) && ranFor <= quarantine.BlameWindow {
 			g.quarantine.RecordCrash(&request, crash)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -110,7 +110,7 @@
 	s.events += n
 	if !s.pastBlameWindow && s.ranFor(now) > quarantine.BlameWindow {
 		s.pastBlameWindow = true
-		s.x.noteServed()
+		s.x.noteServed(s.target)
 	}
 	s.ticket.AddEvents(n, now)
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -134,6 +134,10 @@
 	age atomic.Int64
 	// nextResend is when suspects are sent again; only sendLoop uses it.
 	nextResend time.Time
+	// askUntil is until when this VM asks for suspects, and nextAsk when it does next; only sendLoop uses
+	// them. suspectsKnown is set once another VM has sent suspects.
+	askUntil, nextAsk time.Time
+	suspectsKnown     atomic.Bool
 	// wake ends a pause of sendLoop, see NotifyWork.
 	wake chan struct{}
 	// joined is closed once this VM is registered and has read the member records.
--- a/internal/peers/suspects.go
+++ b/internal/peers/suspects.go
@@ -7,33 +7,42 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/quarantine"
 )
 
 const (
-	// suspectsPerDatagram is the maximum number of suspects in one datagram. It keeps datagrams
-	// well below maxDatagram, with about 60 bytes for each crash of a suspect.
-	suspectsPerDatagram = 150
+	// crashesPerDatagram is the maximum number of crashes of all suspects in one datagram. It keeps
+	// datagrams well below maxDatagram, with up to 100 bytes for each crash.
+	crashesPerDatagram = 300
 	// resendCount is the number of suspects, the most severe ones, that each VM sends again.
 	// resendInterval is the time between these datagrams. resendVMs is the number of random VMs
 	// that receive each of them. Suspects are sent again because a datagram may have been lost, or
 	// a VM may have started later or been cut off, frozen or suspended when a suspect was first
 	// sent. Each VM receives three such datagrams a second on average, whatever the size of the
 	// group, so that one VM in eight thousand receives none for 3 s.
-	resendCount    = suspectsPerDatagram
+	resendCount    = 150
 	resendInterval = time.Second
 	resendVMs      = 3
+	// clearedVMs is the number of random VMs that receive an entry that was cleared before its subject was
+	// quarantined. All VMs that run requests with a common part clear it at about the same time.
+	clearedVMs = 24
+	// askInterval is the time between the questions that a VM which has just started sends to resendVMs
+	// random VMs, for askTime at most, until one has suspects.
+	askInterval = 100 * time.Millisecond
+	askTime     = 3 * time.Second
 )
 
-// Suspects holds an entry for each suspect, a request that may crash the targets that run it. Its
-// methods take and return snapshots of the entries.
+// Suspects holds an entry for each suspect, which is a request or a part of prompts that may crash the
+// targets that run it. Its methods take and return snapshots of the entries.
 type Suspects interface {
-	// TakeChanged returns the entries that have changed since its last call, and Top the n
-	// entries with the most crashes.
-	TakeChanged(now time.Time) []quarantine.Snapshot
-	Top(n int, now time.Time) []quarantine.Snapshot
+	// TakeChanged returns the entries that all VMs must know, and TakeCleared those that some should know,
+	// that have changed since its last call. Top returns the n entries of each kind with the most crashes.
+	TakeChanged(now time.Time) quarantine.Snapshots
+	TakeCleared(now time.Time) quarantine.Snapshots
+	Top(n int, now time.Time) quarantine.Snapshots
 	// MergeFrom merges the entries that another VM has sent.
-	MergeFrom(from string, snapshots []quarantine.Snapshot)
+	MergeFrom(from string, s quarantine.Snapshots)
 }
 
 // SetSuspects sets the suspects that are exchanged with other VMs. It must be called before Start.
@@ -46,18 +55,35 @@
 	if p.suspects == nil {
 		return
 	}
-	if changed := p.suspects.TakeChanged(now); len(changed) > 0 {
+	if changed := p.suspects.TakeChanged(now); !changed.Empty() {
 		p.sendSnapshots(changed, p.allAddrs())
 	}
+	if cleared := p.suspects.TakeCleared(now); !cleared.Empty() {
+		p.sendSnapshots(cleared, p.randomAddrs(clearedVMs))
+	}
+	p.askForSuspects(now)
 	if now.Before(p.nextResend) {
 		return
 	}
 	p.nextResend = now.Add(resendInterval)
-	if snapshots := p.suspects.Top(resendCount, now); len(snapshots) > 0 {
+	if snapshots := p.suspects.Top(resendCount, now); !snapshots.Empty() {
 		p.sendSnapshots(snapshots, p.randomAddrs(resendVMs))
 	}
 }
 
+// askForSuspects asks other VMs for their suspects after the start of this VM, which gets requests before
+// all VMs would have sent theirs again.
+func (p *Peers) askForSuspects(now time.Time) {
+	if p.askUntil.IsZero() {
+		p.askUntil = now.Add(askTime)
+	}
+	if p.suspectsKnown.Load() || now.Before(p.nextAsk) || !now.Before(p.askUntil) {
+		return
+	}
+	p.nextAsk = now.Add(askInterval)
+	p.sendTo(datagram{Suspects: &suspectsMessage{From: p.self.VM, Asks: true}}, p.randomAddrs(resendVMs))
+}
+
 // Owns returns whether this VM is the owner of a key, by rendezvous hashing over the known VMs, so
 // that few keys change their owner when a VM joins or leaves. VMs that know the same members agree
 // on the owner.
@@ -79,15 +105,26 @@
 }
 
 // sendSnapshots sends snapshots to each address, in as many datagrams as they need.
-func (p *Peers) sendSnapshots(snapshots []quarantine.Snapshot, to []netip.AddrPort) {
-	for len(snapshots) > 0 {
-		n := min(len(snapshots), suspectsPerDatagram)
+func (p *Peers) sendSnapshots(s quarantine.Snapshots, to []netip.AddrPort) {
+	for !s.Empty() {
+		requests, room := fitting(s.Requests, crashesPerDatagram)
+		parts, _ := fitting(s.Parts, room)
 		p.sendTo(datagram{Suspects: &suspectsMessage{From: p.self.VM,
-			Entries: encodeSuspects(snapshots[:n])}}, to)
-		snapshots = snapshots[n:]
+			Entries: encodeSuspects(s.Requests[:requests]), Parts: encodeParts(s.Parts[:parts])}}, to)
+		s.Requests, s.Parts = s.Requests[requests:], s.Parts[parts:]
 	}
 }
 
+// fitting returns how many of the snapshots, from the first one on, have no more than room crashes
+// together, and how much room they leave. One always fits into an empty datagram.
+func fitting(snapshots []quarantine.Snapshot, room int) (n, left int) {
+	for n < len(snapshots) && (len(snapshots[n].Crashes) <= room || room == crashesPerDatagram) {
+		room -= len(snapshots[n].Crashes)
+		n++
+	}
+	return n, room
+}
+
 // allAddrs returns the addresses of all other VMs.
 func (p *Peers) allAddrs() []netip.AddrPort {
 	p.mu.Lock()
@@ -101,6 +138,16 @@
 	return to
 }
 
+// addrOf returns the address of a VM, or none if the VM is not known.
+func (p *Peers) addrOf(vm string) []netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m, ok := p.members[vm]; ok {
+		return []netip.AddrPort{m.addr}
+	}
+	return nil
+}
+
 // randomAddrs returns the addresses of n random other VMs, or of all if there are fewer.
 func (p *Peers) randomAddrs(n int) []netip.AddrPort {
 	all := p.allAddrs()
@@ -113,6 +160,10 @@
 	// From is the name of the sending VM.
 	From    string         `cbor:"1,keyasint"`
 	Entries []suspectEntry `cbor:"2,keyasint"`
+	// Parts are the entries of parts of prompts.
+	Parts []partEntry `cbor:"3,keyasint,omitempty"`
+	// Asks says that the sender has just started and knows no suspects.
+	Asks bool `cbor:"4,keyasint,omitempty"`
 }
 
 // suspectEntry is the wire form of quarantine.Snapshot.
@@ -135,6 +186,41 @@
 	Cleared bool
 }
 
+// partEntry is the wire form of the quarantine.Snapshot of a part of prompts. Its fields are those of
+// suspectEntry.
+type partEntry struct {
+	_           struct{} `cbor:",toarray"`
+	Source      uint64
+	Key         uint64
+	Fingerprint []byte
+	Crashes     []partCrash
+}
+
+// partCrash is a suspectCrash with the hash of the target's software version.
+type partCrash struct {
+	_       struct{} `cbor:",toarray"`
+	RunHash uint64
+	AgeMS   int64
+	RanMS   int64
+	Version uint64
+	Cleared bool
+}
+
+// encodeParts returns the wire form of snapshots of parts.
+func encodeParts(snapshots []quarantine.Snapshot) []partEntry {
+	out := make([]partEntry, 0, len(snapshots))
+	for _, s := range snapshots {
+		o := partEntry{Source: s.Source, Key: s.ID.Key, Fingerprint: s.ID.Fingerprint[:],
+			Crashes: make([]partCrash, 0, len(s.Crashes))}
+		for _, c := range s.Crashes {
+			o.Crashes = append(o.Crashes, partCrash{RunHash: c.RunHash, AgeMS: c.Age.Milliseconds(),
+				RanMS: c.RanFor.Milliseconds(), Version: c.Version, Cleared: c.Cleared})
+		}
+		out = append(out, o)
+	}
+	return out
+}
+
 // encodeSuspects returns the wire form of snapshots.
 func encodeSuspects(snapshots []quarantine.Snapshot) []suspectEntry {
 	out := make([]suspectEntry, 0, len(snapshots))
@@ -151,28 +237,53 @@
 }
 
 // decode returns the entries as snapshots. It skips entries whose fingerprint is too short.
-func (m *suspectsMessage) decode() []quarantine.Snapshot {
-	out := make([]quarantine.Snapshot, 0, len(m.Entries))
+func (m *suspectsMessage) decode() quarantine.Snapshots {
+	var out quarantine.Snapshots
 	for _, in := range m.Entries {
-		o := quarantine.Snapshot{ID: quarantine.ID{Key: in.Key}, Source: in.Source}
-		if copy(o.ID.Fingerprint[:], in.Fingerprint) != len(o.ID.Fingerprint) {
+		o, ok := newSnapshot(in.Source, in.Key, in.Fingerprint)
+		if !ok {
 			continue
 		}
 		for _, c := range in.Crashes {
 			o.Crashes = append(o.Crashes, quarantine.SnapshotCrash{RunHash: c.RunHash,
 				Age: milliseconds(c.AgeMS), RanFor: milliseconds(c.RanMS), Cleared: c.Cleared})
 		}
-		out = append(out, o)
+		out.Requests = append(out.Requests, o)
+	}
+	for _, in := range m.Parts {
+		o, ok := newSnapshot(in.Source, in.Key, in.Fingerprint)
+		if !ok {
+			continue
+		}
+		for _, c := range in.Crashes {
+			o.Crashes = append(o.Crashes, quarantine.SnapshotCrash{RunHash: c.RunHash,
+				Age: milliseconds(c.AgeMS), RanFor: milliseconds(c.RanMS), Version: c.Version, Cleared: c.Cleared})
+		}
+		out.Parts = append(out.Parts, o)
 	}
 	return out
 }
 
+// newSnapshot returns a snapshot without crashes, or false if the fingerprint is too short.
+func newSnapshot(source, key uint64, fingerprint []byte) (quarantine.Snapshot, bool) {
+	s := quarantine.Snapshot{ID: quarantine.ID{Key: key}, Source: source}
+	n := copy(s.ID.Fingerprint[:], fingerprint)
+	return s, n == len(s.ID.Fingerprint)
+}
+
 // milliseconds converts a number of ms received from another VM. It treats negative numbers as 0.
 func milliseconds(ms int64) time.Duration { return time.Duration(max(ms, 0)) * time.Millisecond }
 
-// handleSuspects merges the suspects that another VM has sent.
+// handleSuspects merges the suspects that another VM has sent, or sends it those of this VM.
 func (p *Peers) handleSuspects(m *suspectsMessage) {
-	if p.suspects != nil {
+	switch {
+	case p.suspects == nil:
+	case m.Asks:
+		if top := p.suspects.Top(resendCount, clock.Now()); !top.Empty() {
+			p.sendSnapshots(top, p.addrOf(m.From))
+		}
+	default:
+		p.suspectsKnown.Store(true)
 		p.suspects.MergeFrom(m.From, m.decode())
 	}
 }
--- a/internal/peers/suspects_test.go
+++ b/internal/peers/suspects_test.go
@@ -18,25 +18,38 @@
 // documentation allows 3 s.
 const spreadBound = 3 * time.Second
 
-// suspectVM is a VM with a quarantine table.
+// suspectVM is a VM with quarantine tables of requests and of parts of prompts.
 type suspectVM struct {
 	*vm
 	known *quarantine.Table
+	parts *quarantine.PartTable
 }
 
 // MergeFrom implements peers.Suspects.
-func (v *suspectVM) MergeFrom(_ string, s []quarantine.Snapshot) { v.known.Merge(s, time.Now()) }
+func (v *suspectVM) MergeFrom(_ string, s quarantine.Snapshots) {
+	v.known.Merge(s.Requests, time.Now())
+	v.parts.Merge(s.Parts, time.Now())
+}
 
 // TakeChanged implements peers.Suspects.
-func (v *suspectVM) TakeChanged(now time.Time) []quarantine.Snapshot { return v.known.TakeChanged(now) }
+func (v *suspectVM) TakeChanged(now time.Time) quarantine.Snapshots {
+	return quarantine.Snapshots{Requests: v.known.TakeChanged(now), Parts: v.parts.TakeChanged(now)}
+}
+
+// TakeCleared implements peers.Suspects.
+func (v *suspectVM) TakeCleared(now time.Time) quarantine.Snapshots {
+	return quarantine.Snapshots{Parts: v.parts.TakeCleared(now)}
+}
 
 // Top implements peers.Suspects.
-func (v *suspectVM) Top(n int, now time.Time) []quarantine.Snapshot { return v.known.Top(n, now) }
+func (v *suspectVM) Top(n int, now time.Time) quarantine.Snapshots {
+	return quarantine.Snapshots{Requests: v.known.Top(n, now), Parts: v.parts.Top(n, now)}
+}
 
 // startWithSuspects starts a VM at addr that exchanges the suspects of its own quarantine table.
 func startWithSuspects(t *testing.T, dataCentre, name, addr string, table store.Table) *suspectVM {
 	t.Helper()
-	v := &suspectVM{vm: &vm{placer: &placer{}, followed: &followed{}}, known: quarantine.NewTable()}
+	v := &suspectVM{vm: &vm{placer: &placer{}, followed: &followed{}}, known: quarantine.NewTable(), parts: quarantine.NewPartTable()}
 	v.peers = peers.New(peers.Member{VM: name, Address: addr, DataCentre: dataCentre, LinkMbps: 10},
 		time.Now().UnixNano(), table, telemetry.Discard())
 	v.peers.SetPlacer(v.placer)
@@ -114,6 +127,48 @@
 	is.True(time.Since(began) < spreadBound)
 }
 
+// A part of prompts that crashes targets, whose crashes were seen by different VMs, becomes known to all VMs
+// within spreadBound, also to one that starts later. Once a request with it has run well, all know that.
+func TestHeldPartsReachAllVMs(t *testing.T) {
+	is := is.New(t)
+	table := store.NewMemory()
+	var vms []*suspectVM
+	for i := range 9 {
+		vms = append(vms, startWithSuspects(t, fmt.Sprint("dc", i%3), fmt.Sprint("vm", i), address(t), table))
+	}
+	for _, v := range vms {
+		eventually(t, "all are counted", func() bool { return v.peers.Size() == len(vms) })
+	}
+	deadly := quarantine.Request{Account: "a", Service: "m", Parts: []string{"first", "bad"}}
+	sound := quarantine.Request{Account: "a", Service: "m", Parts: []string{"first", "good"}}
+	blocks := func(v *suspectVM) bool { return v.parts.Verdict(&deadly, time.Now()).Blocked }
+	var lastCrash time.Time
+	for i := range 3 {
+		lastCrash = time.Now()
+		vms[i].parts.RecordCrash(&deadly, quarantine.Crash{Run: fmt.Sprint("run", i), Version: "v1",
+			Began: lastCrash.Add(-10 * time.Millisecond), At: lastCrash})
+		time.Sleep(50 * time.Millisecond)
+		vms[i].parts.RecordSuccess(&sound, "v1")
+	}
+	for i, v := range vms {
+		eventually(t, fmt.Sprint("vm", i, " holds the part"), func() bool { return blocks(v) })
+		eventually(t, fmt.Sprint("vm", i, " lets sound requests pass"), func() bool { return !v.parts.Verdict(&sound, time.Now()).Held() })
+	}
+	is.True(time.Since(lastCrash) < spreadBound)
+
+	late := startWithSuspects(t, "dc1", "late", address(t), table)
+	began := time.Now()
+	eventually(t, "the VM that starts later holds the part", func() bool { return blocks(late) })
+	is.True(time.Since(began) < spreadBound)
+
+	is.Equal(len(vms[8].parts.RecordSuccess(&deadly, "v1")), 1)
+	began = time.Now()
+	for i, v := range append(vms, late) {
+		eventually(t, fmt.Sprint("vm", i, " clears the part"), func() bool { return !blocks(v) })
+	}
+	is.True(time.Since(began) < spreadBound)
+}
+
 // Each key has exactly one owner, and every VM owns some keys.
 func TestEachKeyHasOneOwner(t *testing.T) {
 	is := is.New(t)
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -47,6 +47,8 @@
 	// Run identifies the target's run, that is, one process of it. A restarted target has another
 	// run.
 	Run string
+	// Version is the target's software version.
+	Version string
 	// Began is when the request was sent to the target, and At when the target crashed.
 	Began time.Time
 	At    time.Time
@@ -57,14 +59,19 @@
 	// began and at are the fields Began and At of Crash.
 	began time.Time
 	at    time.Time
-	// cleared is true once the request has run successfully on another target. The crash was then
-	// not the request's fault and is no longer counted.
+	// version is the hash of the target's software version, or 0 if it makes no difference.
+	version uint64
+	// cleared is true once the subject of the entry has run successfully on another target. The crash
+	// was then not its fault and is no longer counted.
 	cleared bool
 }
 
-// entry is the state of one request. All methods require that the caller holds Table.mu.
+// entry is the state of one subject, which is a request or a part of prompts. All methods require that
+// the caller holds Table.mu.
 type entry struct {
 	id ID
+	// schedule says when trials are due.
+	schedule *schedule
 	// source is the hash of Request.Source.
 	source uint64
 	// crashes is keyed by the hash of the target's run.
@@ -76,6 +83,8 @@
 	// trials is the number of trials, which are attempts to run the request on a target, that this
 	// VM has in progress.
 	trials int
+	// saved is set while this VM has written the entry's record to the store.
+	saved bool
 }
 
 // recount updates crashCount and lastCrash from crashes.
@@ -111,36 +120,53 @@
 	return n
 }
 
-// trialDelays are the minimum times after the third, fourth and fifth crash before one VM sends the
-// request to a target again, as a trial. A request of which many callers send identical copies may
-// merely have run on the same targets as another request, which is at fault. The first trial soon
-// shows whether that is so. A request that does crash its targets crashes three more targets in
-// these trials. After that there is one trial every maxBlockTime.
-var trialDelays = []time.Duration{5 * time.Second, time.Minute, 10 * time.Minute}
+// schedule says when a subject that is quarantined may be run again.
+type schedule struct {
+	// trialDelays are the minimum times after the third, fourth, ... crash before one VM sends the subject
+	// to a target again, as a trial. After that there is one trial every maxBlockTime.
+	trialDelays []time.Duration
+	// othersFactor times the delay is the time after which all VMs may run a trial.
+	othersFactor int
+}
+
+// requestSchedule is the schedule for requests. A request of which many callers send identical copies may
+// merely have run on the same targets as another request, which is at fault. The first trial soon shows
+// whether that is so. A request that does crash its targets crashes three more targets in these trials.
+var requestSchedule = &schedule{
+	trialDelays:  []time.Duration{5 * time.Second, time.Minute, 10 * time.Minute},
+	othersFactor: othersFactor,
+}
 
 // trialDelay returns the minimum time between the last of n crashes and the next trial, an attempt
-// by one VM to run the request.
-func trialDelay(n int) time.Duration {
+// by one VM to run the subject.
+func (s *schedule) trialDelay(n int) time.Duration {
 	switch i := n - quarantineCrashes; {
 	case i < 0:
 		return 0
-	case i < len(trialDelays):
-		return trialDelays[i]
+	case i < len(s.trialDelays):
+		return s.trialDelays[i]
 	}
 	return maxBlockTime
 }
 
-// blockTime returns how long after the last of n crashes a request stays quarantined, and is thus
+// blockTime returns how long after the last of n crashes a subject stays quarantined, and is thus
 // blocked, on the VMs that do not run the trial.
-func blockTime(n int) time.Duration { return min(othersFactor*trialDelay(n), maxBlockTime) }
+func (s *schedule) blockTime(n int) time.Duration {
+	return min(time.Duration(s.othersFactor)*s.trialDelay(n), maxBlockTime)
+}
+
+// keepTime returns how long after the last of n crashes an entry is kept. It is kept for as long after its
+// quarantine as the quarantine lasted, so that the crashes of a subject that is sent again in that time
+// still count.
+func (s *schedule) keepTime(n int) time.Duration { return max(2*s.blockTime(n), retention) }
 
 // quarantineEnd returns when the quarantine ends on all VMs.
-func (e *entry) quarantineEnd() time.Time { return e.lastCrash.Add(blockTime(e.crashCount)) }
+func (e *entry) quarantineEnd() time.Time {
+	return e.lastCrash.Add(e.schedule.blockTime(e.crashCount))
+}
 
-// expiry returns when the entry may be removed. The entry is kept for as long after its quarantine
-// as the quarantine lasted, so that the crashes of a request that is sent again in that time still
-// count.
-func (e *entry) expiry() time.Time { return e.lastCrash.Add(max(2*blockTime(e.crashCount), retention)) }
+// expiry returns when the entry may be removed.
+func (e *entry) expiry() time.Time { return e.lastCrash.Add(e.schedule.keepTime(e.crashCount)) }
 
 // Verdict is the table's assessment of a request.
 type Verdict struct {
@@ -179,7 +205,7 @@
 
 // trialAt returns when one VM may send the request as a trial.
 func (e *entry) trialAt() time.Time {
-	return e.lastCrash.Add(min(jitter(trialDelay(e.crashCount), e.id.Fingerprint), blockTime(e.crashCount)))
+	return e.lastCrash.Add(min(jitter(e.schedule.trialDelay(e.crashCount), e.id.Fingerprint), e.schedule.blockTime(e.crashCount)))
 }
 
 // jitter lengthens a delay by up to its own length, depending on the request's fingerprint, so that
@@ -190,9 +216,10 @@
 
 // addCrash adds a crash of the run with the given hash, or merges it with a known crash of that
 // run: the result has the earlier times, and is cleared if either crash is. If the entry has more
-// than maxCrashes crashes after that, addCrash drops the oldest.
-func (e *entry) addCrash(runHash uint64, c crash) {
-	if known, ok := e.crashes[runHash]; ok {
+// than maxCrashes crashes after that, addCrash drops the oldest. It reports whether the entry has changed.
+func (e *entry) addCrash(runHash uint64, c crash) bool {
+	known, ok := e.crashes[runHash]
+	if ok {
 		c.cleared = c.cleared || known.cleared
 		if known.at.Before(c.at) {
 			c.began, c.at = known.began, known.at
@@ -203,6 +230,23 @@
 		delete(e.crashes, e.oldestCrash())
 	}
 	e.recount()
+	return !ok || c.cleared != known.cleared
+}
+
+// clear marks the crashes at one software version as not counted, or all if version is 0. It reports
+// whether the entry has changed.
+func (e *entry) clear(version uint64) bool {
+	changed := false
+	for runHash, c := range e.crashes {
+		if !c.cleared && (version == 0 || c.version == version) {
+			c.cleared, changed = true, true
+			e.crashes[runHash] = c
+		}
+	}
+	if changed {
+		e.recount()
+	}
+	return changed
 }
 
 // oldestCrash returns the run hash of the oldest crash.
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,8 +16,10 @@
 )
 
 const (
-	// KeyPrefix is the prefix of the keys of the records of quarantined requests in the store.
-	KeyPrefix = "quarantine/"
+	// KeyPrefix is the prefix of the keys of the records of quarantined requests in the store, and
+	// PartKeyPrefix that of the records of parts of prompts that are held. One call lists both.
+	KeyPrefix     = "quarantine/"
+	PartKeyPrefix = KeyPrefix + "part-"
 	// expireInterval is how often expired entries are removed from the table.
 	expireInterval = 10 * time.Second
 	// maxUnsaved is the capacity of the queue of requests whose records are to be written.
@@ -29,24 +32,32 @@
 var storeRetry = kernel.RetryPolicy{InitialWait: 300 * time.Millisecond, MaxWait: 3 * time.Second,
 	Timeout: 2 * time.Second}
 
-// Keeper is a Table that also persists quarantines in the store, so that they outlive all
-// processes.
+// Keeper is a Table and a PartTable that also persists quarantines in the store, so that they outlive
+// all processes.
 type Keeper struct {
 	*Table
+	parts *PartTable
 	kernel.Background
 	store store.Table
 	log   *telemetry.Logger
 	// clock returns the current time, see NewKeeper.
 	clock func() time.Time
-	// unsaved queues the requests whose records must be written or deleted.
-	unsaved chan ID
+	// unsaved queues the entries whose records must be written or deleted.
+	unsaved chan unsaved
+}
+
+// unsaved is an entry of a table whose record must be written or deleted.
+type unsaved struct {
+	table  *Table
+	prefix string
+	id     ID
 }
 
 // NewKeeper returns a Keeper whose table is empty until Start loads the records. clock returns the
 // current time and must also count the time for which the machine is suspended.
 func NewKeeper(s store.Table, log *telemetry.Logger, clock func() time.Time) *Keeper {
-	return &Keeper{Table: NewTable(), store: s, log: log, clock: clock,
-		unsaved: make(chan ID, maxUnsaved)}
+	return &Keeper{Table: NewTable(), parts: NewPartTable(), store: s, log: log, clock: clock,
+		unsaved: make(chan unsaved, maxUnsaved)}
 }
 
 // Start starts to load the records, to save changes and to remove expired entries, all in the
@@ -56,7 +67,10 @@
 		func(ctx context.Context) { kernel.RetryUntilDone(ctx, storeRetry, k.load) },
 		k.saveLoop,
 		func(ctx context.Context) {
-			kernel.Every(ctx, expireInterval, func(context.Context) { k.Expire(k.clock()) })
+			kernel.Every(ctx, expireInterval, func(context.Context) {
+				k.Expire(k.clock())
+				k.parts.Expire(k.clock())
+			})
 		},
 	)
 	return nil
@@ -71,13 +85,44 @@
 		telemetry.F("caller", r.Source), telemetry.F("ends", v.Crashes), telemetry.F("parts", FormatParts(r.Parts)))
 	if starts {
 		k.logQuarantined(v, "here")
-		k.queueSave(v.ID)
+		k.queueSave(k.Table, KeyPrefix, v.ID)
+	}
+	if v.Crashes >= quarantineCrashes {
+		// The request itself explains the crash: its parts need not be at fault.
+		return
+	}
+	for _, held := range k.parts.RecordCrash(r, c) {
+		k.log.Warn(telemetry.EventPartHeld, telemetry.F("part", held.Part), telemetry.F("print", held.ID.Fingerprint),
+			telemetry.F("account", r.Account), telemetry.F("service", r.Service), telemetry.F("ends", held.Crashes),
+			telemetry.F("from", "here"))
+		k.queueSave(k.parts.table, PartKeyPrefix, held.ID)
+	}
+}
+
+// PartVerdict returns what is known of the parts of a request's prompt.
+func (k *Keeper) PartVerdict(r *Request, now time.Time) PartVerdict { return k.parts.Verdict(r, now) }
+
+// BeginPartTrial begins a trial of a held part, as PartTable.BeginTrial does, and EndPartTrial ends it.
+func (k *Keeper) BeginPartTrial(id ID) bool { return k.parts.BeginTrial(id) }
+
+// EndPartTrial ends a trial that BeginPartTrial allowed.
+func (k *Keeper) EndPartTrial(id ID) { k.parts.EndTrial(id) }
+
+// RecordSuccess records that a target of the given software version has run a request successfully. If
+// the request was quarantined, or parts of its prompt were held, their records are deleted from the store.
+func (k *Keeper) RecordSuccess(r *Request, version string) {
+	k.recordRequestSuccess(r)
+	for _, freed := range k.parts.RecordSuccess(r, version) {
+		k.log.Info(telemetry.EventPartCleared, telemetry.F("part", freed.Part), telemetry.F("print", freed.ID.Fingerprint),
+			telemetry.F("account", r.Account), telemetry.F("service", r.Service), telemetry.F("ends", freed.Crashes))
+		if freed.Stored {
+			k.queueSave(k.parts.table, PartKeyPrefix, freed.ID)
+		}
 	}
 }
 
-// RecordSuccess records that a target has run a request successfully. If the request was
-// quarantined, its record is deleted from the store.
-func (k *Keeper) RecordSuccess(r *Request) {
+// recordRequestSuccess clears the request in the table of requests.
+func (k *Keeper) recordRequestSuccess(r *Request) {
 	before := k.Verdict(r, k.clock())
 	if !k.Table.RecordSuccess(r) {
 		return
@@ -85,16 +130,35 @@
 	k.log.Info(telemetry.EventCleared, telemetry.F("print", before.ID.Fingerprint),
 		telemetry.F("ends", before.Crashes))
 	if before.Crashes >= quarantineCrashes {
-		k.queueSave(before.ID)
+		k.queueSave(k.Table, KeyPrefix, before.ID)
 	}
 }
 
-// MergeFrom merges snapshots of entries into the table. from is their origin for the log: the name
+// MergeFrom merges snapshots of entries into the tables. from is their origin for the log: the name
 // of another VM, or "store".
-func (k *Keeper) MergeFrom(from string, snapshots []Snapshot) {
-	for _, v := range k.Merge(snapshots, k.clock()) {
+func (k *Keeper) MergeFrom(from string, s Snapshots) {
+	for _, v := range k.Merge(s.Requests, k.clock()) {
 		k.logQuarantined(v, from)
 	}
+	for _, v := range k.parts.Merge(s.Parts, k.clock()) {
+		k.log.Warn(telemetry.EventPartHeld, telemetry.F("print", v.ID.Fingerprint), telemetry.F("ends", v.Crashes),
+			telemetry.F("from", from))
+	}
+}
+
+// TakeChanged returns the entries that all VMs must know and that have changed since its last call.
+func (k *Keeper) TakeChanged(now time.Time) Snapshots {
+	return Snapshots{Requests: k.Table.TakeChanged(now), Parts: k.parts.TakeChanged(now)}
+}
+
+// TakeCleared returns the entries that some VMs should know and that were cleared since its last call.
+func (k *Keeper) TakeCleared(now time.Time) Snapshots {
+	return Snapshots{Parts: k.parts.TakeCleared(now)}
+}
+
+// Top returns the n most severe entries of requests and as many of parts.
+func (k *Keeper) Top(n int, now time.Time) Snapshots {
+	return Snapshots{Requests: k.Table.Top(n, now), Parts: k.parts.Top(n, now)}
 }
 
 // logQuarantined logs that a request is quarantined. from is "here" or the argument of MergeFrom.
@@ -104,68 +168,73 @@
 		telemetry.F("until_s", int(v.Until.Sub(k.clock()).Seconds())), telemetry.F("from", from))
 }
 
-// queueSave queues a request for saveRecord. If the queue is full because the store is unreachable,
+// queueSave queues an entry for saveRecord. If the queue is full because the store is unreachable,
 // the record is not written, but the running VMs know the quarantine.
-func (k *Keeper) queueSave(id ID) {
+func (k *Keeper) queueSave(t *Table, prefix string, id ID) {
 	select {
-	case k.unsaved <- id:
+	case k.unsaved <- unsaved{t, prefix, id}:
 	default:
-		k.log.Warn(telemetry.EventStoreCallFailed, telemetry.F("what", KeyPrefix),
+		k.log.Warn(telemetry.EventStoreCallFailed, telemetry.F("what", prefix),
 			telemetry.F("cause", "the queue of records to save is full"))
 	}
 }
 
-// saveLoop calls saveRecord for the queued requests, one after another, until ctx ends.
+// saveLoop calls saveRecord for the queued entries, one after another, until ctx ends.
 func (k *Keeper) saveLoop(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case id := <-k.unsaved:
-			kernel.RetryUntilDone(ctx, storeRetry, func(ctx context.Context) error { return k.saveRecord(ctx, id) })
+		case u := <-k.unsaved:
+			kernel.RetryUntilDone(ctx, storeRetry, func(ctx context.Context) error { return k.saveRecord(ctx, u) })
 		}
 	}
 }
 
-// saveRecord writes the record of a request, or deletes it if the request is no longer quarantined.
-func (k *Keeper) saveRecord(ctx context.Context, id ID) error {
+// saveRecord writes the record of an entry, or deletes it if the subject is no longer quarantined.
+func (k *Keeper) saveRecord(ctx context.Context, u unsaved) error {
 	now := k.clock()
-	txn := store.Txn{Deletes: []string{id.storeKey()}}
-	if s, ok := k.Snapshot(id, now); ok && s.crashCount() >= quarantineCrashes {
+	key := u.id.storeKey(u.prefix)
+	txn := store.Txn{Deletes: []string{key}}
+	if s, ok := u.table.Snapshot(u.id, now); ok && s.crashCount() >= quarantineCrashes {
 		value, err := json.Marshal(encodeRecord(s, time.Now()))
 		if err != nil {
 			// Numbers always encode.
 			panic("quarantine: encode record: " + err.Error())
 		}
-		txn = store.Txn{Puts: []store.Put{{Key: id.storeKey(), Value: value}}}
+		txn = store.Txn{Puts: []store.Put{{Key: key, Value: value}}}
 	}
 	_, err := k.store.Commit(ctx, txn)
 	return err
 }
 
-// load merges all records in the store into the table and deletes expired ones. It logs and skips
+// load merges all records in the store into the tables and deletes expired ones. It logs and skips
 // records that cannot be decoded.
 func (k *Keeper) load(ctx context.Context) error {
 	records, err := k.store.List(ctx, KeyPrefix)
 	if err != nil {
 		return err
 	}
-	var snapshots []Snapshot
+	var loaded Snapshots
 	var expiredKeys []string
 	for _, r := range records {
-		s, err := decodeRecord(r, time.Now())
+		into, prefix, sched := &loaded.Requests, KeyPrefix, k.Table.schedule
+		if strings.HasPrefix(r.Key, PartKeyPrefix) {
+			into, prefix, sched = &loaded.Parts, PartKeyPrefix, k.parts.table.schedule
+		}
+		s, err := decodeRecord(r, prefix, time.Now())
 		if err != nil {
 			k.log.Warn(telemetry.EventBadRow, telemetry.F("key", r.Key),
 				telemetry.F("revision", r.Version), telemetry.F("cause", err))
 			continue
 		}
-		if expired(s) {
+		if expired(s, sched) {
 			expiredKeys = append(expiredKeys, r.Key)
 			continue
 		}
-		snapshots = append(snapshots, s)
+		*into = append(*into, s)
 	}
-	k.MergeFrom("store", snapshots)
+	k.MergeFrom("store", loaded)
 	if len(expiredKeys) == 0 {
 		return nil
 	}
@@ -196,7 +265,9 @@
 	// to it.
 	UnixMS int64 `json:"unix_ms"`
 	RanMS  int64 `json:"ran_ms"`
-	// Void is true if a successful run of the request has cleared the crash.
+	// Version is the hash of the target's software version, or 0 if it makes no difference.
+	Version uint64 `json:"version,string,omitempty"`
+	// Void is true if a successful run has cleared the crash.
 	Void bool `json:"void,omitempty"`
 }
 
@@ -205,7 +276,7 @@
 	r := record{Source: s.Source, Ends: make([]recordCrash, 0, len(s.Crashes))}
 	for _, e := range s.Crashes {
 		r.Ends = append(r.Ends, recordCrash{Target: e.RunHash, UnixMS: wallNow.Add(-e.Age).UnixMilli(),
-			RanMS: e.RanFor.Milliseconds(), Void: e.Cleared})
+			RanMS: e.RanFor.Milliseconds(), Version: e.Version, Void: e.Cleared})
 	}
 	return r
 }
@@ -213,11 +284,11 @@
 // errNoCrashes is the error of decodeRecord for a record without crashes.
 var errNoCrashes = errors.New("quarantine: record contains no crashes")
 
-// decodeRecord returns the snapshot that a record of the store holds. wallNow is the current
+// decodeRecord returns the snapshot that a record of the store holds, whose key has the given prefix. wallNow is the current
 // wall-clock time. A crash in the future, or with a negative RanMS, is taken to have happened now,
 // or to have a RanMS of 0.
-func decodeRecord(r store.Record, wallNow time.Time) (Snapshot, error) {
-	id, err := parseStoreKey(r.Key)
+func decodeRecord(r store.Record, prefix string, wallNow time.Time) (Snapshot, error) {
+	id, err := parseStoreKey(prefix, r.Key)
 	if err != nil {
 		return Snapshot{}, err
 	}
@@ -232,7 +303,7 @@
 	for _, e := range stored.Ends {
 		s.Crashes = append(s.Crashes, SnapshotCrash{RunHash: e.Target,
 			Age:    max(wallNow.Sub(time.UnixMilli(e.UnixMS)), 0),
-			RanFor: time.Duration(max(e.RanMS, 0)) * time.Millisecond, Cleared: e.Void})
+			RanFor: time.Duration(max(e.RanMS, 0)) * time.Millisecond, Version: e.Version, Cleared: e.Void})
 	}
 	return s, nil
 }
@@ -240,10 +311,10 @@
 // hashDigits is the number of hexadecimal digits of ID.Key in a store key.
 const hashDigits = 16
 
-// storeKey returns the key of the request's record: the prefix, then ID.Key and the fingerprint
+// storeKey returns the key of the entry's record: the prefix, then ID.Key and the fingerprint
 // in hexadecimal.
-func (id ID) storeKey() string {
-	return KeyPrefix + hex64(id.Key) + hex.EncodeToString(id.Fingerprint[:])
+func (id ID) storeKey(prefix string) string {
+	return prefix + hex64(id.Key) + hex.EncodeToString(id.Fingerprint[:])
 }
 
 // hex64 returns n in hexadecimal with hashDigits digits.
@@ -255,9 +326,9 @@
 	return s
 }
 
-// parseStoreKey returns the ID whose storeKey is key.
-func parseStoreKey(key string) (ID, error) {
-	digits := key[min(len(KeyPrefix), len(key)):]
+// parseStoreKey returns the ID whose storeKey with the given prefix is key.
+func parseStoreKey(prefix, key string) (ID, error) {
+	digits := key[min(len(prefix), len(key)):]
 	if len(digits) != hashDigits+2*fingerprintBytes {
 		return ID{}, errors.Errorf("quarantine: key %q has an invalid length", key)
 	}
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -70,7 +70,7 @@
 	eventually(t, "the next process loads the quarantine",
 		func() bool { return next.Verdict(&r, now).Quarantined(now, true) })
 	is.Equal(next.Verdict(&r, now).Crashes, 3)
-	next.RecordSuccess(&r)
+	next.RecordSuccess(&r, "v1")
 	eventually(t, "the record is deleted", func() bool { return countRecords(t, s) == 0 })
 }
 
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -36,12 +36,18 @@
 	sourceCounts map[uint64]int
 	// changed holds the entries that are to be sent to other VMs.
 	changed []ID
+	// revision counts the changes of the crashes.
+	revision uint64
+	schedule *schedule
 }
 
-// NewTable returns an empty table.
-func NewTable() *Table {
+// NewTable returns an empty table of requests.
+func NewTable() *Table { return newTable(requestSchedule) }
+
+// newTable returns an empty table whose entries have the given schedule.
+func newTable(s *schedule) *Table {
 	return &Table{entries: make(map[ID]*entry), keyCounts: make(map[uint64]int),
-		sourceCounts: make(map[uint64]int)}
+		sourceCounts: make(map[uint64]int), schedule: s}
 }
 
 // lookup returns the entry and the ID of a request, or nil if there is no entry. It hashes the body
@@ -131,11 +137,7 @@
 	if e.crashCount == 0 {
 		return false
 	}
-	for runHash, c := range e.crashes {
-		c.cleared = true
-		e.crashes[runHash] = c
-	}
-	e.recount()
+	e.clear(0)
 	t.markChanged(id)
 	return true
 }
@@ -167,7 +169,7 @@
 	case len(t.entries) >= maxEntries:
 		t.evict(t.largestSource())
 	}
-	e := &entry{id: id, source: source, crashes: make(map[uint64]crash)}
+	e := &entry{id: id, schedule: t.schedule, source: source, crashes: make(map[uint64]crash)}
 	t.entries[id] = e
 	t.keyCounts[id.Key]++
 	t.sourceCounts[source]++
--- a/internal/quarantine/word.go
+++ b/internal/quarantine/word.go
@@ -5,6 +5,15 @@
 	"time"
 )
 
+// Snapshots are what one VM sends to others: snapshots of the entries of requests and of parts of prompts.
+type Snapshots struct {
+	Requests []Snapshot
+	Parts    []Snapshot
+}
+
+// Empty reports whether there are none.
+func (s Snapshots) Empty() bool { return len(s.Requests) == 0 && len(s.Parts) == 0 }
+
 // Snapshot is the state of an entry, as VMs send it to each other. Merging snapshots is idempotent
 // and does not depend on their order: the crashes form a set, and a crash that is cleared stays
 // cleared.
@@ -35,7 +44,9 @@
 	// been sent to it.
 	Age    time.Duration
 	RanFor time.Duration
-	// Cleared is true if a successful run of the request has cleared the crash.
+	// Version is the hash of the target's software version, or 0 if it makes no difference.
+	Version uint64
+	// Cleared is true if a successful run has cleared the crash.
 	Cleared bool
 }
 
@@ -89,7 +100,7 @@
 	s := Snapshot{ID: e.id, Source: e.source, Crashes: make([]SnapshotCrash, 0, len(e.crashes))}
 	for runHash, c := range e.crashes {
 		s.Crashes = append(s.Crashes, SnapshotCrash{RunHash: runHash, Age: max(now.Sub(c.at), 0),
-			RanFor: c.at.Sub(c.began), Cleared: c.cleared})
+			RanFor: c.at.Sub(c.began), Version: c.version, Cleared: c.cleared})
 	}
 	return s
 }
@@ -105,14 +116,16 @@
 			continue
 		}
 		known := t.entries[s.ID]
-		if known == nil && expired(s) {
+		if known == nil && expired(s, t.schedule) {
 			continue
 		}
 		e := t.getOrAdd(s.ID, s.Source)
 		before := e.crashCount
 		for _, c := range s.Crashes {
 			at := now.Add(-c.Age)
-			e.addCrash(c.RunHash, crash{began: at.Add(-c.RanFor), at: at, cleared: c.Cleared})
+			if e.addCrash(c.RunHash, crash{began: at.Add(-c.RanFor), at: at, version: c.Version, cleared: c.Cleared}) {
+				t.revision++
+			}
 		}
 		if after := e.crashCount; after >= quarantineCrashes && before < quarantineCrashes && now.Before(e.quarantineEnd()) {
 			quarantined = append(quarantined, e.verdict())
@@ -122,11 +135,11 @@
 }
 
 // expired returns whether an entry with the state of the snapshot, which must have a crash, would
-// have expired already.
-func expired(s Snapshot) bool {
+// have expired already by the given schedule.
+func expired(s Snapshot, sched *schedule) bool {
 	minAge := s.Crashes[0].Age
 	for _, c := range s.Crashes {
 		minAge = min(minAge, c.Age)
 	}
-	return minAge >= max(2*blockTime(s.crashCount()), retention)
+	return minAge >= sched.keepTime(s.crashCount())
 }
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -60,6 +60,8 @@
 	EventTargetCrashed    Event = "target_ended"         // a target crashed as it began to run a request
 	EventQuarantined      Event = "request_quarantined"  // a request that crashes targets is quarantined
 	EventCleared          Event = "request_cleared"      // a request suspected of crashing targets ran without a crash
+	EventPartHeld         Event = "part_held"            // requests with a part of a prompt that crashes targets are held back
+	EventPartCleared      Event = "part_cleared"         // a request with a held part ran without a crash
 	EventDescriptorsShort Event = "descriptors_short"    // file descriptors are running out
 	EventHTTPServer       Event = "http_server"          // a line of an HTTP server's error log
 	EventLogDropped       Event = "log_dropped"          // log lines were dropped
