Parts count the first crash of each request only; soak: a part of prompts that crashes targets

Cause: two requests that came again and again counted twice each for the part that all prompts share, while few sound ones got through to clear it; the next trial came after 5 minutes. Why it works: later crashes of a request are explained by the request; after the fourth crash of a part, before the fifth that all must know of, it is tried after 20 s.

--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -87,8 +87,8 @@
 		k.logQuarantined(v, "here")
 		k.queueSave(k.Table, KeyPrefix, v.ID)
 	}
-	if v.Crashes >= quarantineCrashes {
-		// The request itself explains the crash: its parts need not be at fault.
+	if v.Crashes > 1 {
+		// The request itself may be at fault. Its parts are if other requests with them crash targets too.
 		return
 	}
 	for _, held := range k.parts.RecordCrash(r, c) {
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -96,3 +96,19 @@
 	eventually(t, "the expired record is deleted", func() bool { return countRecords(t, s) == 5 })
 	is.Equal(k.Size(), 0)
 }
+
+// Guards against sound requests being refused for a part of their prompts that two requests which crash
+// targets again and again share with them.
+func TestRepeatedRequestsDoNotAccuseTheirParts(t *testing.T) {
+	is := is.New(t)
+	k := quarantine.NewKeeper(store.NewMemory(), telemetry.Discard(), func() time.Time { return start })
+	for n := range 6 {
+		r := newRequest("a", n%2)
+		r.Service, r.Parts = "m", []string{"first"}
+		at := start.Add(time.Duration(n) * time.Second)
+		k.RecordCrash(&r, quarantine.Crash{Run: fmt.Sprint("run", n), Version: "v1", Began: at.Add(-time.Millisecond), At: at})
+	}
+	sound := newRequest("a", 9)
+	sound.Service, sound.Parts = "m", []string{"first"}
+	is.True(!k.PartVerdict(&sound, start.Add(6*time.Second)).Held())
+}
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -12,7 +12,7 @@
 // may merely have stood beside the one at fault, and its requests are many. Each trial of a part that does
 // crash targets costs a target, so that the next ones come late. At no time may all VMs run a trial.
 var partSchedule = &schedule{
-	trialDelays:  []time.Duration{time.Second, 5 * time.Minute, 30 * time.Minute},
+	trialDelays:  []time.Duration{time.Second, 20 * time.Second, 5 * time.Minute, 30 * time.Minute},
 	othersFactor: 1,
 }
 
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -69,10 +69,11 @@
 	// After a VM has shown a version, requests sent more than versionReorderBound later must not
 	// show an older one.
 	versionReorderBound = 250 * time.Millisecond
-	// After a request has crashed crashLimit targets, all VMs may go on sending it for
+	// After a request has crashed crashLimit targets, or a part of prompts partCrashLimit, all VMs may go on sending it for
 	// crashContainBound, and then lateSendLimit more times in all. These are the bounds that the
 	// user documentation states.
 	crashLimit        = 3
+	partCrashLimit    = 5
 	crashContainBound = 3 * time.Second
 	lateSendLimit     = 3
 	// From limitSettleTime after a target first stated a limit on requests, it may get limitRatio times
@@ -421,15 +422,19 @@
 func (c *Checker) checkContained(id string, r *request, at time.Duration) {
 	request, crashing := crashingRequestOf(id)
 	crashes := c.crashes[request]
-	if !crashing || r == nil || len(crashes) < crashLimit {
+	limit := crashLimit
+	if request == "part" {
+		limit = partCrashLimit
+	}
+	if !crashing || r == nil || len(crashes) < limit {
 		return
 	}
-	since := at - crashes[crashLimit-1]
+	since := at - crashes[limit-1]
 	if since > crashContainBound && c.undisturbed(at-undisturbedBefore, at, r.vm) {
 		c.lateSends[request]++
 	}
 	c.check(CrashesContained, c.lateSends[request] <= lateSendLimit, at,
-		"%s is sent on %s after %s had ended %d targets", id, since, request, crashLimit)
+		"%s is sent on %s after %s had ended %d targets", id, since, request, limit)
 }
 
 // ConfigWritten records that the operator has written a configuration version.
--- a/internal/soak/deadly.go
+++ b/internal/soak/deadly.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -21,10 +22,37 @@
 	crashingIDPrefix = "deadly-"
 )
 
+// crashingRequest is a request that crashes each target that begins to run it.
+type crashingRequest struct {
+	name string
+	kind requestKind
+	// part, if set, is the part of the prompt that crashes targets. The requests then differ but for it.
+	part string
+}
+
+// crashingPart is a part of prompts that crashes targets.
+const crashingPart = "deadly-part"
+
 // crashingRequests are the crashing requests, one for each variant of the fault CrashingRequest.
-// Each has a route of its own, which names it.
-var crashingRequests = []requestKind{{route: "once", nonIdempotent: true, tokens: shortPrompt},
-	{route: "unsafe", nonIdempotent: true}, {route: "long", tokens: shortPrompt}}
+var crashingRequests = []crashingRequest{
+	{name: "once", kind: requestKind{route: "once", nonIdempotent: true, tokens: shortPrompt}},
+	{name: "unsafe", kind: requestKind{route: "unsafe", nonIdempotent: true}},
+	{name: "long", kind: requestKind{route: "long", tokens: shortPrompt}},
+	{name: "part", kind: requestKind{route: "long", tokens: shortPrompt}, part: crashingPart},
+}
+
+// crashes reports whether a request crashes the target that begins to run it.
+func crashes(r *http.Request, body string) bool {
+	return body == crashingBody || platformtest.SharesPart(r, []string{crashingPart})
+}
+
+// body returns the body of an attempt with the given id.
+func (r crashingRequest) body(id string) string {
+	if r.part != "" {
+		return "body of " + id
+	}
+	return crashingBody
+}
 
 // crashingAttempts numbers the attempts of all crashing requests.
 var crashingAttempts atomic.Int64
@@ -32,7 +60,8 @@
 // sendCrashingRequests sends one crashing request to random VMs, one attempt after the other, for
 // the duration of the fault.
 func (h *harness) sendCrashingRequests(ctx context.Context, f Fault) {
-	kind := crashingRequests[f.Variant%len(crashingRequests)]
+	request := crashingRequests[f.Variant%len(crashingRequests)]
+	kind := request.kind
 	r := rand.New(rand.NewPCG(uint64(f.Index), uint64(f.Variant)))
 	for until := h.now() + f.Duration; h.now() < until && ctx.Err() == nil; kernel.Sleep(ctx, crashingRequestGap) {
 		v := h.pickVM(r)
@@ -40,13 +69,13 @@
 		if err != nil {
 			continue
 		}
-		id := fmt.Sprint(crashingIDPrefix, kind.route, "-", crashingAttempts.Add(1))
+		id := fmt.Sprint(crashingIDPrefix, request.name, "-", crashingAttempts.Add(1))
 		h.check.Sent(id, v.name, kind.nonIdempotent, h.now())
 		reply := c.Do(platformtest.Call{ID: id, Path: "/" + kind.route + "/x", Tokens: kind.tokens,
-			Body: crashingBody, Timeout: callTimeout})
+			Part: request.part, Body: request.body(id), Timeout: callTimeout})
 		a := newAnswer(id, kind, reply)
 		h.check.Answered(id, a, h.now())
-		h.count("deadly " + kind.route + " " + outcomeName(a, reply))
+		h.count("deadly " + request.name + " " + outcomeName(a, reply))
 		c.Close()
 	}
 }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -200,7 +200,7 @@
 	// The responses of half of the targets end with their connections.
 	e.SetEndsWithConn((uint64(s.index)+h.cfg.Seed)%2 == 0)
 	h.inspectAccounts(e)
-	e.CrashOn(crashingBody, func(e *platformtest.Engine) { h.replaceCrashed(s, e) })
+	e.CrashWhen(0, func(e *platformtest.Engine) { h.replaceCrashed(s, e) }, crashes)
 	s.target, s.unavailable = e, false
 	h.writeEntry(s, e)
 	return nil
