--- a/internal/live/faults.go
+++ b/internal/live/faults.go
@@ -34,6 +34,8 @@
 	ShortTimeouts FaultKind = "short_timeouts"
 	// CallersLeave makes leaveShare of the callers leave leaveAfter after they have sent a request.
 	CallersLeave FaultKind = "callers_leave"
+	// HotVM makes hotShare of the callers send their first attempts to one VM.
+	HotVM FaultKind = "hot_vm"
 )
 
 // Fault is one fault of a day.
--- a/internal/live/inject.go
+++ b/internal/live/inject.go
@@ -25,6 +25,8 @@
 	// rollGap is the time between the stops of two VMs.
 	rollGap    = 1500 * time.Millisecond
 	leaveShare = 0.25
+	// hotTenths is the share of the callers, in tenths, that HotVM sends to one VM.
+	hotTenths = 9
 	// shortTimeoutShare is the fraction of a route's timeout that ShortTimeouts leaves.
 	shortTimeoutShare = 0.92
 	leaveAfter        = 1500 * time.Millisecond
@@ -74,6 +76,10 @@
 		h.leaving.Add(1)
 		kernel.Sleep(ctx, f.Duration)
 		h.leaving.Add(-1)
+	case HotVM:
+		h.hot.Store(h.vms[choose(f, len(h.vms))[0]])
+		kernel.Sleep(ctx, f.Duration)
+		h.hot.Store(nil)
 	}
 }
 
--- a/internal/live/play.go
+++ b/internal/live/play.go
@@ -123,6 +123,9 @@
 			near = append(near, v)
 		}
 	}
+	if hot := h.hot.Load(); hot != nil && hot.usable() && n == 0 && q.Caller%10 < hotTenths {
+		return hot
+	}
 	for _, candidates := range [][]*vm{near, all, h.vms} {
 		if len(candidates) > 0 {
 			return candidates[(q.Caller+n)%len(candidates)]
--- a/internal/live/report.go
+++ b/internal/live/report.go
@@ -125,6 +125,26 @@
 	r.outcomes[o.request.Class] = append(r.outcomes[o.request.Class], o)
 }
 
+// FirstTryShare returns the share of the requests sent from one time of the day to another that were
+// served at the first attempt, late ones included.
+func (r *Report) FirstTryShare(from, to time.Duration) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	served, all := 0, 0
+	for _, class := range r.outcomes {
+		for _, o := range class {
+			if o.request.At < from || o.request.At >= to || !o.counts() {
+				continue
+			}
+			all++
+			if o.attempts == 1 && (o.outcome == inTime || o.outcome == late) {
+				served++
+			}
+		}
+	}
+	return float64(served) / float64(max(all, 1))
+}
+
 // causeOf returns the cause of a failure as seen by the caller: an error of the call, or else the
 // HTTP status.
 func causeOf(response platformtest.LiveResult) string {
--- a/internal/live/world.go
+++ b/internal/live/world.go
@@ -38,6 +38,8 @@
 	// Busy is the fraction of each busyPeriod, a tenth of a second, for which the process of each
 	// VM is stopped. The VMs are stopped at different times. 0 stops none.
 	Busy float64
+	// EngineConns is the number of connections that an engine accepts, or 0 for the default.
+	EngineConns int
 	// Faults are injected while the day is played. See DayFaults and DealFaults.
 	Faults []Fault
 	// Bin is the directory of the programs, and Dir the one for settings and logs.
@@ -58,6 +60,8 @@
 	// callers leave early.
 	disturbed *disturbances
 	leaving   atomic.Int32
+	// hot is the VM that gets most first attempts, or nil.
+	hot atomic.Pointer[vm]
 	// configVersion is the version of the configuration that was written last.
 	configVersion atomic.Int64
 }
@@ -98,7 +102,7 @@
 // its class times timeoutShare.
 func (h *harness) writeConfig(timeoutShare float64) {
 	version := int(h.configVersion.Add(1))
-	h.store.Put(platformtest.TableOperator, platformtest.KeyConfig, platformtest.LiveConfig(h.cfg.Site, version, timeoutShare))
+	h.store.Put(platformtest.TableOperator, platformtest.KeyConfig, platformtest.LiveConfig(h.cfg.Site, version, timeoutShare, h.cfg.EngineConns))
 }
 
 // close stops all processes and servers.
