Errors of targets no longer clear requests that crash targets

Callers saw: engines crash under a request that had crashed two before and was then answered with an error. Cause: each complete answer counted as a good run, errors included; a target may fail requests before it runs them. Looked for as the same cause elsewhere: what clears must have run what is at fault. Evidence: TestErrorOfATargetDoesNotClearARequest had five targets crash where three are allowed. Why it works: an answer with a 5xx status says nothing; one with a 4xx clears the request, not its parts.

--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -294,7 +294,7 @@
 	c.Ticket.End(place.Bad, clock.Now())
 	x.addTrace(c.Target, strconv.Itoa(resp.Status), err)
 	if err == nil {
-		x.noteFailed(c.Target)
+		x.noteAnswered(c.Target, resp.Status)
 	}
 	if err != nil || s.headerSent {
 		return outcomeUnknown, errkind.New(errkind.TargetFailed, "the engine failed with status %d", resp.Status)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -146,7 +146,7 @@
 		}
 		x.attempts.finish(call.attempt, call.out)
 		if call.err == nil {
-			x.noteServed(call.target)
+			x.noteAnswered(call.target, call.resp.status)
 		}
 		if call.err == nil && !(call.resp.status >= http.StatusInternalServerError && x.route.Kind == fleet.Idempotent) {
 			return x.writeResponse(call.resp)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -151,12 +152,18 @@
 	x.g.quarantine.RecordSuccess(&x.quarantineReq, t.Version)
 }
 
-// noteFailed records that t has answered the request with an error. The request does not crash targets,
-// but t may not have begun to answer its prompt.
-func (x *exchange) noteFailed(t *fleet.Target) {
-	r := x.quarantineReq
-	r.Parts = nil
-	x.g.quarantine.RecordSuccess(&r, t.Version)
+// noteAnswered records that t has answered the request completely. An error of t says nothing, because t may
+// fail requests before it runs them. The rejection of a request shows that the request does not crash
+// targets, but not that t has begun to answer its prompt.
+func (x *exchange) noteAnswered(t *fleet.Target, status int) {
+	switch {
+	case status < http.StatusBadRequest:
+		x.noteServed(t)
+	case status < http.StatusInternalServerError:
+		r := x.quarantineReq
+		r.Parts = nil
+		x.g.quarantine.RecordSuccess(&r, t.Version)
+	}
 }
 
 // checkTargetExit checks in the background whether a target that closed the connection has exited,
