--- a/internal/quarantine/print.go
+++ b/internal/quarantine/print.go
@@ -3,8 +3,9 @@
 // the same request. With two crashes the request is a suspect: each VM sends it in one attempt at a
 // time. With three it is quarantined: no VM sends it for a time. Each attempt of a suspect is a
 // trial. One VM may run a trial of a quarantined request earlier than the others, to find out
-// whether the request is at fault; a successful run clears the request. VMs exchange snapshots of
-// what they know.
+// whether the request is at fault; a successful run clears the request. Requests may also crash targets
+// because of a part of their prompts that they share; PartTable counts the crashes of parts and tells the
+// part at fault from those beside it. VMs exchange snapshots of what they know.
 package quarantine
 
 import (
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -69,8 +69,8 @@
 	// After a VM has shown a version, requests sent more than versionReorderBound later must not
 	// show an older one.
 	versionReorderBound = 250 * time.Millisecond
-	// After a request has crashed crashLimit targets, or a part of prompts partCrashLimit, all VMs may go on sending it for
-	// crashContainBound, and then lateSendLimit more times in all. These are the bounds that the
+	// After a request has crashed crashLimit targets, or a part of prompts partCrashLimit, all VMs may
+	// go on sending it for crashContainBound, and then lateSendLimit more times in all. These are the bounds that the
 	// user documentation states.
 	crashLimit        = 3
 	partCrashLimit    = 5
@@ -423,7 +423,7 @@
 	request, crashing := crashingRequestOf(id)
 	crashes := c.crashes[request]
 	limit := crashLimit
-	if request == "part" {
+	if request == partRequests {
 		limit = partCrashLimit
 	}
 	if !crashing || r == nil || len(crashes) < limit {
--- a/internal/soak/deadly.go
+++ b/internal/soak/deadly.go
@@ -30,15 +30,19 @@
 	part string
 }
 
-// crashingPart is a part of prompts that crashes targets.
-const crashingPart = "deadly-part"
+const (
+	// crashingPart is a part of prompts that crashes targets.
+	crashingPart = "deadly-part"
+	// partRequests is the name of the requests with crashingPart.
+	partRequests = "part"
+)
 
 // crashingRequests are the crashing requests, one for each variant of the fault CrashingRequest.
 var crashingRequests = []crashingRequest{
 	{name: "once", kind: requestKind{route: "once", nonIdempotent: true, tokens: shortPrompt}},
 	{name: "unsafe", kind: requestKind{route: "unsafe", nonIdempotent: true}},
 	{name: "long", kind: requestKind{route: "long", tokens: shortPrompt}},
-	{name: "part", kind: requestKind{route: "long", tokens: shortPrompt}, part: crashingPart},
+	{name: partRequests, kind: requestKind{route: "long", tokens: shortPrompt}, part: crashingPart},
 }
 
 // crashes reports whether a request crashes the target that begins to run it.
