--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -8,9 +8,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// partSchedule is the schedule for parts of prompts. The first trial is soon, because a part that is held
-// may merely have stood beside the one at fault, and its requests are many. Each trial of a part that does
-// crash targets costs a target, so that the next ones come late. At no time may all VMs run a trial.
+// partSchedule is the schedule for parts of prompts. A held part may merely have stood beside the one at
+// fault. At no time may all VMs run a trial, since each may crash a target.
 var partSchedule = &schedule{
 	trialDelays:  []time.Duration{time.Second, 20 * time.Second, 5 * time.Minute, 30 * time.Minute},
 	othersFactor: 1,
