Bodies that end with their connection are complete only if their target still runs

Callers saw: status 200 with half of a body, framed as complete, when a target crashed behind a relay or a load balancer.

Cause: a VM asked for a sign that the target had ended. A connection that stayed open for 50 ms counted as a living target, so that the doubtful case was passed on as a whole answer.

Why this works: the target itself has to answer a question that is asked after the end of the body: its report or its health check, with its id. Whatever else happens, the response is incomplete. No wait is involved that load could make too short.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -127,6 +127,8 @@
 	Name string
 	// MaxConns is how many connections one target accepts from all callers together.
 	MaxConns int
+	// HealthPath is the path at which a target of the service answers health checks, or empty if it does not.
+	HealthPath string
 	// Engine is nil for a plain service.
 	Engine *EngineSpec
 	// Resumable says that streams of one of the service's routes may be resumed. NewConfig sets it.
--- /dev/null
+++ b/internal/gateway/complete.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"garnethoist.org/garnethoist/internal/fleet"
+	"garnethoist.org/garnethoist/internal/httpsend"
+)
+
+// TargetChecker asks targets whether they are running. Its methods are safe for concurrent use.
+type TargetChecker interface {
+	// CheckRunning returns nil only if the target t of service s has answered. Silence, a closed connection and
+	// the answer of another process at its address are errors.
+	CheckRunning(ctx context.Context, t *fleet.Target, s *fleet.Service) error
+}
+
+// runningCheckTimeout limits the time in which a target must show that it is running.
+const runningCheckTimeout = time.Second
+
+// checkComplete returns an error if a body that has been read to its end may lack a part. A body that ends
+// with its connection is complete only if its target shows that it is running, because the connections of a
+// target that crashes end in the same way. A target that is leaving may exit after its last response.
+func (x *exchange) checkComplete(t *fleet.Target, resp *httpsend.Response) error {
+	view := x.g.keeper.View()
+	if resp.Framing != httpsend.FramedByConn || !view.Has(t) {
+		return nil
+	}
+	service := view.Config.Services[t.Service]
+	if service == nil {
+		return resp.Truncated()
+	}
+	ctx, cancel := context.WithTimeout(x.g.abortCtx, runningCheckTimeout)
+	defer cancel()
+	// The check must begin after the end of the body, so checks of one target are not merged.
+	if err := x.g.checker.CheckRunning(ctx, t, service); err != nil {
+		x.addTrace(t, "not_running", err)
+		return resp.Truncated()
+	}
+	return nil
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,6 +98,8 @@
 	Origins    Origins
 	// Client sends the requests to targets.
 	Client *httpsend.Client
+	// Checker asks targets whether they are running.
+	Checker TargetChecker
 	// FirstStart says that the whole group of VMs starts for the first time, so that no earlier
 	// process has used up retries.
 	FirstStart bool
@@ -119,12 +121,12 @@
 	usage      Usage
 	allowances Allowances
 	origins    Origins
-	// exitChecks and crashChecks merge concurrent checks of whether the process of a target has exited.
-	exitChecks  singleflight.Group
-	crashChecks singleflight.Group
-	client      *httpsend.Client
-	log         *telemetry.Logger
-	stats       *Stats
+	// exitChecks merges concurrent checks of whether the process of a target has exited.
+	exitChecks singleflight.Group
+	client     *httpsend.Client
+	checker    TargetChecker
+	log        *telemetry.Logger
+	stats      *Stats
 
 	server *http.Server
 	// wg counts the goroutines of the server and of calls that no request waits for.
@@ -164,7 +166,7 @@
 func New(p Options, limits Limits) *Gateway {
 	g := &Gateway{
 		listen: p.Listen, keeper: p.Keeper, placer: p.Placer, proto: p.Protocol, group: p.Group, freshness: p.Freshness, quarantine: p.Quarantine, usage: p.Usage, allowances: p.Allowances, origins: p.Origins,
-		client: p.Client, log: p.Log, stats: p.Stats, rng: newRNG(),
+		client: p.Client, checker: p.Checker, log: p.Log, stats: p.Stats, rng: newRNG(),
 		started: clock.Now(), conns: newCallerConns(p.Descriptors, p.Client.OpenConns, p.Log),
 	}
 	g.limits.Store(&limits)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -207,16 +207,19 @@
 }
 
 // readAnswer reads the whole body of a target's answer, as readBuffered does. A body that ends with its
-// connection is taken to be cut off if the target has crashed, or if it is a stream and ends inside an
+// connection is taken to be cut off if the target may have crashed, or if it is a stream and ends inside an
 // event.
 func (x *exchange) readAnswer(t *fleet.Target, resp *httpsend.Response) ([]byte, error) {
 	body, err := readBuffered(resp)
-	switch {
-	case err != nil || resp.Framing != httpsend.FramedByConn:
+	if err != nil {
 		return body, err
-	case x.route.Kind == fleet.Streaming && resp.Status == http.StatusOK && isTruncated(resp, body), x.g.hasCrashed(t):
+	}
+	if x.route.Kind == fleet.Streaming && resp.Status == http.StatusOK && isTruncated(resp, body) {
 		return nil, resp.Truncated()
 	}
+	if err := x.checkComplete(t, resp); err != nil {
+		return nil, err
+	}
 	return body, nil
 }
 
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -207,21 +207,6 @@
 	return exited
 }
 
-// hasCrashed reports whether a target that closed a connection has exited although it was not leaving.
-// The check takes up to 50 ms if the target has not exited. Concurrent checks of one target are merged.
-func (g *Gateway) hasCrashed(t *fleet.Target) bool {
-	if !g.keeper.View().Has(t) {
-		return false
-	}
-	v, _, _ := g.crashChecks.Do(t.RunID(), func() (any, error) {
-		ctx, cancel := context.WithTimeout(g.abortCtx, exitCheckTimeout)
-		defer cancel()
-		return g.notListening(ctx, t), nil
-	})
-	crashed, _ := v.(bool)
-	return crashed
-}
-
 // notListening reports whether nothing listens at a target's address.
 func (g *Gateway) notListening(ctx context.Context, t *fleet.Target) bool {
 	return errors.Is(g.client.Probe(ctx, t.Address), httpsend.ErrNotListening)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -140,8 +140,8 @@
 		s.x.trailingBytes = len(s.partial)
 		return resp.Truncated()
 	}
-	if resp.Framing == httpsend.FramedByConn && s.x.g.hasCrashed(s.target) {
-		return resp.Truncated()
+	if err := s.x.checkComplete(s.target, resp); err != nil {
+		return err
 	}
 	s.writeHeader(resp)
 	if len(s.partial) > 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,6 +92,8 @@
 	Protocol gateway.Protocol
 	// Decoder decodes the rows of the configuration table and the targets table.
 	Decoder watch.Decoder
+	// NewTargetChecker returns a client that asks targets whether they are running.
+	NewTargetChecker func(c *httpsend.Client) gateway.TargetChecker
 	// NewEngineClient returns a client that reads engines' reports and sends them orders.
 	NewEngineClient func(c *httpsend.Client) stages.EngineClient
 	// NewCloud returns a client for the calls that one VM at a time makes on behalf of all.
@@ -366,7 +368,7 @@
 	gw := gateway.New(gateway.Options{
 		Listen: string(cfg.Listen), Descriptors: descriptors, Keeper: kernel.Need[*fleet.Keeper](g, ModuleFleetKeeper),
 		Placer: kernel.Need[*place.Placer](g, ModulePlacer), Protocol: a.Protocol, Group: group,
-		Freshness: kernel.Need[*watch.Freshness](g, ModuleFreshness), Client: client,
+		Freshness: kernel.Need[*watch.Freshness](g, ModuleFreshness), Client: client, Checker: a.NewTargetChecker(client),
 		Usage:      kernel.Need[*usage.Counter](g, ModuleUsageCounter),
 		Allowances: kernel.Need[*quota.Keeper](g, ModuleQuota),
 		Origins:    kernel.Need[*origin.Origins](g, ModuleOrigins),
