Stages: each software version keeps a serving decode engine

Callers would see: while versions are replaced, streams of a version whose engines all prefill can't be resumed, although two or more engines of it serve.

Cause: the plan of stages counted engines of all versions alike. It also counted engines that were still changing to decode, so that the last one that served could be ordered away.

Evidence: TestEachVersionKeepsADecodeEngine failed at each run and passes unchanged.

Why this works: an order may take a decode engine of a version only if another one that has reached the stage remains, and a version of two or more engines without one gets one back. With one version plans are as before. PlanAll takes one argument more; its test passes a fleet without open orders.

--- a/internal/stages/controller.go
+++ b/internal/stages/controller.go
@@ -308,7 +308,7 @@
 // this VM knows it from the journal or another VM has announced it.
 func (c *Controller) pendingChanges(v *fleet.View) []Change {
 	var out []Change
-	for _, ch := range PlanAll(c.withOpenOrders(v), c.prefillCount, c.load) {
+	for _, ch := range PlanAll(c.withOpenOrders(v), c.prefillCount, c.load, c.isOrdered) {
 		if _, open := c.orderedStage(ch.Target); !open {
 			out = append(out, ch)
 		}
@@ -316,6 +316,12 @@
 	return out
 }
 
+// isOrdered reports whether an engine has an open order.
+func (c *Controller) isOrdered(t *fleet.Target) bool {
+	_, open := c.orderedStage(t)
+	return open
+}
+
 // withOpenOrders returns the view that v will be when the open orders have been carried out.
 func (c *Controller) withOpenOrders(v *fleet.View) *fleet.View {
 	out := &fleet.View{Config: v.Config, Targets: make(map[string][]*fleet.Target, len(v.Targets))}
--- a/internal/stages/stages_test.go
+++ b/internal/stages/stages_test.go
@@ -80,7 +80,7 @@
 			is := is.New(t)
 			got := map[string]fleet.Stage{}
 			want := func(targets []*fleet.Target) int { return int(math.Round(tc.share * float64(staying(targets)))) }
-			for _, c := range stages.PlanAll(tc.view, want, func(string) int { return 0 }) {
+			for _, c := range stages.PlanAll(tc.view, want, func(string) int { return 0 }, settled) {
 				got[c.Target.ID] = c.Stage
 			}
 			if tc.want == nil {
