Parts of prompts are held only at the software versions that they crash

Cause: crashes are recorded and cleared by software version, but counted over all versions. No engine of the version that the crashes were at decoded any more, so that no run could clear them, while each trial ran well at the other version.

Why this works: where the part has run well, and was at fewer than three crashes since, its requests are sent there only; trials go to the other versions.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -82,7 +82,7 @@
 		return
 	}
 	x.tried[choice.Target.ID] = true
-	a, err := x.beginAttempt(false)
+	a, err := x.beginAttempt(choice.Target, false)
 	if err != nil {
 		choice.Ticket.End(place.Neutral, clock.Now())
 		c.startErr = err
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -94,14 +95,33 @@
 	}
 }
 
-// checkParts refuses a request if a part of its prompt is held, unless it is sent as a trial. It is called
-// before each attempt, as checkQuarantine is.
+// checkParts refuses a request before its first attempt if a part of its prompt is held, unless targets of a
+// software version serve that run its held parts well, or it is sent as a trial.
 func (x *exchange) checkParts() error {
-	now := clock.Now()
-	v := x.g.quarantine.PartVerdict(&x.quarantineReq, now)
+	v := x.g.quarantine.PartVerdict(&x.quarantineReq, clock.Now())
+	runsWell := func(t *fleet.Target) bool { return canAnswer(t) && v.RunsWellAt(t.Version) }
+	if v.Held() && slices.ContainsFunc(x.view.Targets[x.service], runsWell) {
+		return nil
+	}
+	return x.tryParts(v)
+}
+
+// checkPartsAt is called before each attempt. It refuses the request if a part of its prompt is held at the
+// software version of t, unless it is sent as a trial.
+func (x *exchange) checkPartsAt(t *fleet.Target) error {
+	v := x.g.quarantine.PartVerdict(&x.quarantineReq, clock.Now())
+	if v.RunsWellAt(t.Version) {
+		return nil
+	}
+	return x.tryParts(v)
+}
+
+// tryParts refuses a request for the verdict on the parts of its prompt, unless it is sent as a trial.
+func (x *exchange) tryParts(v quarantine.PartVerdict) error {
 	if !v.Held() {
 		return nil
 	}
+	now := clock.Now()
 	if t := x.partTrial; t != nil && t.ID == v.ID && t.Crashes == v.Crashes {
 		return nil
 	}
@@ -115,6 +135,39 @@
 	return nil
 }
 
+// byPart returns those of the given targets at whose software versions the held parts of the request's prompt run
+// well, or all if none of these can answer. A trial that is due is sent to the others.
+func (x *exchange) byPart(targets []*fleet.Target) []*fleet.Target {
+	if len(x.quarantineReq.Parts) == 0 {
+		return targets
+	}
+	now := clock.Now()
+	v := x.g.quarantine.PartVerdict(&x.quarantineReq, now)
+	if !v.Held() {
+		return targets
+	}
+	var well, others []*fleet.Target
+	for _, t := range targets {
+		if v.RunsWellAt(t.Version) {
+			well = append(well, t)
+		} else {
+			others = append(others, t)
+		}
+	}
+	switch {
+	case !slices.ContainsFunc(well, canAnswer):
+		return targets
+	case !slices.ContainsFunc(others, canAnswer):
+		return well
+	case x.partTrial != nil, !v.TrialRuns && v.TrialDue(now) && x.g.group.Owns(v.TrialKey):
+		return others
+	}
+	return well
+}
+
+// canAnswer reports whether a target may run requests to their end, which engines that prefill may not.
+func canAnswer(t *fleet.Target) bool { return t.Stage != fleet.Prefill }
+
 // refuseForPart returns the refusal of a request for a held part of its prompt.
 func refuseForPart(v quarantine.PartVerdict, retryAfter time.Duration) error {
 	e := errkind.New(errkind.Quarantined, "%d targets ended as they began to answer prompts with the part %q of this one", v.Crashes, v.Part)
@@ -122,16 +175,16 @@
 	return e
 }
 
-// beginAttempt counts an attempt that is about to be made, or returns why it must not be made. The
+// beginAttempt counts an attempt that is about to be made at t, or returns why it must not be made. The
 // key is looked up again for each attempt, because it may have been revoked after the last lookup.
-func (x *exchange) beginAttempt(prefillOnly bool) (attempt, error) {
+func (x *exchange) beginAttempt(t *fleet.Target, prefillOnly bool) (attempt, error) {
 	if err := x.identifyAccount(); err != nil {
 		return attempt{}, err
 	}
 	if err := x.checkQuarantine(); err != nil {
 		return attempt{}, err
 	}
-	if err := x.checkParts(); err != nil {
+	if err := x.checkPartsAt(t); err != nil {
 		return attempt{}, err
 	}
 	if (x.trial != nil || x.partTrial != nil) && x.attempts.arrivals > 0 {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -83,7 +83,7 @@
 // leaves the ticket to the calling function. With any other outcome the response is nil and the
 // ticket has been ended.
 func (x *exchange) send(ctx context.Context, t *fleet.Target, d Directive, ticket *place.Ticket) (*httpsend.Response, outcome, error) {
-	a, err := x.beginAttempt(d.PrefillOnly)
+	a, err := x.beginAttempt(t, d.PrefillOnly)
 	if err != nil {
 		x.addTrace(t, "withheld", err)
 		ticket.End(place.Neutral, clock.Now())
--- a/internal/gateway/version.go
+++ b/internal/gateway/version.go
@@ -79,16 +79,17 @@
 }
 
 // candidates returns the targets that may serve the request. A stream that has begun may go on only at the
-// software version that began it, and one that may be resumed may begin only at versions that are admitted.
+// software version that began it, and one that may be resumed may begin only at versions that are admitted. A
+// prompt with held parts is kept from the versions that these crash, if others run them well.
 func (x *exchange) candidates() []*fleet.Target {
 	targets := x.view.Targets[x.service]
 	switch {
 	case x.version != "":
-		return ofVersion(targets, x.version)
+		targets = ofVersion(targets, x.version)
 	case x.mayBeResumed():
-		return x.g.origins.Usable(x.service, targets)
+		targets = x.g.origins.Usable(x.service, targets)
 	}
-	return targets
+	return x.byPart(targets)
 }
 
 // ofVersion returns the targets of one software version.
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -249,6 +249,41 @@
 	return changed
 }
 
+// noteRunsWell records that the subject of a quarantined entry, which was at no crash of a software version, runs
+// well there. The record is a cleared crash, which counts for nothing else. It reports whether the entry has
+// changed.
+func (e *entry) noteRunsWell(version uint64) bool {
+	if e.crashCount < quarantineCrashes {
+		return false
+	}
+	for _, c := range e.crashes {
+		if c.version == version {
+			return false
+		}
+	}
+	return e.addCrash(version, crash{began: e.lastCrash, at: e.lastCrash, version: version, cleared: true})
+}
+
+// versionsRunWell returns the software versions at which the subject has run well, and has been at fewer
+// successive crashes since than it takes to quarantine it.
+func (e *entry) versionsRunWell() map[uint64]bool {
+	well := make(map[uint64]bool)
+	counted := make(map[uint64][]crash)
+	for _, c := range e.crashes {
+		if c.cleared {
+			well[c.version] = true
+		} else {
+			counted[c.version] = append(counted[c.version], c)
+		}
+	}
+	for version, crashes := range counted {
+		if countSuccessive(crashes) >= quarantineCrashes {
+			delete(well, version)
+		}
+	}
+	return well
+}
+
 // oldestCrash returns the run hash of the oldest crash.
 func (e *entry) oldestCrash() uint64 {
 	var oldest uint64
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"maps"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -60,13 +61,21 @@
 	// request as a trial.
 	TrialAt  time.Time
 	TrialKey []byte
+	// TrialRuns says that this VM sends another request with the part as a trial.
+	TrialRuns bool
 	// Stored says that the store may have a record of the part.
 	Stored bool
+	// wellAt holds the hashes of the software versions at which the held parts of the request run well.
+	wellAt map[uint64]bool
 }
 
 // Held reports whether a part of the request is held.
 func (v PartVerdict) Held() bool { return v.Crashes > 0 }
 
+// RunsWellAt reports whether the held parts of the request have run well at targets of a software version, and
+// have been at fewer crashes there since than it takes to hold a part. The verdict does not apply to these.
+func (v PartVerdict) RunsWellAt(version string) bool { return v.wellAt[hashText(version)] }
+
 // TrialDue reports whether the VM that owns TrialKey may send a blocked request at now.
 func (v PartVerdict) TrialDue(now time.Time) bool { return v.TrialKey != nil && !now.Before(v.TrialAt) }
 
@@ -85,22 +94,29 @@
 	defer t.table.mu.Unlock()
 	known := t.lookup(r)
 	var worst PartVerdict
+	var wellAt map[uint64]bool
 	for _, p := range known {
 		if p.crashCount < quarantineCrashes || !now.Before(p.expiry()) {
 			continue
 		}
 		v := t.verdictOn(p, known, now)
+		if well := p.versionsRunWell(); wellAt == nil {
+			wellAt = well
+		} else {
+			maps.DeleteFunc(wellAt, func(version uint64, _ bool) bool { return !well[version] })
+		}
 		if !worst.Held() || !worst.Blocked && v.Blocked || worst.Blocked == v.Blocked && v.Crashes > worst.Crashes {
 			worst = v
 		}
 	}
+	worst.wellAt = wellAt
 	return worst
 }
 
 // verdictOn returns the verdict on a request with the given known parts, of which p is held. The caller
 // must hold table.mu.
 func (t *PartTable) verdictOn(p knownPart, known []knownPart, now time.Time) PartVerdict {
-	v := PartVerdict{ID: p.id, Part: p.part, Crashes: p.crashCount}
+	v := PartVerdict{ID: p.id, Part: p.part, Crashes: p.crashCount, TrialRuns: p.trials > 0}
 	b := t.blameOf(p.entry)
 	delay := p.schedule.trialDelay(p.crashCount)
 	if !b.blamed && !hasAlternative(b, known) {
@@ -177,8 +193,8 @@
 }
 
 // RecordSuccess records that a target of the given software version has run the request successfully. It
-// clears the crashes of targets of that version that the request's parts were at. It returns the parts
-// that were held and are no more.
+// clears the crashes of targets of that version that the request's parts were at, and records for held parts
+// that they run well there. It returns the parts that were held and are no more.
 func (t *PartTable) RecordSuccess(r *Request, version string) []PartVerdict {
 	if t.table.size.Load() == 0 || len(r.Parts) == 0 {
 		return nil
@@ -189,7 +205,7 @@
 	for _, p := range t.lookup(r) {
 		before := p.crashCount
 		blocked := before >= maxTried || before >= quarantineCrashes && t.blameOf(p.entry).blamed
-		if !p.clear(hashText(version)) {
+		if !p.clear(hashText(version)) && !p.noteRunsWell(hashText(version)) {
 			continue
 		}
 		t.table.revision++
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -230,3 +230,33 @@
 		})
 	}
 }
+
+// Guards against a part that is held for crashes of targets of one software version being refused at those of
+// another version, which run it well.
+func TestPartIsHeldAtTheVersionsThatItCrashesOnly(t *testing.T) {
+	is := is.New(t)
+	r := promptOf("a", "first")
+	table, now := heldPart(r) // at v1
+	is.True(!table.Verdict(r, now).RunsWellAt("v1"))
+	is.True(!table.Verdict(r, now).RunsWellAt("v2")) // not known
+	is.Equal(len(table.RecordSuccess(r, "v2")), 0)
+	v := table.Verdict(r, now)
+	is.True(v.Blocked && v.RunsWellAt("v2") && !v.RunsWellAt("v1"))
+	// Other VMs learn of it.
+	other := quarantine.NewPartTable()
+	other.Merge(table.TakeChanged(now), now)
+	is.True(other.Verdict(r, now).RunsWellAt("v2") && !other.Verdict(r, now).RunsWellAt("v1"))
+	// A prompt with another part that is held at both versions is refused at both.
+	bad := promptOf("a", "first", "bad")
+	for n := 10; n < 13; n++ {
+		crashedPart(table, promptOf("a", "bad"), n, "v2")
+	}
+	is.True(!table.Verdict(bad, now).RunsWellAt("v2"))
+	is.True(table.Verdict(r, now).RunsWellAt("v2"))
+	// Three crashes at v2 end the exception there.
+	for n := 20; n < 23; n++ {
+		is.True(table.Verdict(r, now).RunsWellAt("v2"))
+		now = crashedPart(table, r, n, "v2")
+	}
+	is.True(!table.Verdict(r, now).RunsWellAt("v2"))
+}
