--- a/internal/proc/ports.go
+++ b/internal/proc/ports.go
@@ -78,6 +78,21 @@
 	return errors.New("no block of ports is free")
 }
 
+// listenPorts are the ports of Listen.
+var listenPorts = NewPorts()
+
+// Listen returns a listener on a loopback address that this program uses only once, and no other program that
+// uses Ports. Stand-ins listen there: the kernel gives the port of a stand-in that was closed to another one,
+// which then gets the requests of those who still know the address.
+func Listen() (net.Listener, error) {
+	addrs, err := listenPorts.Take(1)
+	if err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp", string(addrs[0]))
+	return l, errors.Wrap(err, "listen")
+}
+
 func loopbackAddr(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 
 // isFree reports whether nothing listens on the address, neither for TCP nor for UDP.
--- a/internal/proc/ports_test.go
+++ b/internal/proc/ports_test.go
@@ -41,3 +41,19 @@
 		}
 	}
 }
+
+// Guards against requests to a stand-in that was closed reaching the next one: addresses of stand-ins are not
+// used twice, and the kernel gives them to nobody.
+func TestListenUsesEachAddressOnce(t *testing.T) {
+	is := is.New(t)
+	used := make(map[string]bool)
+	for range 2 * portsPerBlock {
+		l, err := Listen()
+		is.NoErr(err)
+		port := l.Addr().(*net.TCPAddr).Port
+		is.NoErr(l.Close())
+		is.True(!used[l.Addr().String()])
+		is.True(port >= firstPort && port < firstPort+portCount)
+		used[l.Addr().String()] = true
+	}
+}
--- a/internal/proc/relay.go
+++ b/internal/proc/relay.go
@@ -73,9 +73,9 @@
 
 // NewRelay starts a relay that listens on a loopback address and forwards to destination.
 func NewRelay(destination string) (*Relay, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := Listen()
 	if err != nil {
-		return nil, errors.Wrap(err, "listen")
+		return nil, err
 	}
 	r := &Relay{listener: l, destination: destination, conns: map[net.Conn]bool{}}
 	r.background.Go(r.serve)
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -361,7 +361,13 @@
 }
 
 // Arrived implements platformtest.Observer.
-func (o observer) Arrived(e *platformtest.Engine, id string) { o.h.check.Arrived(id, e.ID, o.h.now()) }
+func (o observer) Arrived(e *platformtest.Engine, id string) {
+	if id == "" {
+		arrivals := e.Arrivals()
+		o.h.count(fmt.Sprintf("without an id at %s: %s", e.ID, arrivals[len(arrivals)-1]))
+	}
+	o.h.check.Arrived(id, e.ID, o.h.now())
+}
 
 // Ran implements platformtest.Observer.
 func (o observer) Ran(e *platformtest.Engine, id, source string) {
