VMs share a target's connections by use instead of evenly

Cause: a VM had a fixed share, the number of connections that a target accepts divided by the VMs and three more.

TestHotVMUsesWhatOthersLeaveOfATargetsConnections plays 2 to 2,000 VMs, 60 to 490 connections and the next hot VM; TestVMsThatGrowTogetherKeepToATargetsConnections all VMs that want everything.

Why this works: VMs know of each other's requests at each target. What is unused beside half of the even shares goes to VMs in proportion to the requests that the others know of, so that all that grow at the same time stay within the number. Permits of stated limits and the retry burst are divided as before.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -163,6 +163,7 @@
 	stage        fleet.Stage
 	// limit is the limit that the target states on requests.
 	limit limitState
+	conns connUse
 	// connErrors is the number of consecutive failures to reach the target. If it is above 0,
 	// retryAt is when the target may be tried again.
 	retryAt    time.Time
