A crash counts also if the target is back when the VM checks

Callers would see: a request that crashes targets goes on to crash more of them, and what runs beside it.

Cause: the check of whether a target has exited asked if anything listens at its address. A VM that checks late, as on a busy machine, found the target that had started there meanwhile.

Why this works: if the connection was closed longer ago than a target takes to restart, the VM asks who runs at the address. In time, nothing more is asked.

--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -4,17 +4,22 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/httpsend"
 )
 
 // TargetChecker asks targets whether they are running. Its methods are safe for concurrent use.
 type TargetChecker interface {
-	// CheckRunning returns nil only if the target t of service s has answered. Silence, a closed connection and
-	// the answer of another process at its address are errors.
+	// CheckRunning returns nil only if the target t of service s has answered. Silence and a closed connection
+	// are errors. The error is ErrReplaced if another target has answered at the address.
 	CheckRunning(ctx context.Context, t *fleet.Target, s *fleet.Service) error
 }
 
+// ErrReplaced reports that another target runs at the address of a target, whose process has therefore exited.
+var ErrReplaced = errors.New("gateway: another target runs at the address")
+
 // runningCheckTimeout limits the time in which a target must show that it is running.
 const runningCheckTimeout = time.Second
 
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -51,6 +51,8 @@
 	// exitCheckDelay is the delay before a target that still listens is checked a second time. When
 	// a target exits, its connections may be closed before its listener is.
 	exitCheckDelay = 100 * time.Millisecond
+	// minRestartTime is less than a target takes to restart.
+	minRestartTime = 150 * time.Millisecond
 	// exitCheckTimeout limits both checks together.
 	exitCheckTimeout = time.Second
 	// trialRetryAfter is the shortest retry delay for a caller whose request is a suspect, while
@@ -231,7 +233,7 @@
 	g, request := x.g, x.quarantineReq
 	crash := quarantine.Crash{Run: t.RunID(), Version: t.Version, Began: sentAt, At: clock.Now()}
 	g.wg.Go(func() {
-		if g.hasExited(t) && ranFor <= quarantine.BlameWindow {
+		if g.hasExited(t, crash.At) && ranFor <= quarantine.BlameWindow {
 			g.quarantine.RecordCrash(&request, crash)
 		}
 	})
@@ -243,14 +245,15 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, httpsend.ErrTruncated) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// hasExited reports whether a target's process has exited. The process counts as exited if nothing
-// listens at the target's address. A target that only closed connections, or that cannot be
-// reached, has not exited. Concurrent checks of one target are merged.
-func (g *Gateway) hasExited(t *fleet.Target) bool {
+// hasExited reports whether the process of a target that closed a connection at closedAt has exited. That is so
+// if nothing listens at the target's address, or if another target does by now, as on a busy VM that checks
+// late. A target that only closed connections, or that cannot be reached, has not exited. Concurrent checks of
+// one target are merged.
+func (g *Gateway) hasExited(t *fleet.Target, closedAt time.Time) bool {
 	v, _, _ := g.exitChecks.Do(t.RunID(), func() (any, error) {
 		ctx, cancel := context.WithTimeout(g.abortCtx, exitCheckTimeout)
 		defer cancel()
-		if !g.notListening(ctx, t) && !g.notListeningAfterDelay(ctx, t) {
+		if !g.notListening(ctx, t) && !g.replacedSince(ctx, t, closedAt) && !g.notListeningAfterDelay(ctx, t) {
 			return false, nil
 		}
 		g.placer.NoteUnreachable(t.RunID(), clock.Now())
@@ -260,6 +263,16 @@
 	return exited
 }
 
+// replacedSince reports whether another target runs at the address of a target that closed a connection at
+// closedAt. The target is not asked if it has not had the time to restart.
+func (g *Gateway) replacedSince(ctx context.Context, t *fleet.Target, closedAt time.Time) bool {
+	view := g.keeper.View()
+	if clock.Since(closedAt) < minRestartTime || view.Config == nil || view.Config.Services[t.Service] == nil {
+		return false
+	}
+	return errors.Is(g.checker.CheckRunning(ctx, t, view.Config.Services[t.Service]), ErrReplaced)
+}
+
 // notListening reports whether nothing listens at a target's address.
 func (g *Gateway) notListening(ctx context.Context, t *fleet.Target) bool {
 	return errors.Is(g.client.Probe(ctx, t.Address), httpsend.ErrNotListening)
