--- a/internal/place/conns.go
+++ b/internal/place/conns.go
@@ -21,9 +21,9 @@
 	u.known, u.sampled, u.sampledAt = u.sampled, requests, now
 }
 
-// ConnLimit returns how many connections this VM may have to a target, which accepts maxConns from all VMs. vms is
-// the number of known VMs. The second result is the number that it may keep unused: others do not know of these. A VM that gets most callers may use what the others leave, but for half of their even shares,
-// which they can use without having told anybody.
+// ConnLimit returns how many connections this VM may have to a target, which accepts maxConns from all VMs, and of how
+// many it may keep unused ones, which the other VMs do not know of. vms is the number of known VMs. A VM that gets
+// most callers may use what the others leave, but for half of their even shares: these they may use at any time.
 func (p *Placer) ConnLimit(runID string, maxConns, vms int, now time.Time) (limit, kept int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
