One constant for VMs that are not known yet; tests that failed untraced print times and answers

Read as a newcomer: the number of VMs that are kept in reserve stood in two packages. Four tests that failed once and could not be traced print what tells the next time: how long a send took and its error, when a drain was checked and ended, the answer behind a status. All checks are as they were.

--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -241,7 +241,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	resp.Body.Close()
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	t.Logf("status %d, error %v: %q", resp.StatusCode, err, answer)
 	return resp
 }
 
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -71,12 +71,15 @@
 	checked := make(chan error)
 	time.AfterFunc(100*time.Millisecond, func() { checked <- g.drain.newStopCheck(2*time.Second, time.Now()).check() })
 	done := make(chan struct{})
+	began := time.Now()
 	go func() {
 		defer close(done)
 		g.Drain(ctx)
 	}()
 	is.True(<-checked != nil) // refused: it may take longer than the process has
+	t.Logf("checked after %s", time.Since(began))
 	<-done
+	t.Logf("drained after %s", time.Since(began))
 	is.NoErr(ctx.Err()) // there was time left to answer the request in flight
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,7 +46,7 @@
 	callerSilenceTimeout = 6 * time.Second
 	// spareVMs is added to the number of known VMs when a limit is divided among the VMs, to allow
 	// for VMs that are not yet known.
-	spareVMs = 3
+	spareVMs = place.SpareVMs
 )
 
 // Limits are the gateway's settings that can change while it runs.
--- a/internal/httpsend/silent_test.go
+++ b/internal/httpsend/silent_test.go
@@ -65,6 +65,7 @@
 	r.Inject(proc.Drop)
 	_, took, err := timedSend(c, d)
 	is.Equal(phaseOf(err), httpsend.Unanswered)
+	t.Logf("failed after %s: %v", took, err)
 	is.True(took < detectedWithin)
 	body, _, err := timedSend(c, d)
 	is.NoErr(err)
@@ -137,6 +138,7 @@
 			}()
 			_, took, err := timedSend(newClient(), d)
 			is.Equal(phaseOf(err), tc.phase)
+			t.Logf("failed after %s: %v", took, err)
 			is.True(took < probedWithin)
 		})
 	}
--- a/internal/place/conns.go
+++ b/internal/place/conns.go
@@ -30,7 +30,7 @@
 	s := p.stateByID(runID)
 	s.conns.sample(requests(s.ownWork), now, 2*p.others.Age())
 	// VMs that are not heard may use their even shares.
-	unheard := int(math.Ceil((1 - p.coverage()) * float64(vms) * float64(maxConns) / float64(vms+unknownVMs)))
+	unheard := int(math.Ceil((1 - p.coverage()) * float64(vms) * float64(maxConns) / float64(vms+SpareVMs)))
 	return connLimit(maxConns, vms, s.conns.known, requests(p.others.Work(runID))+unheard), evenShare(maxConns, vms)
 }
 
@@ -41,9 +41,9 @@
 // requests returns the number of requests in progress in w.
 func requests(w Work) int { return w.Running + w.Prefills }
 
-// unknownVMs is the number of VMs for which even shares are kept, as they may not be known yet. A target also
-// accepts fewer connections while its queue is long.
-const unknownVMs = 3
+// SpareVMs is added to the number of known VMs when what all of them share is divided, as some VMs may not be known
+// yet.
+const SpareVMs = 3
 
 // connLimit returns the limit of a VM whose requests at the target are known to the other VMs to be own, and who
 // have others in progress there. Each VM has its even share, or half of it while the target has no more left. What
@@ -51,7 +51,7 @@
 // not take more than their even shares are if they grow at the same time.
 func connLimit(maxConns, vms, own, others int) int {
 	even := evenShare(maxConns, vms)
-	usable := max(maxConns*vms/(vms+unknownVMs), vms)
+	usable := max(maxConns*vms/(vms+SpareVMs), vms)
 	guaranteed := max(min(even, usable-others), even/2, 1)
 	unused := usable - own - max(others, usable/2)
 	if own == 0 || unused <= 0 {
@@ -61,4 +61,4 @@
 }
 
 // evenShare returns the share of each VM if all have the same.
-func evenShare(maxConns, vms int) int { return max(maxConns/(vms+unknownVMs), 1) }
+func evenShare(maxConns, vms int) int { return max(maxConns/(vms+SpareVMs), 1) }
--- a/internal/place/conns_test.go
+++ b/internal/place/conns_test.go
@@ -44,7 +44,7 @@
 			t.Run(fmt.Sprint(vms, " VMs, ", maxConns), func(t *testing.T) {
 				is := is.New(t)
 				g := &connGroup{maxConns: maxConns, use: make([]int, vms)}
-				shares := max(maxConns*vms/(vms+unknownVMs), vms)
+				shares := max(maxConns*vms/(vms+SpareVMs), vms)
 				wanted := shares / 2
 				for _, hot := range []int{0, 1} {
 					for range 8 {
@@ -72,10 +72,10 @@
 			g := &connGroup{maxConns: 300, use: make([]int, vms)}
 			for range 20 {
 				g.round(func(int) int { return 300 })
-				is.True(g.total() <= 300*vms/(vms+unknownVMs))
+				is.True(g.total() <= 300*vms/(vms+SpareVMs))
 			}
 			for _, n := range g.use {
-				is.True(n >= max(300/(vms+unknownVMs)/2, 1))
+				is.True(n >= max(300/(vms+SpareVMs)/2, 1))
 			}
 		})
 	}
