Request lines state what the estimate of the longest answer rests on

event_tokens and step_samples tell apart the hypotheses of the incident: an estimate that is wrong because few answers were measured, and one that is wrong though many were.

--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -127,7 +127,8 @@
 		fields = append(fields, telemetry.F("deferred_ms", x.deferredFor.Milliseconds()))
 	}
 	if s := x.seat; s != nil {
-		fields = append(fields, telemetry.F("beside", s.Running), telemetry.F("longest_ms", s.LongestAnswer.Milliseconds()))
+		fields = append(fields, telemetry.F("beside", s.Running), telemetry.F("longest_ms", s.LongestAnswer.Milliseconds()),
+			telemetry.F("event_tokens", strconv.FormatFloat(s.EventTokens, 'f', 1, 64)), telemetry.F("step_samples", s.StepSamples))
 	}
 	if x.eventInterval > 0 {
 		fields = append(fields, telemetry.F("event_us", x.eventInterval.Microseconds()))
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -45,6 +45,10 @@
 	// LongestAnswer is the estimated time of the longest answer that the request may have, at the
 	// speed of a batch with Running other requests.
 	LongestAnswer time.Duration
+	// EventTokens is the number of tokens in an event that LongestAnswer is estimated with, and
+	// StepSamples the number of measurements of decode steps that it is based on.
+	EventTokens float64
+	StepSamples int
 }
 
 // Wait returns the expected time until the answer begins, less the request's own prefill.
--- a/internal/place/seats.go
+++ b/internal/place/seats.go
@@ -262,5 +262,8 @@
 // given number of others.
 func (e estimates) seatEstimate(s *state, others int, q *Prompt) Seat {
 	step := float64(e.StepTime(others)) * s.stepSlowdown
-	return Seat{Running: others, LongestAnswer: time.Duration(step * float64(e.longestAnswer(q)))}
+	return Seat{
+		Running: others, LongestAnswer: time.Duration(step * float64(e.longestAnswer(q))),
+		EventTokens: e.EventTokens(), StepSamples: e.StepSamples(),
+	}
 }
--- a/internal/profile/profile.go
+++ b/internal/profile/profile.go
@@ -243,6 +243,9 @@
 	return millis(p.loadInterval.at(Load{Running: others}.vector()) / p.EventTokens())
 }
 
+// StepSamples returns the number of recent samples that StepTime is based on.
+func (p *Profile) StepSamples() int { return len(p.loadInterval.samples) }
+
 // LoadedInterval returns the time between two events of a stream, given the other work of its
 // engine.
 func (p *Profile) LoadedInterval(l Load) time.Duration { return millis(p.loadInterval.at(l.vector())) }
