--- a/internal/model/sizes_test.go
+++ b/internal/model/sizes_test.go
@@ -140,6 +140,40 @@
 	}
 }
 
+// Guards against the loss of the longest answers where many VMs place them: the more VMs there are, the
+// fewer answers each of them has measured. In the same second the longest answer was expected to take
+// 4 s at one VM and 105 s at another.
+func TestLongAnswersAreServedByManyVMs(t *testing.T) {
+	const lowestShare = 0.8 // of the share of all answers
+	for _, c := range []struct {
+		vms  int
+		seed uint64
+	}{{80, 1}, {80, 2}, {160, 1}} {
+		t.Run(fmt.Sprintf("%d VMs, seed %d", c.vms, c.seed), func(t *testing.T) {
+			t.Parallel()
+			s, d := loadDay(t, "kochi", "quiet-1", 0.65, 1)
+			multiplyVMs(s, c.vms)
+			r := Play(s, d, GenerateRequests(s, d, c.seed), c.seed, builders["today"])
+			answers := s.classIndex("long-answer")
+			share, all := r.Sizes[answers][Largest].servedShare(), r.Classes[answers].servedShare()
+			if share < lowestShare*all {
+				t.Errorf("served share of the largest tenth is %.2f, of all %.2f", share, all)
+			}
+		})
+	}
+}
+
+// multiplyVMs multiplies the VMs of each data centre, so that there are about total of them.
+func multiplyVMs(s *Site, total int) {
+	vms := 0
+	for _, dc := range s.DataCentres {
+		vms += dc.VMs
+	}
+	for i := range s.DataCentres {
+		s.DataCentres[i].VMs *= total / vms
+	}
+}
+
 // checkSizes simulates a day and fails if the large requests of a class are served less than half
 // as often as the class. Callers wait timeoutShare times as long as the site's file says.
 func checkSizes(t *testing.T, site, day string, speed, traffic, timeoutShare float64, seed uint64) {
