VMs share what they measure of long answers

Cause: each VM learned the time of decode steps, the tokens of an event, how far answers outlast estimates and the service's step limit from its own requests only. With 83 VMs each has a long answer every two seconds, which lasts 4 to 14 s. In the same second the longest answer, 15 s, was expected to take 4 s at one VM and 105 s at another. A VM that expects too much finds no target fast enough, and then limits neither the batch nor prefills in place, for the answers of all VMs.

TestVMsKnowHowLongAnswersTakeThatOthersRan fails without exchange (0.52 to 1.88 of the true time at 166 VMs).

Now a sample of these measurements reaches all VMs with their reports: 32 of a kind a second and service from the whole group, so that a VM receives no more in a larger group. The step limit is shared when it is shortened, and once a second.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -293,6 +293,7 @@
 	})
 	group.SetPlacer(placer)
 	group.SetLimits(placer)
+	group.SetMeasurements(placer)
 	placer.SetMembership(group.Membership)
 	placer.SetOnWork(group.NotifyWork)
 	placer.SetCoverage(group.Coverage)
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -41,20 +41,21 @@
 	versionsNumber uint64
 }
 
-// due returns whether r must be sent now: if it contains send records, the use of client accounts, the
-// limits of targets or new software versions, if it differs from the last report, or if the last report was sent at least heartbeatInterval ago.
-// If so, due assigns r the next number. Ages and store times change all the time and are not
+// due returns whether r must be sent now: if it contains send records, measurements, the use of client
+// accounts, the limits of targets or new software versions, if it differs from the last report, or if
+// the last report was sent at least heartbeatInterval ago. If so, due assigns r the next number. Ages and store times change all the time and are not
 // compared.
 func (s *sender) due(r *report) bool {
-	records, used, limits, versions, ages, storeTimes := r.SendRecords, r.Used, r.Limits, r.Versions, r.AgesMS, r.StoreTimesMS
-	r.SendRecords, r.Used, r.Limits, r.Versions, r.AgesMS, r.StoreTimesMS = nil, nil, nil, nil, nil, nil
-	body := string(encode(r))
-	r.SendRecords, r.Used, r.Limits, r.Versions, r.AgesMS, r.StoreTimesMS = records, used, limits, versions, ages, storeTimes
-	if len(records) == 0 && len(used) == 0 && len(limits) == 0 && !r.versionsChanged && body == s.last && clock.Since(s.lastAt) < heartbeatInterval {
+	compared := *r
+	compared.SendRecords, compared.Measurements, compared.Used, compared.Limits, compared.Versions = nil, nil, nil, nil, nil
+	compared.AgesMS, compared.StoreTimesMS = nil, nil
+	body := string(encode(&compared))
+	urgent := len(r.SendRecords)+len(r.Measurements)+len(r.Used)+len(r.Limits) > 0 || r.versionsChanged
+	if !urgent && body == s.last && clock.Since(s.lastAt) < heartbeatInterval {
 		return false
 	}
 	s.last, s.lastAt = body, clock.Now()
-	if len(versions) > 0 {
+	if len(r.Versions) > 0 {
 		s.versionsNumber, s.nextVersions = r.versionsNumber, s.lastAt.Add(versionsInterval)
 	}
 	s.number++
@@ -75,7 +76,7 @@
 		r := p.ownReport()
 		relay, digests := p.isRelay(), p.sendsDigests()
 		p.selectSource(!relay && (digests || p.receivesDigests()))
-		p.queueOwnSendRecords(r.SendRecords, relay)
+		p.queueOwnRecords(r, relay)
 		now := clock.Now()
 		if relay && (now.Before(nextSummary) || now.Before(nextDigest)) {
 			// What has come in since may still have to be passed on.
@@ -88,7 +89,7 @@
 			p.addVersions(s, &summary)
 			if summary.due(s) {
 				if !p.sendSummary(s) {
-					p.requeueSendRecords(s.SendRecords)
+					p.requeueRecords(s)
 				}
 				nextSummary, idle = now.Add(p.summaryPause(s)), false
 			}
@@ -159,7 +160,7 @@
 	r := &report{
 		From: p.self, Incarnation: p.incarnation, Work: encodeWork(p.placer.Own()),
 		SendRecords: encodeSendRecords(p.placer.TakeSendRecords(), originHash(p.self.VM)),
-		Changing:    p.orders.OpenOrders(),
+		Changing:    p.orders.OpenOrders(), Measurements: p.takeMeasurements(),
 	}
 	if p.pathLost != nil && p.pathLost() {
 		r.WithoutPath = []string{p.self.VM}
@@ -263,7 +264,7 @@
 	}
 }
 
-// handleReport stores a report, passes its send records to the placer and its versions to the
+// handleReport stores a report, passes its send records and measurements to the placer and its versions to the
 // followed tables, and forwards a summary of another data centre within this one. It ignores a
 // report that is older than one already stored.
 func (p *Peers) handleReport(r *report) {
@@ -283,6 +284,7 @@
 	}
 	if included {
 		p.placer.Observe(decodeSendRecords(r.SendRecords, originHash(p.self.VM)), clock.Now())
+		p.observeMeasurements(r.Measurements, clock.Now())
 		p.observeUsed(r)
 		if p.limits != nil {
 			now := clock.Now()
@@ -345,7 +347,7 @@
 		p.recordRelay(r, addr)
 		next.work = p.subtractOwn(next.work)
 	} else {
-		p.queueSendRecords(r.SendRecords, !r.Summary)
+		p.queueRecords(r, !r.Summary)
 	}
 	p.maxKnownVMs = max(p.maxKnownVMs, r.KnownVMs)
 	if p.inSums(next) {
--- a/internal/peers/fan.go
+++ b/internal/peers/fan.go
@@ -100,8 +100,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.aggregate(own, append(slices.Collect(maps.Values(p.vmReports)), p.remoteReports()...))
-	r.Digest, r.SendRecords = true, p.digestSendRecords
-	p.digestSendRecords = nil
+	r.Digest = true
+	p.digestRecords.moveTo(r)
 	return r
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -107,18 +107,19 @@
 	self Member
 	// incarnation identifies this process among all processes of the VM: it is the wall-clock time
 	// of its start in ns.
-	incarnation int64
-	table       store.Table
-	log         *telemetry.Logger
-	placer      Placer
-	followed    []FollowedTable
-	orders      Orders
-	suspects    Suspects
-	usage       Usage
-	quota       Quota
-	limits      Limits
-	origins     OriginRecords
-	versions    Versions
+	incarnation  int64
+	table        store.Table
+	log          *telemetry.Logger
+	placer       Placer
+	followed     []FollowedTable
+	orders       Orders
+	suspects     Suspects
+	usage        Usage
+	quota        Quota
+	limits       Limits
+	measurements Measurements
+	origins      OriginRecords
+	versions     Versions
 	// pathLost reports whether this VM reaches no target directly.
 	pathLost func() bool
 	copier   Copier
@@ -161,10 +162,10 @@
 	// sums is the total work of all other VMs at each target. Each report that arrives updates it,
 	// because it is read for every target on every request.
 	sums map[string]place.Work
-	// summarySendRecords are the send records for the next summary, and digestSendRecords those for
-	// the next digest.
-	summarySendRecords []sendRecord
-	digestSendRecords  []sendRecord
+	// summaryRecords holds the records for the next summary, and digestRecords those for the next
+	// digest.
+	summaryRecords recordQueue
+	digestRecords  recordQueue
 	// usesDigests is true while the other VMs' work is taken from the relay's digests, and
 	// sentReports holds the latest reports of this VM.
 	usesDigests bool
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -13,10 +13,10 @@
 )
 
 const (
-	// maxQueuedSendRecords is the maximum length of each of the two queues of send records, one for
-	// the next summary and one for the next digest. It covers the send records of about half a
-	// second in the largest installations.
-	maxQueuedSendRecords = 512
+	// maxQueuedRecords is the maximum length of each of the two queues of send records, one for
+	// the next summary and one for the next digest, and of measurements. It covers the send records
+	// of about half a second in the largest installations.
+	maxQueuedRecords = 512
 	// maxWithoutPath is the maximum number of VMs without a path that a report names. Others decline when
 	// they are asked for connections.
 	maxWithoutPath = 512
@@ -86,28 +86,27 @@
 	return n
 }
 
-// queueSendRecords adds send records to the next digest and, if local is true, to the next summary.
-// local says whether the records come from VMs of this data centre. The caller must hold p.mu.
-func (p *Peers) queueSendRecords(records []sendRecord, local bool) {
-	if local && len(p.summarySendRecords) < maxQueuedSendRecords {
-		p.summarySendRecords = append(p.summarySendRecords, records...)
-	}
-	if len(p.digestSendRecords) < maxQueuedSendRecords {
-		p.digestSendRecords = append(p.digestSendRecords, records...)
+// queueRecords adds the send records and measurements of a report to the next digest and, if local is
+// true, to the next summary. local says whether they come from VMs of this data centre. The caller must
+// hold p.mu.
+func (p *Peers) queueRecords(r *report, local bool) {
+	if local {
+		p.summaryRecords.add(r)
 	}
+	p.digestRecords.add(r)
 }
 
-// queueOwnSendRecords queues this VM's send records for the next summary and digest if relay is
-// true, that is, if this VM is the relay. Otherwise it drops all queued send records, because the
-// relay has received them too.
-func (p *Peers) queueOwnSendRecords(records []sendRecord, relay bool) {
+// queueOwnRecords queues the records of r, this VM's report, for the next summary and digest if relay
+// is true, that is, if this VM is the relay. Otherwise it drops all queued records, because the relay
+// has received them too.
+func (p *Peers) queueOwnRecords(r *report, relay bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !relay {
-		p.summarySendRecords, p.digestSendRecords = nil, nil
+		p.summaryRecords, p.digestRecords = recordQueue{}, recordQueue{}
 		return
 	}
-	p.queueSendRecords(records, true)
+	p.queueRecords(r, true)
 }
 
 // summaryPause returns how long to wait after sending summary r. The relay of another data centre
@@ -134,8 +133,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.aggregate(own, slices.Collect(maps.Values(p.vmReports)))
-	r.Summary, r.SendRecords = true, p.summarySendRecords
-	p.summarySendRecords = nil
+	r.Summary = true
+	p.summaryRecords.moveTo(r)
 	return r
 }
 
@@ -213,15 +212,13 @@
 	return sent
 }
 
-// requeueSendRecords puts the send records of a summary that could not be sent back into the queue
-// for the next summary. A send record is sent only once, so it must not be lost while no relay of
-// another data centre is known.
-func (p *Peers) requeueSendRecords(records []sendRecord) {
+// requeueRecords puts the records of a summary that could not be sent back into the queue for the next
+// summary. A record is sent only once, so it must not be lost while no relay of another data centre is
+// known.
+func (p *Peers) requeueRecords(r *report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.summarySendRecords) < maxQueuedSendRecords {
-		p.summarySendRecords = append(p.summarySendRecords, records...)
-	}
+	p.summaryRecords.add(r)
 }
 
 // remoteRelays returns the last report of the relay of each other data centre that has members, or
