--- a/internal/profile/profile.go
+++ b/internal/profile/profile.go
@@ -61,11 +61,6 @@
 	// estimated. In a shorter stream the last event, which may hold fewer tokens than the others,
 	// would distort the estimate.
 	minStreamEvents = 4
-	// uncappedShare is the largest length of an answer, as a fraction of the maximum that its caller
-	// allows, at which the length that the caller expects is hardly limited by that maximum. Samples of
-	// the tokens per event from longer answers are too small on average, and have the noise cappedNoise.
-	uncappedShare = 0.5
-	cappedNoise   = 3
 	// reliableSamples is the fewest samples on which a reliable estimate is based.
 	reliableSamples = 8
 	// A size is known from minKnownSamples prefills that are at least knownSizeShare as large. A
@@ -308,11 +303,7 @@
 	if a.Events < minStreamEvents {
 		return
 	}
-	noise := 1.0
-	if float64(a.Events)*p.EventTokens() > uncappedShare*float64(a.MaxTokens) {
-		noise = cappedNoise
-	}
-	p.eventTokens.add(sample{features: constant, value: float64(a.Expected) / float64(a.Events), noise: noise})
+	p.eventTokens.add(sample{features: constant, value: float64(a.Expected) / float64(a.Events), noise: 1})
 	p.answerLengths.add(float64(a.Events) * p.EventTokens() / float64(max(a.Expected, 1)))
 }
 
