Admissions by size count a sample of the requests of all VMs

Callers saw: in lasting overload the largest prompts were admitted less than half as often as all where there are many VMs.

Cause: admission favors a size once a VM owes it four admissions, and each VM counted its own callers only. With 83 VMs one of them sees a prompt of the largest tenth every two seconds; at a tenth admitted the debt takes 107 s to build up, ten times as long as with 8 VMs.

In groups of 12 VMs and more a sample of admissions reaches all VMs with their reports, 64 a second from the whole group whatever its size, and counts as own ones do.

--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -4,13 +4,15 @@
 // Load pattern: more work arrives than the targets can do, for longer than callers wait. Which
 // requests are admitted then depends on their size: a short prompt fits into any gap, but a long
 // one only at a target that is nearly idle, and there is none. Each tenth of a route's prompts by size
-// is therefore owed a share of what is admitted. Each VM counts the requests of its own callers only.
-// They are a sample of all requests, so that VMs need not exchange their counts.
+// is therefore owed a share of what is admitted. Each VM counts the requests of its own callers and a
+// sample of those of the other VMs. Its own alone are the fewer the more VMs there are, so that
+// an imbalance would last the longer until a VM had counted enough of them.
 package fair
 
 import (
 	"slices"
 	"sync"
+	"time"
 )
 
 // Band is a range of sizes, relative to the sizes of the recent requests of the same route.
@@ -57,6 +59,14 @@
 	// maxCredit is the number of admissions owed to a tenth at which it is favored fully. It also
 	// limits how long a past imbalance is remembered.
 	maxCredit = 4
+	// sharedPerS is the number of admissions that all VMs together share per second, so that what a VM
+	// receives does not grow with the group.
+	sharedPerS = 64
+	// shareMinVMs is the smallest group in which admissions are shared. In smaller ones each VM has
+	// enough requests of its own.
+	shareMinVMs = 12
+	// maxShared is the maximum number of admissions that are kept until they are reported.
+	maxShared = 64
 )
 
 // recentSizes holds the sizes of the most recent requests of a route.
@@ -95,6 +105,19 @@
 	PromptTenth Tenth
 	// Answer is the band by the length of the answer that the caller expects.
 	Answer Band
+	// promptTokens and answerTokens are the sizes that were classified.
+	promptTokens, answerTokens int
+}
+
+// Admission is one try of a request that a VM shares with the other VMs.
+type Admission struct {
+	// Route is the name of the request's route.
+	Route string
+	// Prompt and Answer are the lengths of the prompt and of the expected answer in tokens.
+	Prompt, Answer int
+	// First states whether this is the caller's first try of the request, and Admitted whether the try
+	// was admitted.
+	First, Admitted bool
 }
 
 // route holds the recent sizes of the requests of one route, and how often they are admitted.
@@ -143,11 +166,22 @@
 // how often requests of each band are admitted. The zero value is ready for use. It is safe for
 // concurrent use.
 type Sizes struct {
-	// mu protects routes, which holds the routes by name.
-	mu     sync.Mutex
+	// groupSize returns the number of VMs. Without it nothing is shared.
+	groupSize func() int
+
+	// mu protects the fields below.
+	mu sync.Mutex
+	// routes holds the routes by name.
 	routes map[string]*route
+	// shared holds the admissions that have not been reported to other VMs yet, and nextShared is when
+	// the next one may be added.
+	shared     []Admission
+	nextShared time.Time
 }
 
+// SetGroupSize sets what tells the number of VMs. It must be called before the first request.
+func (s *Sizes) SetGroupSize(size func() int) { s.groupSize = size }
+
 // route returns the route with this name and creates it if needed. The caller holds s.mu.
 func (s *Sizes) route(name string) *route {
 	if s.routes == nil {
@@ -166,8 +200,12 @@
 func (s *Sizes) Classify(routeName string, prompt, answer int) Size {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := s.route(routeName)
-	size := Size{}
+	return s.route(routeName).classify(prompt, answer)
+}
+
+// classify returns the bands of a request.
+func (r *route) classify(prompt, answer int) Size {
+	size := Size{promptTokens: prompt, answerTokens: answer}
 	size.Prompt, size.PromptTenth = r.prompts.classify(prompt)
 	size.Answer, _ = r.answers.classify(answer)
 	return size
@@ -184,10 +222,44 @@
 // Count records one try of a request. first states whether this is the caller's first try of the
 // request, and admitted whether the try was admitted. All tries of a caller together count as one
 // request, which is admitted at most once.
-func (s *Sizes) Count(routeName string, size Size, first, admitted bool) {
+func (s *Sizes) Count(routeName string, size Size, first, admitted bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.route(routeName).count(size.PromptTenth, toFloat(first), toFloat(admitted))
+	s.share(Admission{Route: routeName, Prompt: size.promptTokens, Answer: size.answerTokens, First: first, Admitted: admitted}, now)
+}
+
+// share keeps an admission for the next report to the other VMs, if one is due. The caller holds s.mu.
+func (s *Sizes) share(a Admission, now time.Time) {
+	if s.groupSize == nil || now.Before(s.nextShared) {
+		return
+	}
+	size := s.groupSize()
+	if size < shareMinVMs || len(s.shared) >= maxShared {
+		return
+	}
+	s.shared = append(s.shared, a)
+	s.nextShared = now.Add(time.Duration(size) * time.Second / sharedPerS)
+}
+
+// TakeAdmissions returns the admissions of this VM that are to be reported to other VMs, and clears
+// them.
+func (s *Sizes) TakeAdmissions() []Admission {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.shared
+	s.shared = nil
+	return out
+}
+
+// ObserveAdmissions takes in admissions that other VMs have shared.
+func (s *Sizes) ObserveAdmissions(admissions []Admission) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range admissions {
+		r := s.route(a.Route)
+		r.count(r.classify(a.Prompt, a.Answer).PromptTenth, toFloat(a.First), toFloat(a.Admitted))
+	}
 }
 
 // toFloat returns 1 for true and 0 for false.
--- a/internal/fair/fair_test.go
+++ b/internal/fair/fair_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -50,7 +51,7 @@
 		if size.Prompt == fair.LargestTenth {
 			probability = largest
 		}
-		s.Count("r", size, true, r.Float64() < probability)
+		s.Count("r", size, true, r.Float64() < probability, time.Time{})
 	}
 }
 
@@ -88,11 +89,11 @@
 	for n := range 4000 {
 		size := s.Classify("r", n*7919%1000, 10)
 		if size.Prompt != fair.LargestTenth {
-			s.Count("r", size, true, true)
+			s.Count("r", size, true, true, time.Time{})
 			continue
 		}
-		s.Count("r", size, true, false)
-		s.Count("r", size, false, true)
+		s.Count("r", size, true, false, time.Time{})
+		s.Count("r", size, false, true, time.Time{})
 	}
 	is.Equal(s.Favor("r", fair.Size{Prompt: fair.LargestTenth}), 0.0)
 }
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/fair"
 	"garnethoist.org/garnethoist/internal/place"
 	"garnethoist.org/garnethoist/internal/telemetry"
@@ -23,7 +24,7 @@
 	}
 	again := x.g.callerWaits.sinceFirstTry(x.route.Name, x.meta.Timeout) > 0
 	x.admission = &admission{decision: d, choice: c, callerRetry: again}
-	x.g.sizes.Count(x.route.Name, x.size(), !again, d.Verdict == place.Send)
+	x.g.sizes.Count(x.route.Name, x.size(), !again, d.Verdict == place.Send, clock.Now())
 	x.g.stats.Admission(x.route.Name, x.size(), x.admission, x.deferredFor > 0)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -170,11 +170,15 @@
 		started: clock.Now(), conns: newCallerConns(p.Descriptors, p.Client.OpenConns, p.Log),
 	}
 	g.limits.Store(&limits)
+	g.sizes.SetGroupSize(func() int { return g.group.Size() })
 	g.retryBudgets = newRetryBudgets(&g.limits, p.Group, p.FirstStart, g.sinceStart)
 	g.abortCtx, g.abort = context.WithCancel(context.Background())
 	return g
 }
 
+// Sizes returns what counts the admissions of this VM by size, to be shared with the other VMs.
+func (g *Gateway) Sizes() *fair.Sizes { return &g.sizes }
+
 // SetLimits replaces the limits of a running gateway and empties its retry budgets.
 func (g *Gateway) SetLimits(l Limits) {
 	g.limits.Store(&l)
--- a/internal/model/placed.go
+++ b/internal/model/placed.go
@@ -1,7 +1,9 @@
 package model
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"garnethoist.org/garnethoist/internal/fair"
@@ -21,6 +23,8 @@
 	Admit(a *Attempt, c place.Choice, now time.Duration) place.Verdict
 	// Finish tells the admission that an attempt has ended.
 	Finish(a *Attempt)
+	// ExchangeReports has the VMs exchange what they share of their decisions.
+	ExchangeReports()
 	// Priority returns the priority to send to the engines, which serve lower values first.
 	Priority(a *Attempt) int
 }
@@ -157,6 +161,7 @@
 
 // ExchangeReports implements Policy.
 func (p *placerPolicy) ExchangeReports(now time.Duration) {
+	p.admission.ExchangeReports()
 	total := make(map[string]place.Work)
 	own := make([]map[string]place.Work, len(p.placers))
 	records := make([][]place.SendRecord, len(p.placers))
@@ -204,7 +209,7 @@
 		Favor: sizes.Favor(a.Class.Name, size),
 	})
 	if ruling.Verdict != place.Defer {
-		sizes.Count(a.Class.Name, size, a.Retry == 0, ruling.Verdict == place.Send)
+		sizes.Count(a.Class.Name, size, a.Retry == 0, ruling.Verdict == place.Send, epoch.Add(now))
 	}
 	return ruling.Verdict
 }
@@ -214,6 +219,7 @@
 	sizes := g.sizes[a.VM]
 	if sizes == nil {
 		sizes = &fair.Sizes{}
+		sizes.SetGroupSize(func() int { return len(g.sizes) })
 		g.sizes[a.VM] = sizes
 	}
 	size, ok := g.classified[a]
@@ -224,6 +230,19 @@
 	return sizes, size
 }
 
+// ExchangeReports implements Admission.
+func (g *GatewayAdmission) ExchangeReports() {
+	vms := slices.Sorted(maps.Keys(g.sizes))
+	for _, from := range vms {
+		shared := g.sizes[from].TakeAdmissions()
+		for _, to := range vms {
+			if to != from && len(shared) > 0 {
+				g.sizes[to].ObserveAdmissions(shared)
+			}
+		}
+	}
+}
+
 // Finish implements Admission.
 func (g *GatewayAdmission) Finish(a *Attempt) { delete(g.classified, a) }
 
@@ -243,6 +262,9 @@
 	return place.Send
 }
 
+// ExchangeReports implements Admission.
+func (DeadlineAdmission) ExchangeReports() {}
+
 // Finish implements Admission.
 func (DeadlineAdmission) Finish(*Attempt) {}
 
@@ -303,6 +325,9 @@
 	return place.Send
 }
 
+// ExchangeReports implements Admission.
+func (*ShareAdmission) ExchangeReports() {}
+
 // Finish implements Admission.
 func (s *ShareAdmission) Finish(a *Attempt) {
 	s.admitted[a.Class] -= s.work[a]
--- a/internal/peers/measure.go
+++ b/internal/peers/measure.go
@@ -84,11 +84,12 @@
 	return m
 }
 
-// recordQueue holds send records and measurements for the next summary or digest, each at most
-// maxQueuedRecords and those of one more report.
+// recordQueue holds the records for the next summary or digest, of each kind at most maxQueuedRecords
+// and those of one more report.
 type recordQueue struct {
 	sends        []sendRecord
 	measurements []measurement
+	admissions   []admission
 }
 
 // add adds the records of a report.
@@ -99,10 +100,13 @@
 	if len(q.measurements) < maxQueuedRecords {
 		q.measurements = append(q.measurements, r.Measurements...)
 	}
+	if len(q.admissions) < maxQueuedRecords {
+		q.admissions = append(q.admissions, r.Admissions...)
+	}
 }
 
 // moveTo sets the records of a report to the queued ones and empties the queue.
 func (q *recordQueue) moveTo(r *report) {
-	r.SendRecords, r.Measurements = q.sends, q.measurements
+	r.SendRecords, r.Measurements, r.Admissions = q.sends, q.measurements, q.admissions
 	*q = recordQueue{}
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -118,6 +118,7 @@
 	quota        Quota
 	limits       Limits
 	measurements Measurements
+	admissions   Admissions
 	origins      OriginRecords
 	versions     Versions
 	// pathLost reports whether this VM reaches no target directly.
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"garnethoist.org/garnethoist/internal/fair"
 	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/origin"
 	"garnethoist.org/garnethoist/internal/peers"
@@ -29,6 +31,9 @@
 	// shared holds the measurements to be shared, and measured those that other VMs have shared.
 	shared   []place.Measurement
 	measured []place.Measurement
+	// decided holds the admissions to be shared, and admissions those that other VMs have shared.
+	decided    []fair.Admission
+	admissions []fair.Admission
 	// reads is the number of calls of Own.
 	reads int
 }
@@ -112,6 +117,36 @@
 	return out
 }
 
+// shareAdmissions sets the admissions that TakeAdmissions returns next.
+func (p *placer) shareAdmissions(a ...fair.Admission) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.decided = a
+}
+
+// TakeAdmissions implements peers.Admissions.
+func (p *placer) TakeAdmissions() []fair.Admission {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := p.decided
+	p.decided = nil
+	return out
+}
+
+// ObserveAdmissions implements peers.Admissions. It adds the admissions to admissions.
+func (p *placer) ObserveAdmissions(a []fair.Admission) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.admissions = append(p.admissions, a...)
+}
+
+// knownAdmissions returns the admissions that other VMs have shared.
+func (p *placer) knownAdmissions() []fair.Admission {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.admissions)
+}
+
 // observedCount returns the number of send records that other VMs have reported.
 func (p *placer) observedCount() int {
 	p.mu.Lock()
@@ -226,6 +261,7 @@
 	v.peers = peers.New(m, incarnation, table, telemetry.Discard())
 	v.peers.SetPlacer(v.placer)
 	v.peers.SetMeasurements(v.placer)
+	v.peers.SetAdmissions(v.placer)
 	v.peers.SetOrders(o)
 	v.peers.Follow(v.followed)
 	addQuota(t, v)
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -14,7 +14,7 @@
 
 const (
 	// maxQueuedRecords is the maximum length of each of the two queues of send records, one for
-	// the next summary and one for the next digest, and of measurements. It covers the send records
+	// the next summary and one for the next digest, and of the other records there. It covers the send records
 	// of about half a second in the largest installations.
 	maxQueuedRecords = 512
 	// maxWithoutPath is the maximum number of VMs without a path that a report names. Others decline when
@@ -86,7 +86,7 @@
 	return n
 }
 
-// queueRecords adds the send records and measurements of a report to the next digest and, if local is
+// queueRecords adds the send records, measurements and admissions of a report to the next digest and, if local is
 // true, to the next summary. local says whether they come from VMs of this data centre. The caller must
 // hold p.mu.
 func (p *Peers) queueRecords(r *report, local bool) {
--- a/internal/peers/report.go
+++ b/internal/peers/report.go
@@ -60,6 +60,8 @@
 	SendRecords []sendRecord `cbor:"7,keyasint,omitempty"`
 	// Measurements are measurements of engines since the last report.
 	Measurements []measurement `cbor:"20,keyasint,omitempty"`
+	// Admissions are admission decisions since the last report.
+	Admissions []admission `cbor:"21,keyasint,omitempty"`
 	// Newest is the highest applied row version of each followed table.
 	Newest []uint64 `cbor:"8,keyasint"`
 	// Changing holds the engines that have been ordered to change their stage.
