--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -41,10 +41,10 @@
 	versionsNumber uint64
 }
 
-// due returns whether r must be sent now: if it contains send records, measurements, admissions, the use of
-// client accounts, the limits of targets or new software versions, if it differs from the last report, or if
-// the last report was sent at least heartbeatInterval ago. If so, due assigns r the next number. Ages and store times change all the time and are not
-// compared.
+// due returns whether r must be sent now: if it contains send records, measurements, admissions, the
+// use of client accounts, the limits of targets or new software versions, if it differs from the last
+// report, or if the last report was sent at least heartbeatInterval ago. If so, due assigns r the next
+// number. Ages and store times change all the time and are not compared.
 func (s *sender) due(r *report) bool {
 	compared := *r
 	compared.SendRecords, compared.Measurements, compared.Admissions = nil, nil, nil
@@ -265,7 +265,7 @@
 	}
 }
 
-// handleReport stores a report, passes its send records and measurements to the placer and its versions to the
+// handleReport stores a report, passes its records to those that use them and its versions to the
 // followed tables, and forwards a summary of another data centre within this one. It ignores a
 // report that is older than one already stored.
 func (p *Peers) handleReport(r *report) {
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// maxQueuedRecords is the maximum length of each of the two queues of send records, one for
-	// the next summary and one for the next digest, and of the other records there. It covers the send records
-	// of about half a second in the largest installations.
+	// maxQueuedRecords is the maximum number of records of a kind in each of the two queues, one for the
+	// next summary and one for the next digest. It covers the send records of about half a second in
+	// the largest installations.
 	maxQueuedRecords = 512
 	// maxWithoutPath is the maximum number of VMs without a path that a report names. Others decline when
 	// they are asked for connections.
@@ -86,9 +86,8 @@
 	return n
 }
 
-// queueRecords adds the send records, measurements and admissions of a report to the next digest and, if local is
-// true, to the next summary. local says whether they come from VMs of this data centre. The caller must
-// hold p.mu.
+// queueRecords adds the records of a report to the next digest and, if local is true, to the next
+// summary. local says whether they come from VMs of this data centre. The caller must hold p.mu.
 func (p *Peers) queueRecords(r *report, local bool) {
 	if local {
 		p.summaryRecords.add(r)
