--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -271,7 +271,7 @@
 	switch {
 	case err == nil:
 		x.addTrace(c.Target, strconv.Itoa(resp.Status), nil)
-		c.Ticket.ObserveAnswer(s.events, s.lastWriteAt.Sub(s.firstEventAt), clock.Now())
+		c.Ticket.ObserveAnswer(s.events, s.lastWriteAt.Sub(s.firstEventAt))
 		c.Ticket.End(place.Good, clock.Now())
 		x.noteServed(c.Target)
 		return outcomeAnswered, nil
--- a/internal/model/jobs.go
+++ b/internal/model/jobs.go
@@ -131,7 +131,7 @@
 		p.decision.Ticket.AddEvents(1, epoch.Add(sim.now))
 		if last {
 			p.decision.Ticket.ObserveLength(n)
-			p.decision.Ticket.ObserveAnswer(n, sim.now-p.firstEventAt, epoch.Add(sim.now))
+			p.decision.Ticket.ObserveAnswer(n, sim.now-p.firstEventAt)
 			p.decision.Ticket.End(place.Good, epoch.Add(sim.now))
 		}
 		sim.after(millis(sim.site.Network.CallerMS), func() { sim.deliver(p.attempt, last) })
--- a/internal/model/placed.go
+++ b/internal/model/placed.go
@@ -67,9 +67,6 @@
 			p.placers = append(p.placers, place.New(cfg, v, func(t *fleet.Target) bool { return f.Changing(t.ID) }))
 		}
 	}
-	for i, placer := range p.placers {
-		placer.SetMembership(func() (index, size int) { return i, len(p.placers) })
-	}
 	return p
 }
 
@@ -165,9 +162,8 @@
 	total := make(map[string]place.Work)
 	own := make([]map[string]place.Work, len(p.placers))
 	records := make([][]place.SendRecord, len(p.placers))
-	measurements := make([][]place.Measurement, len(p.placers))
 	for i, placer := range p.placers {
-		own[i], records[i], measurements[i] = placer.Own(), placer.TakeSendRecords(), placer.TakeMeasurements()
+		own[i], records[i] = placer.Own(), placer.TakeSendRecords()
 		for id, w := range own[i] {
 			total[id] = total[id].Plus(w)
 		}
@@ -181,7 +177,6 @@
 		for j := range p.placers {
 			if j != i {
 				placer.Observe(records[j], epoch.Add(now))
-				placer.ObserveMeasurements(measurements[j], epoch.Add(now))
 			}
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -293,7 +293,6 @@
 	})
 	group.SetPlacer(placer)
 	group.SetLimits(placer)
-	group.SetMeasurements(placer)
 	placer.SetMembership(group.Membership)
 	placer.SetOnWork(group.NotifyWork)
 	placer.SetCoverage(group.Coverage)
--- a/internal/peers/admissions.go
+++ b/internal/peers/admissions.go
@@ -54,3 +54,26 @@
 	}
 	p.admissions.ObserveAdmissions(out)
 }
+
+// recordQueue holds the records for the next summary or digest, of each kind at most maxQueuedRecords
+// and those of one more report.
+type recordQueue struct {
+	sends      []sendRecord
+	admissions []admission
+}
+
+// add adds the records of a report.
+func (q *recordQueue) add(r *report) {
+	if len(q.sends) < maxQueuedRecords {
+		q.sends = append(q.sends, r.SendRecords...)
+	}
+	if len(q.admissions) < maxQueuedRecords {
+		q.admissions = append(q.admissions, r.Admissions...)
+	}
+}
+
+// moveTo sets the records of a report to the queued ones and empties the queue.
+func (q *recordQueue) moveTo(r *report) {
+	r.SendRecords, r.Admissions = q.sends, q.admissions
+	*q = recordQueue{}
+}
--- /dev/null
+++ b/internal/peers/admissions_test.go
@@ -0,0 +1,44 @@
+package peers_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"garnethoist.org/garnethoist/internal/fair"
+	"garnethoist.org/garnethoist/internal/store"
+)
+
+// Admissions of one VM reach all other VMs unchanged, and not the VM itself.
+func TestAdmissionsReachAllVMs(t *testing.T) {
+	is := is.New(t)
+	large, small := startLarge(t, store.NewMemory())
+	all := append(large, small...)
+	for _, v := range all {
+		defer v.stop(t)
+	}
+	want := []fair.Admission{
+		{Route: "r", Prompt: 18300, Answer: 480, First: true},
+		{Route: "q", Prompt: 90, Answer: 13520, Admitted: true},
+	}
+	from := large[7]
+	for n, v := range all {
+		if v == from {
+			continue
+		}
+		eventually(t, fmt.Sprintf("VM %d has the admissions", n), func() bool {
+			// A datagram may be lost.
+			from.placer.shareAdmissions(want...)
+			time.Sleep(50 * time.Millisecond)
+			return len(v.placer.knownAdmissions()) >= len(want)
+		})
+	}
+	is.Equal(len(from.placer.knownAdmissions()), 0)
+	for _, v := range all {
+		for i, a := range v.placer.knownAdmissions() {
+			is.Equal(a, want[i%len(want)])
+		}
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -107,20 +107,19 @@
 	self Member
 	// incarnation identifies this process among all processes of the VM: it is the wall-clock time
 	// of its start in ns.
-	incarnation  int64
-	table        store.Table
-	log          *telemetry.Logger
-	placer       Placer
-	followed     []FollowedTable
-	orders       Orders
-	suspects     Suspects
-	usage        Usage
-	quota        Quota
-	limits       Limits
-	measurements Measurements
-	admissions   Admissions
-	origins      OriginRecords
-	versions     Versions
+	incarnation int64
+	table       store.Table
+	log         *telemetry.Logger
+	placer      Placer
+	followed    []FollowedTable
+	orders      Orders
+	suspects    Suspects
+	usage       Usage
+	quota       Quota
+	limits      Limits
+	admissions  Admissions
+	origins     OriginRecords
+	versions    Versions
 	// pathLost reports whether this VM reaches no target directly.
 	pathLost func() bool
 	copier   Copier
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -28,9 +28,6 @@
 	own         map[string]place.Work
 	sendRecords []place.SendRecord
 	observed    []place.SendRecord
-	// shared holds the measurements to be shared, and measured those that other VMs have shared.
-	shared   []place.Measurement
-	measured []place.Measurement
 	// decided holds the admissions to be shared, and admissions those that other VMs have shared.
 	decided    []fair.Admission
 	admissions []fair.Admission
@@ -78,45 +75,6 @@
 	p.observed = append(p.observed, records...)
 }
 
-// share sets the measurements that TakeMeasurements returns next.
-func (p *placer) share(m ...place.Measurement) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.shared = m
-}
-
-// TakeMeasurements implements peers.Measurements.
-func (p *placer) TakeMeasurements() []place.Measurement {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	out := p.shared
-	p.shared = nil
-	return out
-}
-
-// ObserveMeasurements implements peers.Measurements. It adds the measurements to measured.
-func (p *placer) ObserveMeasurements(m []place.Measurement, _ time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.measured = append(p.measured, m...)
-}
-
-// hasMeasurements reports whether other VMs have shared n measurements or more.
-func (p *placer) hasMeasurements(n int) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.measured) >= n
-}
-
-// takeMeasured returns the measurements that other VMs have shared, and clears them.
-func (p *placer) takeMeasured() []place.Measurement {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	out := p.measured
-	p.measured = nil
-	return out
-}
-
 // shareAdmissions sets the admissions that TakeAdmissions returns next.
 func (p *placer) shareAdmissions(a ...fair.Admission) {
 	p.mu.Lock()
@@ -260,7 +218,6 @@
 	v := &vm{placer: &placer{}, followed: &followed{}}
 	v.peers = peers.New(m, incarnation, table, telemetry.Discard())
 	v.peers.SetPlacer(v.placer)
-	v.peers.SetMeasurements(v.placer)
 	v.peers.SetAdmissions(v.placer)
 	v.peers.SetOrders(o)
 	v.peers.Follow(v.followed)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -223,11 +223,7 @@
 	// stepLimits holds the longest decode step at which the longest answers end in time, by
 	// service.
 	stepLimits map[string]*stepLimit
-	// measurements holds this VM's measurements that have not been reported to other VMs yet, and
-	// sharings when the next ones may be, by service.
-	measurements []Measurement
-	sharings     map[string]*sharing
-	random       *rand.Rand
+	random     *rand.Rand
 	// roundTrips holds the round trip time to the targets of each data centre.
 	roundTrips map[string]time.Duration
 	// linkFreeAt is when this VM's link will have finished the sends in progress.
@@ -246,8 +242,7 @@
 		membership: func() (int, int) { return 0, 1 }, ownLimits: make(map[string]*limitState),
 		states: make(map[string]*state), busy: make(map[string]*state), profiles: make(map[string]*profile.Profile),
 		roundTrips: make(map[string]time.Duration), peerInflows: make(map[string]*workRate), stepLimits: make(map[string]*stepLimit),
-		sharings: make(map[string]*sharing),
-		random:   rand.New(rand.NewPCG(seed, seed)),
+		random: rand.New(rand.NewPCG(seed, seed)),
 	}
 }
 
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -69,7 +69,7 @@
 		choice.Ticket.End(place.Good, now.Add(ms(took)))
 		run, _ := p.Decode([]*fleet.Target{engine("trained-decode", fleet.Decode)}, spec, longAnswerPrompt(), "a", nil, now)
 		run.Ticket.FirstEvent(now.Add(ms(8)))
-		run.Ticket.ObserveAnswer(longAnswerPrompt().Output/59, ms(35*float64(longAnswerPrompt().Output/59-1)), now)
+		run.Ticket.ObserveAnswer(longAnswerPrompt().Output/59, ms(35*float64(longAnswerPrompt().Output/59-1)))
 		run.Ticket.End(place.Good, now.Add(4*time.Second))
 	}
 	p.TakeSendRecords()
--- a/internal/place/seats.go
+++ b/internal/place/seats.go
@@ -14,9 +14,6 @@
 	at   time.Time
 	// fastest is the least slowdown of the decode steps of the service's targets.
 	fastest float64
-	// shared is the limit that a VM has shared last, and sharedAt when.
-	shared   time.Duration
-	sharedAt time.Time
 }
 
 const (
@@ -105,9 +102,7 @@
 	// A caller that comes back has less time left than at its first try. The step limit of the
 	// service is that of first tries.
 	limit := p.stepLimitOf(targets[0].Service)
-	first := time.Duration(answerTimeShare*float64(max(q.InitialLimit, q.Limit))) / time.Duration(longest)
-	limit.observe(first, now)
-	p.shareStepLimit(targets[0].Service, limit, first, now)
+	limit.observe(time.Duration(answerTimeShare*float64(max(q.InitialLimit, q.Limit)))/time.Duration(longest), now)
 	est.maxStep = limit.current(now)
 	limit.fastest = p.leastSlowdown(p.sampleDecodeTargets(targets))
 	est.fastest = limit.fastest
--- a/internal/place/seats_test.go
+++ b/internal/place/seats_test.go
@@ -42,7 +42,7 @@
 			events = int(outputFactor * float64(events))
 		}
 		c.Ticket.FirstEvent(now)
-		c.Ticket.ObserveAnswer(events, eventGap*time.Duration(events-1), now)
+		c.Ticket.ObserveAnswer(events, eventGap*time.Duration(events-1))
 		c.Ticket.End(place.Good, now)
 	}
 	o[t.ID] = before
--- a/internal/place/ticket.go
+++ b/internal/place/ticket.go
@@ -229,14 +229,14 @@
 	defer p.mu.Unlock()
 	s := p.stateByID(t.id)
 	if !first {
-		t.observeSteps(s, t.span.events, now.Sub(t.span.began), now)
+		t.observeSteps(s, t.span.events, now.Sub(t.span.began))
 	}
 	t.span = span{began: now, running: p.totalWork(t.id).Running - 1, inPlaceTokens: s.inPlaceTokens}
 }
 
 // ObserveAnswer records a whole answer: the number of its events, and the time from the first to
 // the last of them.
-func (t *Ticket) ObserveAnswer(events int, took time.Duration, now time.Time) {
+func (t *Ticket) ObserveAnswer(events int, took time.Duration) {
 	if t == nil || t.ended || t.prompt == nil || t.placer.cfg.Off.Profile {
 		return
 	}
@@ -244,15 +244,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !t.stepsObserved && events >= minObservedEvents {
-		t.observeSteps(p.stateByID(t.id), events-1, took, now)
+		t.observeSteps(p.stateByID(t.id), events-1, took)
 	}
-	answer := profile.Answer{Events: events, Expected: t.prompt.Output, MaxTokens: t.prompt.MaxOutput}
-	p.profile(t.service).ObserveAnswer(answer)
-	p.shareAnswer(t.service, answer, now)
+	p.profile(t.service).ObserveAnswer(events, t.prompt.Output)
 }
 
 // observeSteps records the time that the given number of events took. The caller holds Placer.mu.
-func (t *Ticket) observeSteps(s *state, events int, took time.Duration, now time.Time) {
+func (t *Ticket) observeSteps(s *state, events int, took time.Duration) {
 	p := t.placer
 	if p.cfg.Off.Profile {
 		return
@@ -266,9 +264,7 @@
 	}
 	// The slower targets of a service run smaller batches. If their times were not divided by their
 	// slowdown, steps would seem to grow less with the size of the batch, or not at all.
-	steps := profile.Steps{Events: events, Took: time.Duration(float64(took) / s.stepSlowdown), Load: b}
-	f.ObserveSteps(steps)
-	p.shareSteps(t.service, steps, now)
+	f.ObserveEvents(events, time.Duration(float64(took)/s.stepSlowdown), b)
 }
 
 // stepSlowdownDecay is the fraction by which the logarithm of a step slowdown decreases with each
--- a/internal/profile/profile.go
+++ b/internal/profile/profile.go
@@ -1,9 +1,7 @@
 // Package profile estimates how fast the engines of a service are, from the times that this VM's
-// own requests take, and from what other VMs measured of long answers. It uses no clock and no
-// network: its callers pass in what was measured. About ten requests are enough for the magnitude of
-// each estimate. A VM sends that many prompts within a second or two, but it may have a long answer
-// only every few seconds, and so learns the times of decode steps and the lengths of answers from a
-// sample of those of all VMs.
+// own requests take. It uses no clock and no network: its callers pass in what they measured. VMs
+// do not exchange their estimates: about ten requests are enough for the magnitude of each
+// estimate, and a VM sends that many within a second or two.
 //
 // An engine first prefills a prompt, which means that it computes the prompt's KV cache, and then
 // decodes: each decode step yields one token of the answer. The answer is sent as a stream of
@@ -290,43 +288,29 @@
 // recent answers does not exceed.
 func (p *Profile) LengthRatio() float64 { return p.answerLengths.quantile }
 
-// Answer is the length of a complete answer.
-type Answer struct {
-	Events int
-	// Expected is the number of tokens that its caller expected, and MaxTokens the largest number that
-	// the caller allowed.
-	Expected, MaxTokens int
-}
-
-// ObserveAnswer records a complete answer.
-func (p *Profile) ObserveAnswer(a Answer) {
-	if a.Events < minStreamEvents {
+// ObserveAnswer records a complete answer: its number of events and the number of tokens that its
+// caller expected.
+func (p *Profile) ObserveAnswer(events, expected int) {
+	if events < minStreamEvents {
 		return
 	}
-	p.eventTokens.add(sample{features: constant, value: float64(a.Expected) / float64(a.Events), noise: 1})
-	p.answerLengths.add(float64(a.Events) * p.EventTokens() / float64(max(a.Expected, 1)))
-}
-
-// Steps is the time that a number of consecutive events of a stream took, and the engine's other work
-// meanwhile.
-type Steps struct {
-	Events int
-	Took   time.Duration
-	Load   Load
+	p.eventTokens.add(sample{features: constant, value: float64(expected) / float64(events), noise: 1})
+	p.answerLengths.add(float64(events) * p.EventTokens() / float64(max(expected, 1)))
 }
 
-// ObserveSteps records the time of consecutive events of a stream.
+// ObserveEvents records the time that a number of consecutive events of a stream took, and the
+// engine's other work meanwhile.
 //
 // Concurrent prefill is a feature of the estimate. Subtracting the estimated prefill time from the
 // sample instead left too much or too little time for the decode steps of engines that prefill
 // much. These steps seemed slow, and the engines were given still more to prefill.
-func (p *Profile) ObserveSteps(s Steps) {
-	if s.Events <= 0 {
+func (p *Profile) ObserveEvents(events int, took time.Duration, load Load) {
+	if events <= 0 {
 		return
 	}
-	interval := toMillis(s.Took) / float64(s.Events)
-	p.loadInterval.add(sample{features: s.Load.vector(), value: interval, noise: 1})
-	prefill := p.loadInterval.at(vector{2: s.Load.vector()[2]})
+	interval := toMillis(took) / float64(events)
+	p.loadInterval.add(sample{features: load.vector(), value: interval, noise: 1})
+	prefill := p.loadInterval.at(vector{2: load.vector()[2]})
 	p.eventInterval.add(sample{features: constant, value: max(interval-prefill, interval/2), noise: 1})
 }
 
--- a/internal/profile/profile_test.go
+++ b/internal/profile/profile_test.go
@@ -245,8 +245,8 @@
 // last event, the number of tokens that its caller expected and the number of other requests that
 // ran meanwhile.
 func observeStream(p *profile.Profile, events int, took time.Duration, expected, others int) {
-	p.ObserveSteps(profile.Steps{Events: events - 1, Took: took, Load: profile.Load{Running: others}})
-	p.ObserveAnswer(profile.Answer{Events: events, Expected: expected})
+	p.ObserveEvents(events-1, took, profile.Load{Running: others})
+	p.ObserveAnswer(events, expected)
 }
 
 // The time that an engine takes to prefill prompts between the events of a stream is separated from
@@ -259,7 +259,7 @@
 			for range 200 {
 				load := profile.Load{Running: r.IntN(60), PrefillTokens: 600 * r.Float64()}
 				interval := 40*(1+0.006*float64(load.Running)) + tokenMS*load.PrefillTokens
-				p.ObserveSteps(profile.Steps{Events: 16, Took: ms(16 * interval * (1 + 0.1*(r.Float64()-0.5))), Load: load})
+				p.ObserveEvents(16, ms(16*interval*(1+0.1*(r.Float64()-0.5))), load)
 			}
 			for _, load := range []profile.Load{{}, {Running: 60}, {Running: 30, PrefillTokens: 500}} {
 				want := 40*(1+0.006*float64(load.Running)) + tokenMS*load.PrefillTokens
