Review: a refusal that names no request is taken for an answer

Shows that a stream that may run once is answered 503 and runs: the engine sends additional bytes, a refusal without an id, when the next request on the channel is in.

--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -34,12 +34,16 @@
 	GarbageEvery  int
 	GarbageMB     int
 	GarbageMBPerS int
+	// ExtraEvery makes the engine send additional bytes after every ExtraEvery-th answer, late: when the next
+	// request on the channel is in. They are an answer to no request, as they have no Request-Id. 0 means none.
+	ExtraEvery int
 	// SwitchMS is how long a change of the stage takes.
 	SwitchMS int
 }
 
 // engine is a stand-in for an engine: a process of its own, which can be killed. It prints what it does
-// on its standard output: "run ID", "end ID", "order BODY" and "stage NAME".
+// on its standard output: "run ID FRAMING", "end ID", "left ID", "extra ID", "order STAGE HOLDER FENCE" and
+// "stage NAME".
 type engine struct {
 	spec engineSpec
 
@@ -49,6 +53,7 @@
 	sequence int
 	running  int
 	answers  int
+	complete int
 	handles  int
 	draining bool
 }
@@ -88,7 +93,7 @@
 func (e *engine) serve(c net.Conn) {
 	defer c.Close()
 	br := bufio.NewReader(c)
-	for {
+	for extra := false; ; {
 		r, err := http.ReadRequest(br)
 		if err != nil {
 			return
@@ -97,12 +102,25 @@
 		if err != nil {
 			return
 		}
+		if extra {
+			fmt.Println("extra", r.Header.Get("Request-Id"))
+			if _, err := io.WriteString(c, extraBytes); err != nil {
+				return
+			}
+		}
 		if !e.answer(c, r, body) {
 			return
 		}
+		e.mu.Lock()
+		e.complete++
+		extra = e.spec.ExtraEvery > 0 && e.complete%e.spec.ExtraEvery == 0
+		e.mu.Unlock()
 	}
 }
 
+// extraBytes is the answer with which an engine sheds, as the bench's examples of messages show it.
+const extraBytes = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
 func respond(c net.Conn, status int, headers, body string) bool {
 	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), headers, len(body), body)
 	return err == nil
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -356,3 +356,18 @@
 	<-e.stopped
 	w.record.add("engine %s is gone", e.spec.ID)
 }
+
+// runs returns how often each request has run.
+func (w *world) runs() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ran := make(map[string]int)
+	for _, e := range w.engines {
+		e.mu.Lock()
+		for _, id := range e.runs {
+			ran[id]++
+		}
+		e.mu.Unlock()
+	}
+	return ran
+}
