--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -350,6 +350,27 @@
 	w.record.add("engine %s reports draining", e.spec.ID)
 }
 
+// garble makes all engines begin or stop to garble answers, as far as their specs say so.
+func (w *world) garble(on bool) {
+	word := map[bool]string{true: "on", false: "off"}[on]
+	w.record.add("garble %s", word)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, e := range w.engines {
+		// An engine that is gone takes nothing.
+		_, _ = io.WriteString(e.stdin, "garble "+word+"\n")
+	}
+}
+
+// garbleAtTimes makes the engines garble for a time, with pauses, while traffic lasts.
+func (w *world) garbleAtTimes(length, on, off time.Duration) {
+	for began := time.Now(); time.Since(began)+on < length; time.Sleep(off) {
+		w.garble(true)
+		time.Sleep(on)
+		w.garble(false)
+	}
+}
+
 // kill ends an engine's process at once.
 func (w *world) kill(e *engineProcess) {
 	_ = e.cmd.Process.Signal(syscall.SIGKILL)
