--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/garnet-node ] && [ -x target/review-standin ] || { echo "build the deploy file and review/build.sh first" >&2; exit 2; }
-exec target/review-standin garbage target/garnet-node review/3/record.txt
+exec target/review-standin usage target/garnet-node review/3/record.txt
