A late write of the usage ledger takes no effect after a later one

Cause: a write of the ledger had two conditions, that the tenure lasts and that the window has no row. Both are true again once the row of the window was written by a second attempt, sent and removed. The late write then brings the row back with the counts of the first attempt and sets the last sent window back, and the next holder sends the window again.

TestLateLedgerWriteReportsASentWindowAgain fails on the code before with one window in conflict.

The ledger's head is the row of the last sent window, which each write contained before. store.Memory can hold back writes and execute them late.

--- a/internal/store/contract_test.go
+++ b/internal/store/contract_test.go
@@ -120,6 +120,19 @@
 			_, err = s.Get(ctx, "k")
 			is.True(errors.Is(err, store.ErrNotFound))
 		}},
+		{"no response, executed later", func(is *is.I, ctx context.Context, s platformServices, m *store.Memory) {
+			m.SetFault(store.FaultLateWrites)
+			_, err := s.Commit(ctx, putTxn("k", "a", 0))
+			is.True(errors.Is(err, store.ErrUnknown))
+			_, err = s.Commit(ctx, putTxn("k", "b", 0))
+			is.True(errors.Is(err, store.ErrUnknown))
+			_, err = s.Get(ctx, "k")
+			is.True(errors.Is(err, store.ErrNotFound))
+			is.Equal(m.RunLate(), 1) // the condition of the second does not hold any more
+			r, err := s.Get(ctx, "k")
+			is.NoErr(err)
+			is.Equal(string(r.Value), "a")
+		}},
 		{"objects are written once", func(is *is.I, ctx context.Context, s platformServices, _ *store.Memory) {
 			is.NoErr(s.PutObject(ctx, "o", []byte("first")))
 			is.True(errors.Is(s.PutObject(ctx, "o", []byte("second")), store.ErrConflict))
--- a/internal/store/memory.go
+++ b/internal/store/memory.go
@@ -20,8 +20,9 @@
 	revision uint64
 	// listing is the VM list.
 	listing VMListing
-	// fault is the current failure mode.
+	// fault is the current failure mode, and late holds the transactions that FaultLateWrites has held back.
 	fault Fault
+	late  []Txn
 	// reads and writes count the requests, including those that fail because of fault.
 	reads  uint64
 	writes uint64
@@ -46,6 +47,9 @@
 	FaultLostWrites Fault = "lost_writes"
 	// FaultLostResponses makes writes take effect but fail with ErrUnknown.
 	FaultLostResponses Fault = "lost_answers"
+	// FaultLateWrites makes writes fail with ErrUnknown. Transactions are held back until RunLate; objects
+	// are not written.
+	FaultLateWrites Fault = "late_writes"
 )
 
 // defaultBytesPerS is the initial value of Memory.bytesPerS.
@@ -150,7 +154,19 @@
 		return 0, ErrUnavailable
 	case FaultLostWrites:
 		return 0, ErrUnknown
+	case FaultLateWrites:
+		m.late = append(m.late, txn)
+		return 0, ErrUnknown
+	}
+	version, err := m.execute(txn)
+	if err == nil && m.fault == FaultLostResponses {
+		return 0, ErrUnknown
 	}
+	return version, err
+}
+
+// execute executes a transaction. The caller must hold m.mu.
+func (m *Memory) execute(txn Txn) (uint64, error) {
 	for _, c := range txn.Conds {
 		if m.records[c.Key].Version != c.Version {
 			return 0, ErrConflict
@@ -163,12 +179,24 @@
 	for _, k := range txn.Deletes {
 		delete(m.records, k)
 	}
-	if m.fault == FaultLostResponses {
-		return 0, ErrUnknown
-	}
 	return m.revision, nil
 }
 
+// RunLate executes the transactions that FaultLateWrites has held back, in the order in which they came,
+// and returns how many of them took effect.
+func (m *Memory) RunLate() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	done := 0
+	for _, txn := range m.late {
+		if _, err := m.execute(txn); err == nil {
+			done++
+		}
+	}
+	m.late = nil
+	return done
+}
+
 // PutObject implements Objects.
 func (m *Memory) PutObject(_ context.Context, name string, data []byte) error {
 	m.mu.Lock()
@@ -177,7 +205,7 @@
 	switch m.fault {
 	case FaultDown:
 		return ErrUnavailable
-	case FaultLostWrites:
+	case FaultLostWrites, FaultLateWrites:
 		return ErrUnknown
 	}
 	if _, ok := m.objects[name]; ok {
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -14,7 +14,8 @@
 const (
 	// KeyPrefix is the prefix of the store keys of reports.
 	KeyPrefix = "usage/"
-	// sentKey is the key of the row that holds a sentRow.
+	// sentKey is the key of the row that holds a sentRow. It is the head of the journal: each transaction
+	// replaces it.
 	sentKey = KeyPrefix + "sent"
 	// windowsPrefix is the prefix of the keys of finalized reports that may not have been sent
 	// yet.
@@ -57,10 +58,10 @@
 	Window Window `json:"window"`
 }
 
-// readLedger reads the ledger from the store. It fails if the store cannot be read or a row is
-// malformed.
-func readLedger(ctx context.Context, table store.Table) (*ledger, error) {
-	records, err := table.List(ctx, KeyPrefix)
+// readLedger reads the ledger from its journal in a tenure. It fails if the store cannot be read or a row
+// is malformed.
+func readLedger(ctx context.Context, journal *store.Journal, tenure store.Cond) (*ledger, error) {
+	records, err := journal.Read(ctx, tenure)
 	if err != nil {
 		return nil, errors.Wrap(err, "read usage reports")
 	}
@@ -70,6 +71,9 @@
 	var order []Window
 	for _, r := range records {
 		if r.Key == sentKey {
+			if len(r.Value) == 0 {
+				continue
+			}
 			var s sentRow
 			if err := json.Unmarshal(r.Value, &s); err != nil {
 				return nil, errors.Wrapf(err, "decode %s", r.Key)
@@ -110,15 +114,14 @@
 	}
 }
 
-// finalize returns the transaction that makes a report final, and sets r.rows. The transaction
-// fails if the window was finalized before or the condition of the tenure does not hold. It also
-// stores lastSent and removes the first stale rows; removed is the number of stale rows that the
-// transaction deletes.
-func (l *ledger) finalize(r *report, tenure store.Cond) (txn store.Txn, removed int, err error) {
+// finalize makes a report final in a tenure, and sets r.rows. It fails if the window was finalized before.
+// It also stores lastSent and removes the first stale rows. After an error the ledger has to be read again.
+func (l *ledger) finalize(ctx context.Context, journal *store.Journal, tenure store.Cond, r *report) error {
 	value, err := json.Marshal(r.counts)
 	if err != nil {
-		return txn, 0, errors.Wrap(err, "encode usage report")
+		return errors.Wrap(err, "encode usage report")
 	}
+	txn := store.Txn{Conds: []store.Cond{{Key: rowKey(r.window, 0)}}}
 	for r.rows = 0; r.rows == 0 || len(value) > 0; r.rows++ {
 		n := min(len(value), maxRowBytes)
 		txn.Puts = append(txn.Puts, store.Put{Key: rowKey(r.window, r.rows), Value: value[:n]})
@@ -126,11 +129,14 @@
 	}
 	sent, err := json.Marshal(sentRow{l.lastSent})
 	if err != nil {
-		return txn, 0, errors.Wrap(err, "encode last sent window")
+		return errors.Wrap(err, "encode last sent window")
 	}
-	txn.Conds = []store.Cond{tenure, {Key: rowKey(r.window, 0)}}
-	txn.Puts = append(txn.Puts, store.Put{Key: sentKey, Value: sent})
-	removed = min(len(l.stale), maxDeletes)
+	removed := min(len(l.stale), maxDeletes)
 	txn.Deletes = l.stale[:removed]
-	return txn, removed, nil
+	if err := journal.Commit(ctx, tenure, sent, txn); err != nil {
+		return err
+	}
+	l.stale = l.stale[removed:]
+	l.unsent = append(l.unsent, r)
+	return nil
 }
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -75,7 +75,7 @@
 	*Counter
 	cfg      Config
 	tally    *Tally
-	table    store.Table
+	journal  *store.Journal
 	platform Platform
 	holder   Holder
 	group    Group
@@ -95,7 +95,7 @@
 // Start.
 func NewReporter(cfg Config, counter *Counter, table store.Table, platform Platform, holder Holder, log *telemetry.Logger) *Reporter {
 	return &Reporter{
-		cfg: cfg, Counter: counter, tally: NewTally(), table: table, platform: platform, holder: holder, log: log,
+		cfg: cfg, Counter: counter, tally: NewTally(), journal: store.NewJournal(table, KeyPrefix, sentKey), platform: platform, holder: holder, log: log,
 		firstWindow: WindowAt(clock.Now(), cfg.Length),
 	}
 }
@@ -166,7 +166,7 @@
 func (r *Reporter) loadLedger(ctx context.Context, t duty.Tenure) bool {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	l, err := readLedger(call, r.table)
+	l, err := readLedger(call, r.journal, t.Condition)
 	if err != nil {
 		r.log.Warn(telemetry.EventUsage, telemetry.F("ledger", "read"), telemetry.F("cause", err))
 		return false
@@ -204,21 +204,15 @@
 		return false
 	}
 	rep := &report{window: w, counts: r.tally.Sums(w)}
-	txn, removed, err := r.ledger.finalize(rep, t.Condition)
-	if err == nil {
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		_, err = r.table.Commit(call, txn)
-	}
-	if err != nil {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := r.ledger.finalize(call, r.journal, t.Condition, rep); err != nil {
 		// The write may have taken effect, or another holder may have finalized the window with
 		// other counts. The ledger is therefore read again.
 		r.ledger = nil
 		r.log.Warn(telemetry.EventUsage, telemetry.F("window", int64(w)), telemetry.F("fixed", false), telemetry.F("cause", err))
 		return false
 	}
-	r.ledger.stale = r.ledger.stale[removed:]
-	r.ledger.unsent = append(r.ledger.unsent, rep)
 	r.log.Info(telemetry.EventUsage, telemetry.F("window", int64(w)), telemetry.F("fixed", true), telemetry.F("accounts", len(rep.counts)),
 		telemetry.F("missing", missing), telemetry.F("late_ms", now.Sub(end).Milliseconds()), telemetry.F("fence", t.Fence))
 	return true
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -112,15 +112,17 @@
 	time     *clock.Simulated
 	group    *group
 	platform *fakePlatform
+	memory   *store.Memory
 	table    *faultyTable
 }
 
 // newFixture returns a fixture with simulated time.
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
+	m := store.NewMemory()
 	s := &fixture{
 		t: t, time: clock.Simulate(), group: &group{vms: make(map[string]*vm)},
-		platform: &fakePlatform{reports: make(map[Window]map[string]int)}, table: &faultyTable{Table: store.NewMemory()},
+		platform: &fakePlatform{reports: make(map[Window]map[string]int)}, memory: m, table: &faultyTable{Table: m},
 	}
 	t.Cleanup(s.time.Restore)
 	for _, name := range []string{"vm-1", "vm-2"} {
@@ -270,6 +272,29 @@
 	is.Equal(len(s.platform.conflicting), 0)
 }
 
+// A write that is executed seconds late must not bring back the report of a window that was finalized with
+// other counts and sent since: the next holder would send the window once more.
+func TestLateLedgerWriteReportsASentWindowAgain(t *testing.T) {
+	is := is.New(t)
+	s := newFixture(t)
+	r, h := s.newReporter(1)
+	s.run(r, time.Second)
+	w := s.currentWindow(r)
+	s.group.vms["vm-1"].Ran("a", clock.Now())
+	s.run(r, w.End(length).Add(countGrace).Sub(clock.Now()))
+	s.memory.SetFault(store.FaultLateWrites)
+	s.run(r, time.Second)
+	s.memory.SetFault(store.FaultNone)
+	s.group.vms["vm-1"].Ran("a", w.End(length).Add(-time.Second)) // counted late
+	s.run(r, 2*length)
+	is.True(len(s.platform.reports) > 1) // w and the window after it
+	s.memory.RunLate()
+	h.fence = 0
+	next, _ := s.newReporter(2)
+	s.run(next, 2*length)
+	is.Equal(s.platform.conflicting, nil)
+}
+
 // After an outage of the store or of the platform, the missed windows are reported in order.
 func TestMissedWindowsAreReportedAfterAnOutage(t *testing.T) {
 	for name, out := range map[string]func(s *fixture, on bool){
@@ -326,7 +351,7 @@
 	}
 	s.run(r, 40*time.Second)
 	is.Equal(len(s.platform.reports[w]), accounts)
-	l, err := readLedger(context.Background(), s.table)
+	l, err := readLedger(context.Background(), store.NewJournal(s.table, KeyPrefix, sentKey), store.Cond{Key: "fence"})
 	is.NoErr(err)
 	is.True(l.lastSent >= w)
 }
@@ -364,7 +389,7 @@
 		if _, err := table.Commit(context.Background(), store.Txn{Puts: []store.Put{{Key: key, Value: value}}}); err != nil {
 			return
 		}
-		l, err := readLedger(context.Background(), table)
+		l, err := readLedger(context.Background(), store.NewJournal(table, KeyPrefix, sentKey), store.Cond{Key: "fence"})
 		if err != nil {
 			return
 		}
