--- a/internal/stages/controller.go
+++ b/internal/stages/controller.go
@@ -61,6 +61,9 @@
 	maxChangesPerTxn = 90
 	// KeyPrefix is the prefix of the store keys under which orders are journalled.
 	KeyPrefix = "order/"
+	// leaseDataCentre and leaseService name the lease, which covers all data centres and services.
+	leaseDataCentre = "all"
+	leaseService    = "stages"
 )
 
 // Order tells an engine to change its stage.
@@ -118,7 +121,7 @@
 	kernel.Background
 	cfg     Config
 	keeper  *fleet.Keeper
-	table   store.Table
+	journal *store.Journal
 	engines EngineClient
 	lease   *lease.Lease
 	clock   lease.Clock
@@ -158,16 +161,16 @@
 	// heldFence is the fencing number of the last tenure whose start was logged. It is 0 once the
 	// end of that tenure has been logged or the lease has been released.
 	heldFence uint64
-	// journalFence is the fencing number of the tenure in which the journal was read.
+	// journalFence is the fencing number of the tenure in which the journal was read; 0 if it has to be read.
 	journalFence uint64
 }
 
 // New returns a controller that does nothing until Start. The clock must also count the time for
 // which the machine is suspended.
 func New(cfg Config, keeper *fleet.Keeper, table store.Table, engines EngineClient, clock lease.Clock, incarnation uint64, log *telemetry.Logger) *Controller {
-	lc := lease.Config{DataCentre: "all", Service: "stages", Holder: cfg.VM, Incarnation: incarnation, TTL: leaseTTL}
+	lc := lease.Config{DataCentre: leaseDataCentre, Service: leaseService, Holder: cfg.VM, Incarnation: incarnation, TTL: leaseTTL}
 	return &Controller{
-		cfg: cfg, keeper: keeper, table: table, engines: engines, clock: clock, log: log,
+		cfg: cfg, keeper: keeper, journal: store.NewJournal(table, KeyPrefix, headKey), engines: engines, clock: clock, log: log,
 		lease: lease.New(lc, table, clock), openOrders: make(map[string]*openOrder),
 		load: func(string) int { return 0 }, changingElsewhere: func(string) bool { return false },
 		isCandidate: func() bool { return true }, decodeDemand: func([]*fleet.Target) float64 { return 0 }, decodePeaks: make(map[string]*demandPeaks),
@@ -256,7 +259,8 @@
 		return
 	}
 	changes := c.pendingChanges(v)
-	if len(changes) == 0 && len(c.closedOrders(v)) == 0 {
+	// A write whose outcome is unknown is settled before the lease is released.
+	if len(changes) == 0 && len(c.closedOrders(v)) == 0 && !(held && c.journalFence == 0) {
 		c.changesSince = 0
 		c.releaseLease(ctx)
 		return
@@ -272,13 +276,16 @@
 		return
 	}
 	if c.journalFence != t.Fence {
-		if err := c.readJournal(ctx); err != nil {
+		if err := c.readJournal(ctx, t); err != nil {
 			c.log.Warn(telemetry.EventOrderRefused, telemetry.F("journal", "read"), telemetry.F("cause", err))
 			return
 		}
 		c.journalFence = t.Fence
 	}
 	c.removeClosedOrders(ctx, t, v)
+	if c.journalFence != t.Fence {
+		return
+	}
 	if t.Fence > 1 && c.clock()-t.Since < c.cfg.HandoverGap+propagationDelay {
 		// The previous holder may have sent an order until the end of its tenure.
 		return
@@ -371,8 +378,8 @@
 }
 
 // closedOrders returns the run ids of the engines whose orders are no longer open: the engine shows
-// the ordered stage or is gone, or the order has timed out. Their rows can be removed from the
-// journal.
+// the ordered stage or is gone, or the order has timed out or was never sent. Their rows can be removed
+// from the journal.
 func (c *Controller) closedOrders(v *fleet.View) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -382,7 +389,7 @@
 	waiting := make(map[string]bool, len(c.openOrders))
 	for _, ts := range v.Targets {
 		for _, t := range ts {
-			if o := c.openOrders[t.RunID()]; o != nil && o.row.Stage != t.Stage && !c.timedOut(o) {
+			if o := c.openOrders[t.RunID()]; o != nil && !o.abandoned && o.row.Stage != t.Stage && !c.timedOut(o) {
 				waiting[t.RunID()] = true
 			}
 		}
--- a/internal/stages/journal.go
+++ b/internal/stages/journal.go
@@ -32,29 +32,41 @@
 	outcomeUnknown bool
 	// notSent is set if the engine was not sent the order or refused it.
 	notSent bool
+	// abandoned is set if the order was not sent because the outcome of writing the row was unknown.
+	abandoned bool
 }
 
-// readJournal replaces openOrders with the rows of the journal. It is called at the start of a
-// tenure.
-func (c *Controller) readJournal(ctx context.Context) error {
+// headKey is the key of the journal's head.
+const headKey = "journal/stages"
+
+// readJournal replaces openOrders with the rows of the journal. It is called at the start of a tenure,
+// and after a write that failed. Orders of this tenure keep what is known of them.
+func (c *Controller) readJournal(ctx context.Context, t lease.Tenure) error {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	records, err := c.table.List(call, KeyPrefix)
+	records, err := c.journal.Read(call, condition(t))
 	if err != nil {
 		return errors.Wrap(err, "read order journal")
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.openOrders = make(map[string]*openOrder)
+	open := make(map[string]*openOrder)
 	for _, r := range records {
 		engine := strings.TrimPrefix(r.Key, KeyPrefix)
 		var v journalRow
 		if err := json.Unmarshal(r.Value, &v); err != nil {
 			return errors.Wrapf(err, "decode %s", r.Key)
 		}
-		c.openOrders[engine] = &openOrder{row: v, seenAt: c.clock()}
-		c.log.Info(telemetry.EventOrderAdopted, telemetry.F("engine", engine), telemetry.F("stage", string(v.Stage)), telemetry.F("holder", v.Holder), telemetry.F("fence", v.Fence))
+		own := v.Holder == c.cfg.VM && v.Fence == t.Fence
+		if known := c.openOrders[engine]; own && known != nil && known.row == v {
+			open[engine] = known
+			continue
+		}
+		open[engine] = &openOrder{row: v, seenAt: c.clock(), abandoned: own}
+		c.log.Info(telemetry.EventOrderAdopted, telemetry.F("engine", engine), telemetry.F("stage", string(v.Stage)), telemetry.F("holder", v.Holder),
+			telemetry.F("fence", v.Fence), telemetry.F("abandoned", own))
 	}
+	c.openOrders = open
 	return nil
 }
 
@@ -84,11 +96,18 @@
 	}
 }
 
-// commit writes to the journal on the condition that the tenure has not ended.
+// commit writes to the journal in tenure t. After an error the journal is read again before the next write.
 func (c *Controller) commit(ctx context.Context, t lease.Tenure, txn store.Txn) error {
-	txn.Conds = append(txn.Conds, store.Cond{Key: lease.FenceKey("all", "stages"), Version: t.FenceVersion})
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err := c.table.Commit(call, txn)
+	err := c.journal.Commit(call, condition(t), nil, txn)
+	if err != nil {
+		c.journalFence = 0
+	}
 	return err
 }
+
+// condition returns the condition that holds until tenure t ends.
+func condition(t lease.Tenure) store.Cond {
+	return store.Cond{Key: lease.FenceKey(leaseDataCentre, leaseService), Version: t.FenceVersion}
+}
--- a/internal/stages/stages_test.go
+++ b/internal/stages/stages_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -410,6 +411,63 @@
 	}
 }
 
+// lateTable is a store that executes the first write of an order to the journal only when RunLate is called.
+type lateTable struct {
+	*store.Memory
+	once sync.Once
+}
+
+// Commit implements store.Table.
+func (l *lateTable) Commit(ctx context.Context, txn store.Txn) (uint64, error) {
+	for _, p := range txn.Puts {
+		if strings.HasPrefix(p.Key, stages.KeyPrefix) {
+			l.once.Do(func() { l.SetFault(store.FaultLateWrites) })
+		}
+	}
+	defer l.SetFault(store.FaultNone)
+	return l.Memory.Commit(ctx, txn)
+}
+
+// A write of the journal that is executed late must not bring back the rows of orders that were written
+// again, carried out and removed since: the next holder would keep their engines out of use.
+func TestLateJournalWriteBringsBackOrdersThatAreDone(t *testing.T) {
+	is := is.New(t)
+	table := &lateTable{Memory: store.NewMemory()}
+	k := newKeeper()
+	e := &fakeEngines{keepers: []*fleet.Keeper{k}}
+	start(t, newController("a", k, table, e, bootClock))
+	rows := func() int {
+		records, err := table.List(context.Background(), stages.KeyPrefix)
+		is.NoErr(err)
+		return len(records)
+	}
+	eventually(t, "two engines are ordered to change", func() bool { return len(e.executed()) == 2 })
+	eventually(t, "the journal is empty", func() bool { return rows() == 0 })
+	table.RunLate()
+	is.Equal(rows(), 0)
+}
+
+// A write of the journal that takes effect without an answer must not leave the row of an order that is
+// never sent, nor keep its engine from being ordered.
+func TestUnansweredJournalWriteLeavesNoOrder(t *testing.T) {
+	is := is.New(t)
+	table := &lateTable{Memory: store.NewMemory()}
+	k := newKeeper()
+	e := &fakeEngines{keepers: []*fleet.Keeper{k}}
+	c := newController("a", k, table, e, bootClock)
+	start(t, c)
+	eventually(t, "the late write has taken effect", func() bool { return table.RunLate() > 0 })
+	landed := time.Now()
+	eventually(t, "two engines are ordered to change", func() bool { return len(e.executed()) == 2 })
+	is.True(time.Since(landed) < 6*time.Second) // an order that was sent keeps its engine for 8 s
+	eventually(t, "no order is open", func() bool {
+		records, err := table.List(context.Background(), stages.KeyPrefix)
+		is.NoErr(err)
+		return len(records) == 0 && len(c.OpenOrders()) == 0
+	})
+	is.Equal(len(e.executed()), 2)
+}
+
 // An order without a response stays open, and no second order is sent in the meantime.
 func TestUnansweredOrderIsNotRepeated(t *testing.T) {
 	is := is.New(t)
