--- a/internal/scaling/controller.go
+++ b/internal/scaling/controller.go
@@ -37,8 +37,10 @@
 	// idleTimeout is the time without work at any target of a service after which the service
 	// counts as idle.
 	idleTimeout = 10 * time.Second
-	// KeyPrefix is the prefix of the store keys under which orders are journalled.
+	// KeyPrefix is the prefix of the store keys under which orders are journalled, and headKey the key of
+	// the journal's head.
 	KeyPrefix = "scaling/"
+	headKey   = "journal/scaling"
 )
 
 // Order sets the number of engines of one kind, spot or on-demand, that a service should have in
@@ -118,7 +120,7 @@
 	kernel.Background
 	cfg      Config
 	keeper   *fleet.Keeper
-	table    store.Table
+	journal  *store.Journal
 	platform Platform
 	holder   Holder
 	log      *telemetry.Logger
@@ -147,7 +149,7 @@
 // New returns a controller that does nothing before Start.
 func New(cfg Config, keeper *fleet.Keeper, table store.Table, platform Platform, holder Holder, log *telemetry.Logger) *Controller {
 	return &Controller{
-		cfg: cfg, keeper: keeper, table: table, platform: platform, holder: holder, log: log,
+		cfg: cfg, keeper: keeper, journal: store.NewJournal(table, KeyPrefix, headKey), platform: platform, holder: holder, log: log,
 		spotUnavailableUntil: make(map[pool]time.Time), spotCounts: make(map[pool]int), maxListed: make(map[string]int), listGrewAt: make(map[string]time.Time), lastBusyAt: make(map[string]time.Time),
 	}
 }
@@ -323,11 +325,12 @@
 	return true
 }
 
-// loadJournal reads the journal at the start of tenure t and reports whether it succeeded.
+// loadJournal reads the journal at the start of tenure t, and after a write that failed. It reports whether
+// it succeeded.
 func (c *Controller) loadJournal(ctx context.Context, t duty.Tenure) bool {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	records, err := c.table.List(call, KeyPrefix)
+	records, err := c.journal.Read(call, t.Condition)
 	if err != nil {
 		c.log.Warn(telemetry.EventScaling, telemetry.F("journal", "read"), telemetry.F("cause", err))
 		return false
@@ -374,11 +377,10 @@
 // needKey returns the key of a service's needRow.
 func needKey(service string) string { return KeyPrefix + service + "/need" }
 
-// writeJournal writes the due orders of a service to the journal before they are sent, on the
-// condition that tenure t has not ended. With the first orders of the service it also writes need,
+// writeJournal writes the due orders of a service to the journal in tenure t, before they are sent. With the first orders of the service it also writes need,
 // the number of engines that the service needs at peak load. It reports whether it succeeded.
 func (c *Controller) writeJournal(ctx context.Context, t duty.Tenure, name string, need int, due []Order) bool {
-	txn := store.Txn{Conds: []store.Cond{t.Condition}}
+	var txn store.Txn
 	put := func(key string, v any) {
 		value, err := json.Marshal(v)
 		if err != nil {
@@ -401,7 +403,7 @@
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if _, err := c.table.Commit(call, txn); err != nil {
+	if err := c.journal.Commit(call, t.Condition, nil, txn); err != nil {
 		c.log.Warn(telemetry.EventScaling, telemetry.F("journal", "write"), telemetry.F("cause", err))
 		c.journalFence = 0
 		return false
--- a/internal/scaling/controller_test.go
+++ b/internal/scaling/controller_test.go
@@ -67,7 +67,7 @@
 	*Controller
 	platform *fakePlatform
 	holder   *holder
-	table    store.Table
+	table    *store.Memory
 	busy     bool
 	time     *clock.Simulated
 }
@@ -173,3 +173,23 @@
 	}
 	is.Equal(len(s.platform.keeper.View().Targets["m"]), 36)
 }
+
+// A write of the journal that is executed late must not replace what was written since: the next holder
+// would plan for the number of engines that was known before more of them were listed.
+func TestLateJournalWriteBringsBackAnEarlierNeed(t *testing.T) {
+	is := is.New(t)
+	s := newFixture(t)
+	s.busy = true
+	s.table.SetFault(store.FaultLateWrites)
+	s.run(8 * time.Second)
+	is.Equal(len(s.platform.orders), 0) // the journal could not be written
+	s.platform.setCount("a", false, 14)
+	s.table.SetFault(store.FaultNone)
+	s.run(8 * time.Second)
+	is.Equal(s.needs["m"], 24)
+	s.table.RunLate()
+	s.holder.fence = 2
+	next := s.successor()
+	next.step(context.Background())
+	is.Equal(next.needs["m"], 24)
+}
