A late write of a VM's record does not replace that of its next process

Callers saw: nothing reported; VMs that start would send their reports to the address of a process that has ended.

Evidence: TestLateWriteBringsBackARecordOfAnEarlierProcess fails on the code before.

Change: the record is replaced under the condition that it has not changed since the VM read it. Records of members are never removed, so that a version cannot come back. A VM whose first write was executed without an answer finds its own record and is registered.

--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/kernel"
 	"garnethoist.org/garnethoist/internal/store"
@@ -105,14 +107,26 @@
 	return p.members[p.self.VM].Member == p.self
 }
 
-// writeRecord writes this VM's record to the store.
+// writeRecord replaces this VM's record in the store, on the condition that it has not changed since it was
+// last read. A write of an earlier process of the VM that is executed late has no effect then.
 func (p *Peers) writeRecord(ctx context.Context) error {
 	value, err := json.Marshal(p.self)
 	if err != nil {
 		// Strings and numbers always encode.
 		panic("peers: encode member: " + err.Error())
 	}
-	_, err = p.table.Commit(ctx, store.Txn{Puts: []store.Put{{Key: RecordKey(p.self), Value: value}}})
+	key := RecordKey(p.self)
+	_, err = p.table.Commit(ctx, store.Txn{
+		Conds: []store.Cond{{Key: key, Version: p.recordVersion}}, Puts: []store.Put{{Key: key, Value: value}}})
+	if !errors.Is(err, store.ErrConflict) {
+		return err
+	}
+	if err := p.readRecords(ctx, key); err != nil {
+		return err
+	}
+	if p.registered() {
+		return nil
+	}
 	return err
 }
 
@@ -143,6 +157,9 @@
 		return err
 	}
 	for _, r := range records {
+		if r.Key == RecordKey(p.self) {
+			p.recordVersion = r.Version
+		}
 		var m Member
 		if err := json.Unmarshal(r.Value, &m); err != nil {
 			p.log.Warn(telemetry.EventBadRow, telemetry.F("key", r.Key),
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -129,6 +129,9 @@
 	// duties are the calls to the platform that only one VM at a time may make, see package duty.
 	dutyFence func() uint64
 	conn      *net.UDPConn
+	// recordVersion is the version of this VM's record in the store when it was last read; 0 means that there
+	// was none. Only the goroutine of registerLoop uses it.
+	recordVersion uint64
 	// firstStart is true if the whole group starts for the first time, see SetFirstStart.
 	firstStart bool
 	// age is the result of updateAge, in ns.
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -309,6 +311,53 @@
 		func() bool { return a.peers.Work("e1").Running == 2 })
 }
 
+// A write of a VM's record that is executed late must not replace the record of its next process, which
+// has another address.
+func TestLateWriteBringsBackARecordOfAnEarlierProcess(t *testing.T) {
+	is := is.New(t)
+	table := store.NewMemory()
+	key := peers.RecordKey(peers.Member{VM: "a"})
+	stored := func() string {
+		r, err := table.Get(context.Background(), key)
+		if err != nil {
+			return ""
+		}
+		var m peers.Member
+		is.NoErr(json.Unmarshal(r.Value, &m))
+		return m.Address
+	}
+	table.SetFault(store.FaultLateWrites)
+	first := start(t, "a", address(t), 1, table, nil)
+	time.Sleep(200 * time.Millisecond) // its record is written at once
+	first.stop(t)
+	table.SetFault(store.FaultNone)
+	addr := address(t)
+	second := start(t, "a", addr, 2, table, nil)
+	eventually(t, "the record of the second process is stored", func() bool { return stored() == addr })
+	is.Equal(table.RunLate(), 0)
+	is.Equal(stored(), addr)
+	second.stop(t)
+}
+
+// A VM registers although a first write of its record, whose outcome was unknown, is executed before the
+// second.
+func TestLateWriteKeepsAVMFromRegistering(t *testing.T) {
+	is := is.New(t)
+	table := store.NewMemory()
+	table.SetFault(store.FaultLateWrites)
+	addr := address(t)
+	v := start(t, "a", addr, 1, table, nil)
+	defer v.stop(t)
+	eventually(t, "the first write is executed", func() bool { return table.RunLate() > 0 })
+	table.SetFault(store.FaultNone)
+	other := start(t, "b", address(t), 1, table, nil)
+	defer other.stop(t)
+	eventually(t, "the VMs know each other", func() bool { return v.peers.Size() == 2 && other.peers.Size() == 2 })
+	r, err := table.Get(context.Background(), peers.RecordKey(peers.Member{VM: "a"}))
+	is.NoErr(err)
+	is.True(strings.Contains(string(r.Value), addr))
+}
+
 // When another VM reports a newer version that does not reach this VM's copy of the table,
 // NotifyNewer is called. It is not called for every report, and not after the version has arrived.
 func TestNewerVersionTriggersPoll(t *testing.T) {
