A late write of a quarantine's record takes no effect after a later one

Callers saw: nothing reported; a request that had run well would be refused again by VMs that start, and a quarantine could be forgotten.

Evidence: TestLateWriteQuarantinesAClearedRequest, the record of a request that was cleared is back on the code before.

Change: a record is written under the condition of its own version and of that of a head, which each removal replaces, so that no write from before a removal brings a record back. Writes read both first; they are rare.

--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -20,6 +20,9 @@
 	// PartKeyPrefix that of the records of parts of prompts that are held. One call lists both.
 	KeyPrefix     = "quarantine/"
 	PartKeyPrefix = KeyPrefix + "part-"
+	// headKey is the key of a record that each transaction replaces which removes records. The others have
+	// a condition on its version, so that no write from before a removal brings a record back.
+	headKey = "journal/quarantine"
 	// expireInterval is how often expired entries are removed from the table.
 	expireInterval = 10 * time.Second
 	// maxUnsaved is the capacity of the queue of requests whose records are to be written.
@@ -194,15 +197,41 @@
 // saveRecord writes the record of an entry, or deletes it if the subject is no longer quarantined.
 func (k *Keeper) saveRecord(ctx context.Context, u unsaved) error {
 	now := k.clock()
-	key := u.id.storeKey(u.prefix)
-	txn := store.Txn{Deletes: []string{key}}
+	conds, err := k.conditions(ctx, u.id.storeKey(u.prefix))
+	if err != nil {
+		return err
+	}
 	if s, ok := u.table.Snapshot(u.id, now); ok && s.crashCount() >= quarantineCrashes {
 		value, err := json.Marshal(encodeRecord(s, time.Now()))
 		if err != nil {
 			// Numbers always encode.
 			panic("quarantine: encode record: " + err.Error())
 		}
-		txn = store.Txn{Puts: []store.Put{{Key: key, Value: value}}}
+		_, err = k.store.Commit(ctx, store.Txn{Conds: conds, Puts: []store.Put{{Key: conds[1].Key, Value: value}}})
+		return err
+	}
+	return k.deleteRecords(ctx, conds)
+}
+
+// conditions returns the conditions that the head and the records of the given keys are as they are now. The
+// first is that of the head.
+func (k *Keeper) conditions(ctx context.Context, keys ...string) ([]store.Cond, error) {
+	var conds []store.Cond
+	for _, key := range append([]string{headKey}, keys...) {
+		r, err := k.store.Get(ctx, key)
+		if err != nil && !errors.Is(err, store.ErrNotFound) {
+			return nil, err
+		}
+		conds = append(conds, store.Cond{Key: key, Version: r.Version})
+	}
+	return conds, nil
+}
+
+// deleteRecords deletes the records that conds names after the head.
+func (k *Keeper) deleteRecords(ctx context.Context, conds []store.Cond) error {
+	txn := store.Txn{Conds: conds, Puts: []store.Put{{Key: headKey}}}
+	for _, c := range conds[1:] {
+		txn.Deletes = append(txn.Deletes, c.Key)
 	}
 	_, err := k.store.Commit(ctx, txn)
 	return err
@@ -211,12 +240,15 @@
 // load merges all records in the store into the tables and deletes expired ones. It logs and skips
 // records that cannot be decoded.
 func (k *Keeper) load(ctx context.Context) error {
+	conds, err := k.conditions(ctx)
+	if err != nil {
+		return err
+	}
 	records, err := k.store.List(ctx, KeyPrefix)
 	if err != nil {
 		return err
 	}
 	var loaded Snapshots
-	var expiredKeys []string
 	for _, r := range records {
 		into, prefix, sched := &loaded.Requests, KeyPrefix, k.Table.schedule
 		if strings.HasPrefix(r.Key, PartKeyPrefix) {
@@ -229,23 +261,22 @@
 			continue
 		}
 		if expired(s, sched) {
-			expiredKeys = append(expiredKeys, r.Key)
+			conds = append(conds, store.Cond{Key: r.Key, Version: r.Version})
 			continue
 		}
 		*into = append(*into, s)
 	}
 	k.MergeFrom("store", loaded)
-	if len(expiredKeys) == 0 {
+	if len(conds) == 1 {
 		return nil
 	}
-	_, err = k.store.Commit(ctx, store.Txn{Deletes: expiredKeys[:min(len(expiredKeys), maxDeletes)]})
-	return err
+	return k.deleteRecords(ctx, conds[:min(len(conds), 1+maxDeletes)])
 }
 
 // maxDeletes is the maximum number of records that load deletes. It deletes them in one
-// transaction, and the store accepts at most 100 entries in a transaction. The remaining records
-// are deleted when a VM next starts.
-const maxDeletes = 100
+// transaction, and the store accepts at most 100 entries in a transaction, with two for each record
+// and two for the head. The remaining records are deleted when a VM next starts.
+const maxDeletes = 49
 
 // record is the stored form of the Snapshot of a quarantined request. It holds Unix times instead
 // of ages because records outlive every process. That is precise enough: a quarantine is long
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -74,6 +74,44 @@
 	eventually(t, "the record is deleted", func() bool { return countRecords(t, s) == 0 })
 }
 
+// A write of a record that is executed late must not quarantine a request again whose record was deleted
+// since, nor delete a record that was written since.
+func TestLateWriteQuarantinesAClearedRequest(t *testing.T) {
+	is := is.New(t)
+	s := store.NewMemory()
+	now := time.Now()
+	k := startKeeper(t, s, now)
+	crash := func(r quarantine.Request, from string) {
+		for i := range 3 {
+			at := now.Add(time.Duration(i-3) * time.Second)
+			k.RecordCrash(&r, quarantine.Crash{Run: fmt.Sprint(from, i), Began: at.Add(-time.Millisecond), At: at})
+		}
+	}
+	cleared, again := newRequest("a", 1), newRequest("b", 2)
+	crash(again, "x")
+	eventually(t, "the second request is stored", func() bool { return countRecords(t, s) == 1 })
+
+	s.SetFault(store.FaultLateWrites)
+	crash(cleared, "y")
+	eventually(t, "the write has got no answer", func() bool { _, n := s.Counts(); return n == 2 })
+	s.SetFault(store.FaultNone)
+	eventually(t, "the first request is stored", func() bool { return countRecords(t, s) == 2 })
+	k.RecordSuccess(&cleared, "v1")
+	eventually(t, "its record is deleted", func() bool { return countRecords(t, s) == 1 })
+	is.Equal(s.RunLate(), 0)
+	is.Equal(countRecords(t, s), 1)
+
+	s.SetFault(store.FaultLateWrites)
+	_, writes := s.Counts()
+	k.RecordSuccess(&again, "v1")
+	eventually(t, "the deletion has got no answer", func() bool { _, n := s.Counts(); return n == writes+1 })
+	crash(again, "z")
+	s.SetFault(store.FaultNone)
+	eventually(t, "the record is written again", func() bool { _, n := s.Counts(); return n >= writes+2 })
+	s.RunLate()
+	is.Equal(countRecords(t, s), 1)
+}
+
 // Malformed records are skipped, and expired ones are deleted. Neither keeps a VM from starting.
 func TestInvalidAndExpiredRecordsAreSkipped(t *testing.T) {
 	is := is.New(t)
