A claim that is executed after its call was refused does not keep the key

Cause: the write of the claim is executed after the refusal, as its condition still holds: nobody else has used the key.

Evidence: TestLateClaimOfARefusedCallKeepsItsKey, call_in_progress in both cases on the code before.

Change: a call that is refused while the outcome of its claim is unknown releases the key in the background, under the condition of that write, so that the platform executes one of both; if the claim was first, it is released.

--- a/internal/once/claim.go
+++ b/internal/once/claim.go
@@ -140,20 +140,31 @@
 func (s *Store) Acquire(ctx context.Context, c Call) (*Claim, *Answer, error) {
 	today := s.today()
 	known := keyVersionsAround(today)
+	claim, answer, unsettled, err := s.tryAcquire(ctx, c, today, known)
+	if err != nil && unsettled {
+		go s.abandon(c, today, known)
+	}
+	return claim, answer, err
+}
+
+// tryAcquire is Acquire for the day today. It updates known. unsettled says that a write of the claim may
+// still be executed.
+func (s *Store) tryAcquire(ctx context.Context, c Call, today day, known keyVersions) (_ *Claim, _ *Answer, unsettled bool, _ error) {
 	for {
 		v, err := s.write(ctx, c, today, known, claim{State: stateClaimed})
 		if err == nil {
-			return &Claim{store: s, call: c, day: today, version: v}, nil, nil
+			return &Claim{store: s, call: c, day: today, version: v}, nil, false, nil
 		}
+		unsettled = unsettled || errors.Is(err, store.ErrUnknown)
 		if errors.Is(err, store.ErrUnavailable) {
-			return nil, nil, errkind.Wrap(errkind.PlatformDown, err, "the call cannot be claimed while the platform is down")
+			return nil, nil, unsettled, errkind.Wrap(errkind.PlatformDown, err, "the call cannot be claimed while the platform is down")
 		}
 		claim, answer, err := s.findClaim(ctx, c, known)
 		if claim != nil || answer != nil || err != nil {
-			return claim, answer, err
+			return claim, answer, unsettled, err
 		}
 		if ctx.Err() != nil {
-			return nil, nil, errkind.Wrap(errkind.PlatformDown, ctx.Err(), "the claim of the call could not be confirmed in time")
+			return nil, nil, unsettled, errkind.Wrap(errkind.PlatformDown, ctx.Err(), "the claim of the call could not be confirmed in time")
 		}
 		// The write had no effect yet, or it met a released claim. It may be
 		// repeated with the versions that are known now.
@@ -161,6 +172,34 @@
 	}
 }
 
+// abandonTimeout limits the time in which abandon tries to reach the platform.
+const abandonTimeout = 30 * time.Second
+
+// abandonRetry is the policy for the retries of abandon.
+var abandonRetry = kernel.RetryPolicy{InitialWait: 100 * time.Millisecond, MaxWait: time.Second, Timeout: 2 * time.Second}
+
+// abandon keeps the write of a claim that may still be executed from holding the key of a call that was
+// refused. It releases the key under the condition of that write, so that the platform executes one of both.
+func (s *Store) abandon(c Call, d day, known keyVersions) {
+	ctx, cancel := context.WithTimeout(context.Background(), abandonTimeout)
+	defer cancel()
+	kernel.RetryUntilDone(ctx, abandonRetry, func(ctx context.Context) error {
+		_, err := s.write(ctx, c, d, known, claim{State: stateReleased})
+		if !errors.Is(err, store.ErrConflict) {
+			return err
+		}
+		claim, _, err := s.findClaim(ctx, c, known)
+		if claim != nil {
+			return claim.Release(ctx)
+		}
+		if errkind.Is(err, errkind.PlatformDown) {
+			return err
+		}
+		// The key belongs to another call.
+		return nil
+	})
+}
+
 // findClaim looks for the claim under the call's key. It returns the claim if this
 // request made it, the answer or an error for the claim of another request, and
 // nothing if the key is free. It updates known.
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -218,6 +218,34 @@
 	is.NoErr(claim.StoreAnswer(t.Context(), Answer{Status: 200}))
 }
 
+// A claim that is executed after its call was refused must not keep the key from the caller's next attempt.
+func TestLateClaimOfARefusedCallKeepsItsKey(t *testing.T) {
+	for name, executedBefore := range map[string]bool{"before the key is released": true, "after": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := store.NewMemory()
+			p.SetFault(store.FaultLateWrites)
+			_, _, err := newStore(p, "vm-1").Acquire(shortContext(t), call("t1", "x"))
+			is.True(errkind.Is(err, errkind.PlatformDown))
+			if executedBefore {
+				is.Equal(p.RunLate(), 1)
+			}
+			p.SetFault(store.FaultNone)
+			released := func() bool {
+				recs, err := p.List(t.Context(), keyPrefix)
+				return err == nil && len(recs) == 1 && strings.Contains(string(recs[0].Value), string(stateReleased))
+			}
+			for end := time.Now().Add(5 * time.Second); !released() && time.Now().Before(end); {
+				time.Sleep(2 * time.Millisecond)
+			}
+			p.RunLate()
+			claim, _, err := newStore(p, "vm-2").Acquire(t.Context(), call("t2", "x"))
+			is.NoErr(err)
+			is.True(claim != nil)
+		})
+	}
+}
+
 // claimOp is an operation on one key: storing the answer if storeAnswer is set, else
 // claiming the key.
 type claimOp struct {
