--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -205,12 +205,19 @@
 			leases[i] = candidate(p, fmt.Sprint(i), clocks[i].read)
 		}
 		highest := uint64(0)
-		faults := []store.Fault{store.FaultNone, store.FaultNone, store.FaultDown, store.FaultLostWrites, store.FaultLostResponses}
+		faults := []store.Fault{store.FaultNone, store.FaultNone, store.FaultDown, store.FaultLostWrites, store.FaultLostResponses, store.FaultLateWrites}
 		for range rapid.IntRange(1, 60).Draw(rt, "events") {
 			i := rapid.IntRange(0, n-1).Draw(rt, "who")
 			p.SetFault(rapid.SampledFrom(faults).Draw(rt, "fault"))
-			// Step may fail because of the fault; only its effect is checked below.
-			_ = leases[i].Step(context.Background(), true)
+			// Both may fail because of the fault; only their effects are checked below.
+			if rapid.IntRange(0, 4).Draw(rt, "release") == 0 {
+				_ = leases[i].Release(context.Background())
+			} else {
+				_ = leases[i].Step(context.Background(), true)
+			}
+			if rapid.IntRange(0, 3).Draw(rt, "late writes are executed") == 0 {
+				p.RunLate()
+			}
 			d := time.Duration(rapid.IntRange(0, int(ttl/time.Millisecond)).Draw(rt, "ms")) * time.Millisecond
 			for j := range n {
 				clocks[j].add(d + d*time.Duration(j)/50)
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -313,8 +313,11 @@
 				env.engine.delayOrder = rapid.Bool().Draw(rt, "hold")
 			}
 			env.platform.SetFault(rapid.SampledFrom([]store.Fault{
-				store.FaultNone, store.FaultNone, store.FaultLostResponses, store.FaultLostWrites, store.FaultDown,
+				store.FaultNone, store.FaultNone, store.FaultLostResponses, store.FaultLostWrites, store.FaultLateWrites, store.FaultDown,
 			}).Draw(rt, "fault"))
+			if rapid.IntRange(0, 3).Draw(rt, "late writes are executed") == 0 {
+				env.platform.RunLate()
+			}
 			// Errors are ignored: the test is about unknown outcomes.
 			switch rapid.IntRange(0, 4).Draw(rt, "event") {
 			case 0:
