A body that ends with the connection of a target that has left is not complete

Callers saw: a stream of an engine that left, 200 with some 60 to 80 of 90 events, that ended as complete.

Cause: a body without length is checked at its end: its target must show that it runs. The check was left out for targets that leave, or are no longer listed, as they may exit after their last response. Such an end looks like that of a target that is stopped in the middle.

TestStreamOfALeavingTargetThatIsGoneIsNotComplete fails on the code before.

Change: all targets are asked. One that leaves answers until it exits.

TestLastStreamOfALeavingTargetIsComplete asked that a stream counts as complete whose target is stopped between its last event and the end of the body. That is the fault: nothing tells this end from one before the last event, and an answer that ends early must not look complete. It now asks the same of a target that still runs, and the new test that all events are passed on and the response does not look complete, after two events and after all.

--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -25,13 +25,12 @@
 
 // checkComplete returns an error if a body that has been read to its end may lack a part. A body that ends
 // with its connection is complete only if its target shows that it is running, because the connections of a
-// target that crashes end in the same way. A target that is leaving may exit after its last response.
+// target that crashes, or that leaves and is stopped, end in the same way.
 func (x *exchange) checkComplete(t *fleet.Target, resp *httpsend.Response) error {
-	view := x.g.keeper.View()
-	if resp.Framing != httpsend.FramedByConn || !view.Has(t) {
+	if resp.Framing != httpsend.FramedByConn {
 		return nil
 	}
-	service := view.Config.Services[t.Service]
+	service := x.g.keeper.View().Config.Services[t.Service]
 	if service == nil {
 		return resp.Truncated()
 	}
