Bytes without end from targets take a bounded memory

Callers saw: VMs that the platform killed, with the requests of all their callers, as one target sent 125 MB that are no response at 100 MB/s. Callers of such targets were told that there was no answer.

Cause: nothing bounded the head of a response; a line without end was kept and copied as it grew. Looked for wherever bytes of targets are read: the body of a response to another request was skipped without end, an event may have 1 MB and a body that is buffered 256 KB, without a bound for all of them together, and an event without end was searched from its beginning with each read. Reports are bounded one by one and read one after the other; health checks read a head; tunnels pass on what they read and hold back the sender.

Change: ResponseReader limits a head to 16 KB, gives up at once what does not begin as a response does, and keeps the error short. Bodies and events above 16 KB share a sixteenth of the VM's memory and wait for it (package body). The caller gets target_failed, that the request may have run, and what was wrong. Tunnels and orders use the same reader; the clients of the product's own deployment limit heads too.

--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -23,6 +23,8 @@
 	plainDialTimeout = 2 * time.Second
 	// maxPlainAnswerBytes is the largest answer accepted from a plain service.
 	maxPlainAnswerBytes = 32 << 20
+	// maxPlainHeadBytes is the largest head of an answer that is read.
+	maxPlainHeadBytes = 64 << 10
 	// claimUpdateTimeout bounds storing the answer of a call that ran, and releasing
 	// the claim of one that did not.
 	claimUpdateTimeout = 5 * time.Second
@@ -48,11 +50,12 @@
 func newPlainClient(keepAlive bool) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: plainDialTimeout}).DialContext,
-			DisableKeepAlives:   !keepAlive,
-			DisableCompression:  true,
-			MaxIdleConnsPerHost: 64,
-			IdleConnTimeout:     time.Minute,
+			DialContext:            (&net.Dialer{Timeout: plainDialTimeout}).DialContext,
+			DisableKeepAlives:      !keepAlive,
+			DisableCompression:     true,
+			MaxIdleConnsPerHost:    64,
+			IdleConnTimeout:        time.Minute,
+			MaxResponseHeaderBytes: maxPlainHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -11,10 +11,12 @@
 
 	"github.com/pkg/errors"
 
+	"garnethoist.org/garnethoist/internal/body"
 	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/fair"
 	"garnethoist.org/garnethoist/internal/fleet"
+	"garnethoist.org/garnethoist/internal/httpsend"
 	"garnethoist.org/garnethoist/internal/origin"
 	"garnethoist.org/garnethoist/internal/place"
 	"garnethoist.org/garnethoist/internal/quarantine"
@@ -250,12 +252,27 @@
 		return x.refusal(errkind.NoTarget, cause, "no target could take the request")
 	case x.g.abortCtx.Err() != nil:
 		return errkind.Wrap(errkind.OutcomeUnknown, cause, "this VM stops; the request may have run")
+	case unusable(cause) != "":
+		return x.refusal(errkind.TargetFailed, cause, unusable(cause)+"; the request may have run")
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return errkind.Wrap(errkind.DeadlineExceeded, cause, "no answer in time")
 	}
 	return errkind.Wrap(errkind.OutcomeUnknown, cause, "the target did not answer; the request may have run")
 }
 
+// unusable returns what is wrong with a response that is none or too large, or "" if err has another cause.
+func unusable(err error) string {
+	switch {
+	case errors.Is(err, httpsend.ErrMalformed):
+		return "the target sent bytes that are no response"
+	case errors.Is(err, body.ErrTooLarge):
+		return "the target's response is larger than " + strconv.Itoa(maxBufferedBody) + " bytes"
+	case errors.Is(err, errEventTooLarge):
+		return "an event of the target's stream is larger than " + strconv.Itoa(maxEvent) + " bytes"
+	}
+	return ""
+}
+
 // refusalRetryAfter is the retry delay for refusals whose reason is likely to pass soon.
 const refusalRetryAfter = 100 * time.Millisecond
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/singleflight"
 
+	"garnethoist.org/garnethoist/internal/body"
 	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/fair"
@@ -47,6 +48,10 @@
 	// spareVMs is added to the number of known VMs when a limit is divided among the VMs, to allow
 	// for VMs that are not yet known.
 	spareVMs = place.SpareVMs
+	// bodiesDivisor divides the memory of the process into that for large parts of responses, which is
+	// minBodies bytes at least. While they are copied they take up to three times as much.
+	bodiesDivisor = 16
+	minBodies     = 4 * maxEvent
 )
 
 // Limits are the gateway's settings that can change while it runs.
@@ -85,6 +90,8 @@
 	Listen string
 	// Descriptors is how many file descriptors the process may open.
 	Descriptors int
+	// Memory is the memory in bytes that the process may use.
+	Memory int64
 	// Keeper supplies the configuration and the targets.
 	Keeper *fleet.Keeper
 	// Placer chooses the target of each attempt.
@@ -147,6 +154,8 @@
 	callerWaits waitEstimator
 	// sizes classifies requests by their size, relative to the latest requests of their route.
 	sizes fair.Sizes
+	// bodies is the memory for large parts of responses.
+	bodies *body.Memory
 
 	retryBudgets *retryBudgets
 
@@ -170,6 +179,7 @@
 		started: clock.Now(), conns: newCallerConns(p.Descriptors, p.Client.OpenConns, p.Log),
 	}
 	g.limits.Store(&limits)
+	g.bodies = body.NewMemory(max(p.Memory/bodiesDivisor, minBodies))
 	g.sizes.SetGroupSize(func() int { return g.group.Size() })
 	g.retryBudgets = newRetryBudgets(&g.limits, p.Group, p.FirstStart, g.sinceStart)
 	g.abortCtx, g.abort = context.WithCancel(context.Background())
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -31,6 +31,10 @@
 		if err == nil {
 			return nil
 		}
+		if target == nil && x.mayHaveRun {
+			// The failure of the last target tells the caller more than that there is no other.
+			break
+		}
 		last = err
 		if target == nil {
 			break
@@ -222,13 +226,13 @@
 		return nil, out, err
 	}
 	defer resp.Close()
-	body, err := readBuffered(resp)
+	answer, err := x.readBuffered(ctx, resp)
 	if err == nil && resp.Status != http.StatusOK {
 		err = errkind.New(errkind.TargetFailed, "prefill failed with status %d", resp.Status)
 	}
 	var handle Handle
 	if err == nil {
-		handle, err = x.g.proto.Handle(c.Target.Address, body)
+		handle, err = x.g.proto.Handle(c.Target.Address, answer)
 	}
 	if err != nil {
 		x.addTrace(c.Target, "prefill_failed", err)
@@ -261,10 +265,10 @@
 	defer resp.Close()
 	c.Ticket.FirstEvent(clock.Now())
 	if resp.Status != http.StatusOK {
-		return x.relayFailure(s, c, resp)
+		return x.relayFailure(ctx, s, c, resp)
 	}
 	s.target, s.ticket = c.Target, c.Ticket
-	err = s.relay(resp)
+	err = s.relay(ctx, resp)
 	x.noteBody(resp, err)
 	x.eventInterval = s.eventInterval()
 	c.Ticket.ObserveLength(s.events)
@@ -288,9 +292,9 @@
 
 // relayFailure sends an engine's error response to the caller, unless the caller already has a part
 // of a stream or another attempt is possible.
-func (x *exchange) relayFailure(s *stream, c place.Choice, resp *httpsend.Response) (outcome, error) {
+func (x *exchange) relayFailure(ctx context.Context, s *stream, c place.Choice, resp *httpsend.Response) (outcome, error) {
 	x.g.usage.Ran(x.accountName(), clock.Now())
-	body, err := x.readAnswer(c.Target, resp)
+	answer, err := x.readAnswer(ctx, c.Target, resp)
 	c.Ticket.End(place.Bad, clock.Now())
 	x.addTrace(c.Target, strconv.Itoa(resp.Status), err)
 	if err == nil {
@@ -302,7 +306,7 @@
 	if x.route.Resumable && x.attempts.arrivals < x.route.MaxAttempts {
 		return outcomeUnknown, errkind.New(errkind.TargetFailed, "the engine failed with status %d", resp.Status)
 	}
-	return outcomeAnswered, x.writeResponse(&bufferedResponse{status: resp.Status, header: resp.Header, body: body})
+	return outcomeAnswered, x.writeResponse(&bufferedResponse{status: resp.Status, header: resp.Header, body: answer})
 }
 
 // freeHandle frees a handle that no target will use, in the background. Targets free unused handles
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/fleet"
@@ -186,7 +183,7 @@
 		return plainCall{out: out, err: err, target: c.Target}
 	}
 	defer resp.Close()
-	body, err := x.readAnswer(c.Target, resp)
+	answer, err := x.readAnswer(ctx, c.Target, resp)
 	x.noteBody(resp, err)
 	if err != nil {
 		x.addTrace(c.Target, "cut", err)
@@ -203,48 +200,29 @@
 		result = place.Bad
 	}
 	c.Ticket.End(result, clock.Now())
-	return plainCall{resp: &bufferedResponse{status: resp.Status, header: resp.Header, body: body}, out: outcomeAnswered, target: c.Target}
+	return plainCall{resp: &bufferedResponse{status: resp.Status, header: resp.Header, body: answer}, out: outcomeAnswered, target: c.Target}
 }
 
 // readAnswer reads the whole body of a target's answer, as readBuffered does. A body that ends with its
 // connection is taken to be cut off if the target may have crashed, or if it is a stream and ends inside an
 // event.
-func (x *exchange) readAnswer(t *fleet.Target, resp *httpsend.Response) ([]byte, error) {
-	body, err := readBuffered(resp)
+func (x *exchange) readAnswer(ctx context.Context, t *fleet.Target, resp *httpsend.Response) ([]byte, error) {
+	answer, err := x.readBuffered(ctx, resp)
 	if err != nil {
-		return body, err
+		return answer, err
 	}
-	if x.route.Kind == fleet.Streaming && resp.Status == http.StatusOK && isTruncated(resp, body) {
+	if x.route.Kind == fleet.Streaming && resp.Status == http.StatusOK && isTruncated(resp, answer) {
 		return nil, resp.Truncated()
 	}
 	if err := x.checkComplete(t, resp); err != nil {
 		return nil, err
 	}
-	return body, nil
+	return answer, nil
 }
 
-// errResponseTooLarge means that a response body is larger than maxBufferedBody.
-var errResponseTooLarge = errors.New("gateway: response too large to buffer")
-
 // readBuffered reads the whole body of a response, of at most maxBufferedBody bytes.
-func readBuffered(resp *httpsend.Response) ([]byte, error) {
-	if resp.Length >= 0 && resp.Length <= maxBufferedBody {
-		body := make([]byte, resp.Length)
-		if _, err := io.ReadFull(resp, body); err != nil {
-			return nil, err
-		}
-		var end [1]byte
-		_, err := resp.Read(end[:])
-		if !errors.Is(err, io.EOF) {
-			return nil, errors.Wrap(err, "read the end of the response")
-		}
-		return body, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBody+1))
-	if err == nil && len(body) > maxBufferedBody {
-		return nil, errResponseTooLarge
-	}
-	return body, err
+func (x *exchange) readBuffered(ctx context.Context, resp *httpsend.Response) ([]byte, error) {
+	return x.g.bodies.ReadAll(ctx, x.r.Context(), resp, resp.Length, maxBufferedBody)
 }
 
 // writeResponse sends a target's complete response to the caller, with its body unchanged.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -2,13 +2,16 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"garnethoist.org/garnethoist/internal/body"
 	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/fleet"
@@ -22,8 +25,13 @@
 	streamBuffer = 8 << 10
 	// maxEvent is the maximum size of an event, in bytes.
 	maxEvent = 1 << 20
+	// maxEventEnd is the size in bytes of the longest sequence that ends an event.
+	maxEventEnd = len("\r\n\r\n")
 )
 
+// errEventTooLarge means that an event is larger than maxEvent.
+var errEventTooLarge = errors.New("gateway: event too large")
+
 // stream relays the events of one answer to the caller. If a target's response is cut off, another
 // target continues after the last event.
 type stream struct {
@@ -33,8 +41,10 @@
 	ticket *place.Ticket
 	// headerSent is set once the response header went to the caller.
 	headerSent bool
-	// partial holds the received part of an incomplete event.
+	// partial holds the received part of an incomplete event. release gives back the memory that is
+	// reserved for a large one, or is nil.
 	partial []byte
+	release func()
 	// events counts the events of the current target.
 	events int
 	// pastBlameWindow is set once the current target has run the request for longer than
@@ -48,15 +58,23 @@
 
 // relay copies the complete events of a target's response to the caller as they arrive. An event
 // that is cut off is dropped; a resumed stream sends it again.
-func (s *stream) relay(resp *httpsend.Response) error {
-	s.partial = s.partial[:0]
+func (s *stream) relay(ctx context.Context, resp *httpsend.Response) error {
 	s.events, s.firstEventAt, s.pastBlameWindow = 0, time.Time{}, false
+	defer func() {
+		s.partial = nil
+		s.releaseMemory()
+	}()
 	buf := make([]byte, streamBuffer)
 	for {
 		n, err := resp.Read(buf)
 		if n > 0 {
+			if merr := s.reserveMemory(ctx, len(s.partial)+n); merr != nil {
+				return merr
+			}
+			// An event may end in its last bytes and the first new ones.
+			scanned := max(len(s.partial)-maxEventEnd, 0)
 			s.partial = append(s.partial, buf[:n]...)
-			if werr := s.forward(resp, errors.Is(err, io.EOF)); werr != nil {
+			if werr := s.forward(resp, scanned, errors.Is(err, io.EOF)); werr != nil {
 				return werr
 			}
 		}
@@ -66,19 +84,40 @@
 		case err != nil:
 			return err
 		case len(s.partial) > maxEvent:
-			return errkind.New(errkind.TargetFailed, "an event is larger than %d bytes", maxEvent)
+			return errEventTooLarge
 		}
 	}
 }
 
-// forward writes the complete events in s.partial to the caller and keeps the rest. It flushes them
-// unless eof says that the response has ended, because the server then flushes the rest of the
-// response itself.
-func (s *stream) forward(resp *httpsend.Response, eof bool) error {
-	complete := completeEventsLen(s.partial)
+// reserveMemory makes sure that an incomplete event of the given size may be held.
+func (s *stream) reserveMemory(ctx context.Context, size int) error {
+	if size <= body.SmallBytes || s.release != nil {
+		return nil
+	}
+	var err error
+	s.release, err = s.x.g.bodies.Reserve(ctx, maxEvent)
+	return err
+}
+
+// releaseMemory gives back what reserveMemory has reserved, and the buffer that was grown.
+func (s *stream) releaseMemory() {
+	if s.release == nil {
+		return
+	}
+	s.release()
+	s.release = nil
+	s.partial = slices.Clone(s.partial)
+}
+
+// forward writes the complete events in s.partial to the caller and keeps the rest. No event ends in the
+// first scanned bytes. It flushes the events unless eof says that the response has ended, because the server
+// then flushes the rest of the response itself.
+func (s *stream) forward(resp *httpsend.Response, scanned int, eof bool) error {
+	complete := completeEventsLen(s.partial[scanned:])
 	if complete == 0 {
 		return nil
 	}
+	complete += scanned
 	s.writeHeader(resp)
 	if s.events == 0 {
 		s.x.noteVersion(s.target)
@@ -91,6 +130,9 @@
 		return err
 	}
 	s.partial = append(s.partial[:0], s.partial[complete:]...)
+	if len(s.partial) <= body.SmallBytes {
+		s.releaseMemory()
+	}
 	if eof {
 		return nil
 	}
--- a/internal/httpsend/send.go
+++ b/internal/httpsend/send.go
@@ -1,7 +1,6 @@
 package httpsend
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -27,12 +26,15 @@
 	// maxSkipped limits how many response heads are read for one request. All but the last of them
 	// belong to earlier requests or are informational (1xx).
 	maxSkipped = 4
+	// maxSkippedBody is the size in bytes of the largest body of a response to an earlier request that is
+	// skipped.
+	maxSkippedBody = 256 << 10
 )
 
 // conn is a connection to a target. Only one request uses it at a time.
 type conn struct {
 	nc net.Conn
-	br *bufio.Reader
+	br *ResponseReader
 	// destID is the Destination.ID of the pool that the connection belongs to.
 	destID string
 	// idleSince is when the connection was last returned to its pool.
@@ -45,7 +47,7 @@
 
 // newConn returns a connection for the pool of a destination.
 func newConn(nc net.Conn, id string) *conn {
-	return &conn{nc: nc, br: bufio.NewReaderSize(nc, readBufferSize), destID: id}
+	return &conn{nc: nc, br: NewResponseReader(nc, readBufferSize), destID: id}
 }
 
 // Request is a request to send. Host and Content-Length are added to its header.
@@ -255,7 +257,7 @@
 func (cn *conn) readHead(r *Request, match Match) (*http.Response, error) {
 	req := &http.Request{Method: r.Method}
 	for range maxSkipped {
-		resp, err := http.ReadResponse(cn.br, req)
+		resp, err := cn.br.ReadResponse(req)
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
@@ -265,7 +267,11 @@
 		if match(resp.StatusCode, resp.Header) {
 			return resp, nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		_, err = io.CopyN(io.Discard, resp.Body, maxSkippedBody+1)
+		if err == nil {
+			return nil, errors.Wrap(ErrMalformed, "response to another request without end")
+		}
+		if !errors.Is(err, io.EOF) {
 			return nil, errors.Wrap(err, "skip response to another request")
 		}
 		if resp.Close {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -96,6 +96,9 @@
 // maxIdlePerEngine is the most idle connections kept to one engine.
 const maxIdlePerEngine = 64
 
+// maxHeadBytes is the largest head of a response that is read.
+const maxHeadBytes = 64 << 10
+
 // readBufferBytes is the size of the read buffer of a connection to an engine. An idle stream
 // keeps it in memory.
 const readBufferBytes = 64 << 10
@@ -103,11 +106,12 @@
 // New returns a relay that uses the targets chosen by router.
 func New(cfg Config, router Router, log *telemetry.Logger) *Relay {
 	return &Relay{cfg: cfg, router: router, log: log, http: &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: cfg.DialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdlePerEngine,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
-		ReadBufferSize:      readBufferBytes,
+		DialContext:            (&net.Dialer{Timeout: cfg.DialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    maxIdlePerEngine,
+		IdleConnTimeout:        time.Minute,
+		DisableCompression:     true,
+		ReadBufferSize:         readBufferBytes,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}}
 }
 
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -11,10 +10,18 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"garnethoist.org/garnethoist/internal/httpsend"
 )
 
-// maxStatusBytes is the largest body of a status report that is read.
-const maxStatusBytes = 1 << 20
+const (
+	// maxStatusBytes is the largest body of a status report that is read.
+	maxStatusBytes = 1 << 20
+	// maxHeadBytes is the largest head of a response that is read.
+	maxHeadBytes = 16 << 10
+	// readBufferBytes is the size of the read buffer of a connection for an order.
+	readBufferBytes = 4 << 10
+)
 
 // Client reads the status of targets and sends orders to engines. It is safe for concurrent
 // use.
@@ -35,9 +42,10 @@
 func NewCountedClient(timeout time.Duration, wrap func(net.Conn) net.Conn) *Client {
 	c := &Client{timeout: timeout, wrap: wrap}
 	c.http = &http.Client{Transport: &http.Transport{
-		DialContext:         c.dial,
-		MaxIdleConnsPerHost: 1,
-		IdleConnTimeout:     time.Minute,
+		DialContext:            c.dial,
+		MaxIdleConnsPerHost:    1,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 	return c
 }
@@ -122,7 +130,7 @@
 	if err := req.Write(conn); err != nil {
 		return errors.Wrapf(ErrUnreachable, "%v", err)
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
+	resp, err := httpsend.NewResponseReader(conn, readBufferBytes).ReadResponse(req)
 	if err != nil {
 		return errors.Wrapf(ErrUnreachable, "%v", err)
 	}
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -1,7 +1,6 @@
 package tunnel
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -14,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"garnethoist.org/garnethoist/internal/clock"
+	"garnethoist.org/garnethoist/internal/httpsend"
 	"garnethoist.org/garnethoist/internal/kernel"
 	"garnethoist.org/garnethoist/internal/silence"
 	"garnethoist.org/garnethoist/internal/telemetry"
@@ -314,14 +314,14 @@
 	if _, err := fmt.Fprintf(nc, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n\r\n", address, address, headerFraming, framingChunked); err != nil {
 		return nil, errors.Wrapf(errDeclined, "%v", err)
 	}
-	br := bufio.NewReaderSize(nc, framedReadBytes)
-	resp, err := http.ReadResponse(br, &http.Request{Method: http.MethodConnect})
+	br := httpsend.NewResponseReader(nc, framedReadBytes)
+	resp, err := br.ReadResponse(&http.Request{Method: http.MethodConnect})
 	if err != nil {
 		return nil, errors.Wrapf(errDeclined, "%v", err)
 	}
 	switch resp.StatusCode {
 	case http.StatusOK:
-		return newConn(tcp, br, isFramed(resp.Header)), nil
+		return newConn(tcp, br.Reader, isFramed(resp.Header)), nil
 	case http.StatusBadGateway:
 		return nil, errTargetRefused
 	case http.StatusGatewayTimeout:
--- a/internal/tunnel/ending_test.go
+++ b/internal/tunnel/ending_test.go
@@ -42,7 +42,7 @@
 // serveTunnels serves tunnels to the target until SIGTERM. It prints its address.
 func serveTunnels(target string) error {
 	dialer := tunnel.NewDialer(tunnel.Options{Direct: &net.Dialer{}, Log: telemetry.Discard()})
-	s := tunnel.NewServer(tunnel.ServerOptions{Dial: dialer.DialDirect, Allowed: func(a string) bool { return a == target }, Limit: 8})
+	s := tunnel.NewServer(tunnel.ServerOptions{Dial: dialer.DialDirect, Allowed: func(a string) bool { return a == target }, Limit: 64})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
