--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -32,8 +32,9 @@
 // storeRetry is the policy for retries of calls to the store. They need not be fast: a quarantine
 // takes effect on this VM and is sent to the other VMs without the store. The stored record is for
 // VMs that start when no other VM is left that knows the quarantine.
+// Each try takes up to three calls.
 var storeRetry = kernel.RetryPolicy{InitialWait: 300 * time.Millisecond, MaxWait: 3 * time.Second,
-	Timeout: 2 * time.Second}
+	Timeout: 3 * time.Second}
 
 // Keeper is a Table and a PartTable that also persists quarantines in the store, so that they outlive
 // all processes.
--- a/internal/scaling/controller.go
+++ b/internal/scaling/controller.go
@@ -328,7 +328,7 @@
 // loadJournal reads the journal at the start of tenure t, and after a write that failed. It reports whether
 // it succeeded.
 func (c *Controller) loadJournal(ctx context.Context, t duty.Tenure) bool {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
+	call, cancel := context.WithTimeout(ctx, store.JournalCalls*callTimeout)
 	defer cancel()
 	records, err := c.journal.Read(call, t.Condition)
 	if err != nil {
--- a/internal/stages/journal.go
+++ b/internal/stages/journal.go
@@ -42,7 +42,7 @@
 // readJournal replaces openOrders with the rows of the journal. It is called at the start of a tenure,
 // and after a write that failed. Orders of this tenure keep what is known of them.
 func (c *Controller) readJournal(ctx context.Context, t lease.Tenure) error {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
+	call, cancel := context.WithTimeout(ctx, store.JournalCalls*callTimeout)
 	defer cancel()
 	records, err := c.journal.Read(call, condition(t))
 	if err != nil {
--- a/internal/store/journal.go
+++ b/internal/store/journal.go
@@ -6,6 +6,9 @@
 	"github.com/pkg/errors"
 )
 
+// JournalCalls is the largest number of calls to the store that Journal.Read makes for a short journal.
+const JournalCalls = 3
+
 // Journal is a set of records that the holder of a lease reads once and then writes. Each transaction
 // replaces one record, the head, on the condition that it has not changed. A transaction that the store
 // executes late therefore fails once a later one has been executed, even if the records that it writes
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -164,7 +164,7 @@
 
 // loadLedger reads the ledger from the store in tenure t and reports whether it succeeded.
 func (r *Reporter) loadLedger(ctx context.Context, t duty.Tenure) bool {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
+	call, cancel := context.WithTimeout(ctx, store.JournalCalls*callTimeout)
 	defer cancel()
 	l, err := readLedger(call, r.journal, t.Condition)
 	if err != nil {
