Heads of journals have a value

Cause: a head was written without a value, which the platform refuses with 400. No stand-in did.

Change: a head that says nothing is an empty object.

--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -230,7 +230,7 @@
 
 // deleteRecords deletes the records that conds names after the head.
 func (k *Keeper) deleteRecords(ctx context.Context, conds []store.Cond) error {
-	txn := store.Txn{Conds: conds, Puts: []store.Put{{Key: headKey}}}
+	txn := store.Txn{Conds: conds, Puts: []store.Put{{Key: headKey, Value: []byte("{}")}}}
 	for _, c := range conds[1:] {
 		txn.Deletes = append(txn.Deletes, c.Key)
 	}
--- a/internal/store/journal.go
+++ b/internal/store/journal.go
@@ -9,6 +9,9 @@
 // JournalCalls is the largest number of calls to the store that Journal.Read makes for a short journal.
 const JournalCalls = 3
 
+// emptyHead is the value of a head that says nothing.
+var emptyHead = []byte("{}")
+
 // Journal is a set of records that the holder of a lease reads once and then writes. Each transaction
 // replaces one record, the head, on the condition that it has not changed. A transaction that the store
 // executes late therefore fails once a later one has been executed, even if the records that it writes
@@ -56,10 +59,13 @@
 	return nil
 }
 
-// Commit executes txn and writes value to the head. After any error but ErrUnavailable, the journal has to
+// Commit executes txn and writes value to the head, or an empty JSON object if value is empty. After any error but ErrUnavailable, the journal has to
 // be read again before the next call; ErrConflict says that the tenure has ended or that an earlier
 // transaction has been executed late.
 func (j *Journal) Commit(ctx context.Context, tenure Cond, value []byte, txn Txn) error {
+	if len(value) == 0 {
+		value = emptyHead
+	}
 	txn.Conds = append([]Cond{tenure, {Key: j.head, Version: j.version}}, txn.Conds...)
 	txn.Puts = append([]Put{{Key: j.head, Value: value}}, txn.Puts...)
 	version, err := j.table.Commit(ctx, txn)
--- a/internal/store/journal_test.go
+++ b/internal/store/journal_test.go
@@ -53,6 +53,18 @@
 	is.Equal(readRow(ctx, m), "")
 }
 
+// The platform refuses empty values: a head that says nothing has one too, so that orders can be journalled.
+func TestHeadWithoutValueIsRefused(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	m := store.NewMemory()
+	_, err := m.Commit(ctx, store.Txn{Puts: []store.Put{{Key: journalRow}}})
+	is.True(err != nil)
+	j := store.NewJournal(m, journalPrefix, journalHead)
+	is.NoErr(j.Commit(ctx, tenure, nil, putRow("a")))
+	is.Equal(readRow(ctx, m), "a")
+}
+
 // After Read, a transaction whose outcome was unknown can no longer take effect, even if none follows it.
 func TestLateTransactionTakesEffectAfterTheJournalWasRead(t *testing.T) {
 	is := is.New(t)
--- a/internal/store/memory.go
+++ b/internal/store/memory.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Memory is an in-memory fake of the platform. It implements Table, Objects, VMList and
@@ -52,6 +54,9 @@
 	FaultLateWrites Fault = "late_writes"
 )
 
+// errEmptyValue is the error of a transaction that puts an empty value.
+var errEmptyValue = errors.New("platform: a value is empty")
+
 // defaultBytesPerS is the initial value of Memory.bytesPerS.
 const defaultBytesPerS = 2 << 30
 
@@ -149,6 +154,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.writes++
+	for _, p := range txn.Puts {
+		if len(p.Value) == 0 {
+			return 0, errEmptyValue
+		}
+	}
 	switch m.fault {
 	case FaultDown:
 		return 0, ErrUnavailable
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -41,7 +41,7 @@
 	Version uint64 `json:"version"`
 }
 
-// Put is a write in a transaction.
+// Put is a write in a transaction. The value must not be empty.
 type Put struct {
 	Key   string `json:"key"`
 	Value []byte `json:"value"`
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -38,7 +38,7 @@
 // ledger is the state of the reports in the store, as read at the start of a tenure and kept up
 // to date since.
 type ledger struct {
-	// anySent says whether the store holds the row of sentKey.
+	// anySent says whether the row of sentKey holds a window.
 	anySent bool
 	// lastSent is the window up to which, inclusive, all reports are known to have been sent.
 	lastSent Window
@@ -53,9 +53,9 @@
 func rowKey(w Window, chunk int) string { return fmt.Sprintf("%s%020d/%03d", windowsPrefix, w, chunk) }
 
 // sentRow is the JSON value of the row at sentKey. All reports up to and including Window have been
-// sent.
+// sent; without Window it is not known whether any has.
 type sentRow struct {
-	Window Window `json:"window"`
+	Window *Window `json:"window"`
 }
 
 // readLedger reads the ledger from its journal in a tenure. It fails if the store cannot be read or a row
@@ -71,14 +71,13 @@
 	var order []Window
 	for _, r := range records {
 		if r.Key == sentKey {
-			if len(r.Value) == 0 {
-				continue
-			}
 			var s sentRow
 			if err := json.Unmarshal(r.Value, &s); err != nil {
 				return nil, errors.Wrapf(err, "decode %s", r.Key)
 			}
-			l.anySent, l.lastSent = true, s.Window
+			if s.Window != nil {
+				l.anySent, l.lastSent = true, *s.Window
+			}
 			continue
 		}
 		var w Window
@@ -127,7 +126,7 @@
 		txn.Puts = append(txn.Puts, store.Put{Key: rowKey(r.window, r.rows), Value: value[:n]})
 		value = value[n:]
 	}
-	sent, err := json.Marshal(sentRow{l.lastSent})
+	sent, err := json.Marshal(sentRow{&l.lastSent})
 	if err != nil {
 		return errors.Wrap(err, "encode last sent window")
 	}
