--- a/internal/stages/controller.go
+++ b/internal/stages/controller.go
@@ -161,8 +161,10 @@
 	// heldFence is the fencing number of the last tenure whose start was logged. It is 0 once the
 	// end of that tenure has been logged or the lease has been released.
 	heldFence uint64
-	// journalFence is the fencing number of the tenure in which the journal was read; 0 if it has to be read.
+	// journalFence is the fencing number of the tenure in which the journal was read. mustRead is set while it
+	// has to be read again in that tenure.
 	journalFence uint64
+	mustRead     bool
 }
 
 // New returns a controller that does nothing until Start. The clock must also count the time for
@@ -260,7 +262,7 @@
 	}
 	changes := c.pendingChanges(v)
 	// A write whose outcome is unknown is settled before the lease is released.
-	if len(changes) == 0 && len(c.closedOrders(v)) == 0 && !(held && c.journalFence == 0) {
+	if len(changes) == 0 && len(c.closedOrders(v)) == 0 && !(held && c.mustRead) {
 		c.changesSince = 0
 		c.releaseLease(ctx)
 		return
@@ -275,15 +277,15 @@
 	if !ok {
 		return
 	}
-	if c.journalFence != t.Fence {
+	if c.journalFence != t.Fence || c.mustRead {
 		if err := c.readJournal(ctx, t); err != nil {
 			c.log.Warn(telemetry.EventOrderRefused, telemetry.F("journal", "read"), telemetry.F("cause", err))
 			return
 		}
-		c.journalFence = t.Fence
+		c.journalFence, c.mustRead = t.Fence, false
 	}
 	c.removeClosedOrders(ctx, t, v)
-	if c.journalFence != t.Fence {
+	if c.mustRead {
 		return
 	}
 	if t.Fence > 1 && c.clock()-t.Since < c.cfg.HandoverGap+propagationDelay {
--- a/internal/stages/journal.go
+++ b/internal/stages/journal.go
@@ -40,7 +40,7 @@
 const headKey = "journal/stages"
 
 // readJournal replaces openOrders with the rows of the journal. It is called at the start of a tenure,
-// and after a write that failed. Orders of this tenure keep what is known of them.
+// and after a write that failed. What is known of the orders is kept within a tenure.
 func (c *Controller) readJournal(ctx context.Context, t lease.Tenure) error {
 	call, cancel := context.WithTimeout(ctx, store.JournalCalls*callTimeout)
 	defer cancel()
@@ -57,11 +57,11 @@
 		if err := json.Unmarshal(r.Value, &v); err != nil {
 			return errors.Wrapf(err, "decode %s", r.Key)
 		}
-		own := v.Holder == c.cfg.VM && v.Fence == t.Fence
-		if known := c.openOrders[engine]; own && known != nil && known.row == v {
+		if known := c.openOrders[engine]; c.journalFence == t.Fence && known != nil && known.row == v {
 			open[engine] = known
 			continue
 		}
+		own := v.Holder == c.cfg.VM && v.Fence == t.Fence
 		open[engine] = &openOrder{row: v, seenAt: c.clock(), abandoned: own}
 		c.log.Info(telemetry.EventOrderAdopted, telemetry.F("engine", engine), telemetry.F("stage", string(v.Stage)), telemetry.F("holder", v.Holder),
 			telemetry.F("fence", v.Fence), telemetry.F("abandoned", own))
@@ -101,9 +101,7 @@
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := c.journal.Commit(call, condition(t), nil, txn)
-	if err != nil {
-		c.journalFence = 0
-	}
+	c.mustRead = err != nil
 	return err
 }
 
