--- a/internal/httpsend/endless_test.go
+++ b/internal/httpsend/endless_test.go
@@ -4,10 +4,8 @@
 	"context"
 	"io"
 	"net"
-	"runtime"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"garnethoist.org/garnethoist/internal/httpsend"
+	"garnethoist.org/garnethoist/platform/platformtest"
 )
 
 // endless returns a handler that writes start and then repeats text until the connection is closed.
@@ -32,34 +31,6 @@
 	}
 }
 
-// peakHeap calls f and returns by how many bytes the heap grew at most meanwhile.
-func peakHeap(f func()) int64 {
-	heap := func() int64 {
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		return int64(m.HeapAlloc)
-	}
-	runtime.GC()
-	before := heap()
-	var peak atomic.Int64
-	stop, done := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(done)
-		for {
-			peak.Store(max(peak.Load(), heap()-before))
-			select {
-			case <-stop:
-				return
-			case <-time.After(2 * time.Millisecond):
-			}
-		}
-	}()
-	f()
-	close(stop)
-	<-done
-	return peak.Load()
-}
-
 // A target that sends bytes without end, in a head or in a body, must not take more and more memory: 125 MB
 // sent to one request took a process over its 284 MB. Each send fails, soon and with the cause.
 func TestBytesWithoutEndExceedMemory(t *testing.T) {
@@ -103,7 +74,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 			defer cancel()
 			errs := make([]error, targets)
-			peak := peakHeap(func() {
+			peak := platformtest.PeakHeap(func() {
 				var sends sync.WaitGroup
 				for i := range errs {
 					sends.Go(func() { _, errs[i] = send(ctx, client, d) })
