--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,8 +48,8 @@
 	// spareVMs is added to the number of known VMs when a limit is divided among the VMs, to allow
 	// for VMs that are not yet known.
 	spareVMs = place.SpareVMs
-	// bodiesDivisor divides the memory of the process into that for large parts of responses, which is
-	// minBodies bytes at least. While they are copied they take up to three times as much.
+	// The memory for large parts of responses is that of the process divided by bodiesDivisor, but at least
+	// minBodies bytes. A buffer that grows takes up to three times its size until the next collection.
 	bodiesDivisor = 16
 	minBodies     = 4 * maxEvent
 )
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -71,7 +71,7 @@
 			if merr := s.reserveMemory(ctx, len(s.partial)+n); merr != nil {
 				return merr
 			}
-			// An event may end in its last bytes and the first new ones.
+			// The blank line that ends an event may be split between two reads.
 			scanned := max(len(s.partial)-maxEventEnd, 0)
 			s.partial = append(s.partial, buf[:n]...)
 			if werr := s.forward(resp, scanned, errors.Is(err, io.EOF)); werr != nil {
--- a/internal/httpsend/reader.go
+++ b/internal/httpsend/reader.go
@@ -11,7 +11,7 @@
 const (
 	// maxHeadBytes limits the head of a response, as the users' platform limits that of a request.
 	maxHeadBytes = 16 << 10
-	// maxDetail is the number of bytes of a parser's error that are kept. It quotes what was received.
+	// maxDetail is the number of bytes that are kept of a parser's error, which quotes what was received.
 	maxDetail = 120
 	// protocolName begins every response (RFC 9112, section 4).
 	protocolName = "HTTP/"
@@ -60,8 +60,8 @@
 	return rr
 }
 
-// ReadResponse reads the head of the response to req, of at most maxHeadBytes and what the buffer holds. It
-// fails with ErrMalformed or with the connection's error.
+// ReadResponse reads the head of the response to req, of about maxHeadBytes at most. It fails with
+// ErrMalformed or with the connection's error.
 func (rr *ResponseReader) ReadResponse(req *http.Request) (*http.Response, error) {
 	rr.src.limited, rr.src.left = true, maxHeadBytes-rr.Buffered()
 	defer func() { rr.src.limited = false }()
--- a/internal/store/journal.go
+++ b/internal/store/journal.go
@@ -59,9 +59,9 @@
 	return nil
 }
 
-// Commit executes txn and writes value to the head, or an empty JSON object if value is empty. After any error but ErrUnavailable, the journal has to
-// be read again before the next call; ErrConflict says that the tenure has ended or that an earlier
-// transaction has been executed late.
+// Commit executes txn and writes value to the head, or an empty JSON object if value is empty. After any
+// error but ErrUnavailable, the journal has to be read again before the next call; ErrConflict says that the
+// tenure has ended or that an earlier transaction has been executed late.
 func (j *Journal) Commit(ctx context.Context, tenure Cond, value []byte, txn Txn) error {
 	if len(value) == 0 {
 		value = emptyHead
