--- a/internal/live/live_test.go
+++ b/internal/live/live_test.go
@@ -82,8 +82,8 @@
 }
 
 // checkSizes plays a day and fails if the large requests of a class are served less than half as
-// often as the class.
-func checkSizes(t *testing.T, cfg live.Config) {
+// often as the class. It returns the report of the day.
+func checkSizes(t *testing.T, cfg live.Config) *live.Report {
 	t.Helper()
 	cfg.Bin, cfg.Dir = bin, t.TempDir()
 	r, err := live.Run(context.Background(), cfg)
@@ -98,6 +98,7 @@
 	for _, u := range r.Underserved() {
 		t.Errorf("%s: served share of the %s by %s is %.2f, of all %.2f", u.Class, u.Band, u.Measure, u.Share, u.All)
 	}
+	return r
 }
 
 // Guards against the loss of the longest answers while engines crash and routes' timeouts are
@@ -120,3 +121,19 @@
 		})
 	}
 }
+
+// Guards against large prompts being refused behind a full queue while smaller ones are sent: in an
+// overload of slow engines on busy VMs, some of which crash or stop, 0.27 of the largest tenth of a class
+// were served and 0.69 of the class.
+func TestAllSizesAreServedInOverloadWithFaultsOnTheWallClock(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	const share, minRequests = 0.8, 60
+	s, d := allDataCentres(t, "ljubljana", "scale-2", 0.8, 1.6, 20)
+	faults := append(live.DayFaults(s, d), live.DealFaults(5, time.Duration(d.LengthS*float64(time.Second)))...)
+	r := checkSizes(t, live.Config{Site: s, Day: d, Seed: 1, Busy: 0.2, Faults: faults})
+	for _, u := range r.BelowShare(share, minRequests) {
+		t.Errorf("%s: served share of %s by %s is %.2f, of all %.2f", u.Class, u.Band, u.Measure, u.Share, u.All)
+	}
+}
--- a/internal/live/play.go
+++ b/internal/live/play.go
@@ -15,12 +15,6 @@
 )
 
 const (
-	// A caller waits for the next event of a stream for the longest of minPatience,
-	// patienceObjectives times the latency objective of its class and patienceGaps times the
-	// allowed gap between events, per the platform's documentation.
-	minPatience        = 2 * time.Second
-	patienceObjectives = 4
-	patienceGaps       = 8
 	// A refused caller retries after the time that the response names, but waits for at most
 	// 1/retryWaitDivisor of its remaining time.
 	retryWaitDivisor = 3
@@ -59,7 +53,6 @@
 func (h *harness) ask(ctx context.Context, number int, q *model.Request, class *model.Class) result {
 	began := time.Now()
 	limit := millis(class.DeadlineMS)
-	patience := max(minPatience, patienceObjectives*millis(class.AimMS), patienceGaps*millis(class.GapMS))
 	leaves := h.callerLeaves(number)
 	if leaves {
 		limit = min(limit, leaveAfter)
@@ -71,7 +64,7 @@
 		v, id := h.callerVM(q, attempt), attemptID(number, attempt, q.Output)
 		response := h.callers.Do(ctx, platformtest.LiveCall{
 			Address: string(v.cfg.Listen), ID: id, Route: class.Name, Prompt: q.Prompt,
-			Bytes: q.Prompt.BodyBytes, Timeout: limit - sent.Sub(began), Patience: patience, LastEvent: seen,
+			Bytes: q.Prompt.BodyBytes, Timeout: limit - sent.Sub(began), Patience: class.Patience(), LastEvent: seen,
 		})
 		response.Events += seen
 		r.response, r.vm, r.attempts = response, v.name(), attempt+1
--- a/internal/live/report.go
+++ b/internal/live/report.go
@@ -162,10 +162,18 @@
 // ServedByTenth sorts the requests of a class by a measure. It returns the fraction of requests
 // served in each tenth, the largest requests first, and in the whole class. class is an index into
 // Site.Classes.
-func (r *Report) ServedByTenth(class int, m Measure) (tenths [10]float64, all float64) {
+func (r *Report) ServedByTenth(class int, m Measure) (tenths Tenths, all float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	sorted := slices.DeleteFunc(slices.Clone(r.outcomes[class]), func(o result) bool { return !o.counts() })
+	return servedByTenth(slices.DeleteFunc(slices.Clone(r.outcomes[class]), func(o result) bool { return !o.counts() }), m)
+}
+
+// Tenths holds a figure of each tenth of the requests by size, the largest first.
+type Tenths [10]float64
+
+// servedByTenth sorts the outcomes by a measure and returns the fraction of them that were served, by
+// tenth and in all.
+func servedByTenth(sorted []result, m Measure) (tenths Tenths, all float64) {
 	size := measures[m]
 	slices.SortStableFunc(sorted, func(a, b result) int { return cmp.Compare(size(b.request), size(a.request)) })
 	for i := range tenths {
@@ -185,12 +193,32 @@
 	return float64(n) / float64(max(len(outcomes), 1))
 }
 
+// BelowShare returns the tenths of each class, by the total work of a request, that were served less
+// than share times as often as their class. Requests that no engine can finish in time are left out, and so
+// are classes with fewer than minRequests in a tenth. All requests must have been added.
+func (r *Report) BelowShare(share float64, minRequests int) []Underserved {
+	var out []Underserved
+	for i, c := range r.site.Classes {
+		finishable := slices.DeleteFunc(slices.Clone(r.outcomes[i]), func(o result) bool { return !o.counts() || !r.site.CanFinish(o.request) })
+		if c.Plain || len(finishable) < len(Tenths{})*minRequests {
+			continue
+		}
+		tenths, all := servedByTenth(finishable, ByWork)
+		for n, served := range tenths {
+			if served < share*all {
+				out = append(out, Underserved{Class: c.Name, Measure: ByWork, Band: fmt.Sprintf("tenth %d", n+1), Share: served, All: all})
+			}
+		}
+	}
+	return out
+}
+
 // Underserved is a size band of a class whose requests were served less than half as often as those
 // of the whole class.
 type Underserved struct {
 	Class   string
 	Measure Measure
-	// Band names the size band: the largest tenth or the next fifth.
+	// Band names the size band, such as the largest tenth.
 	Band string
 	// Share is the fraction of the requests of the band that were served, and All that of the whole
 	// class.
--- a/internal/model/arrivals.go
+++ b/internal/model/arrivals.go
@@ -31,6 +31,11 @@
 	size float64
 	// band is the size band of the request within its class: Largest, Large or Rest.
 	band int
+	// tenth is the tenth of the request by size among those of its class that an engine can finish in
+	// time, from 0 for the largest, or -1 if none can.
+	tenth int
+	// struck says that a fault ended an attempt of the request at its engine or VM.
+	struck bool
 	// refusalDelay is the time from sending the first attempt to its refusal.
 	refusalDelay time.Duration
 }
--- a/internal/model/faults.go
+++ b/internal/model/faults.go
@@ -105,6 +105,7 @@
 		if a.ended {
 			continue
 		}
+		a.Request.struck = true
 		if a.firstEventAt != 0 {
 			sim.failAttempt(a)
 			continue
--- a/internal/model/jobs.go
+++ b/internal/model/jobs.go
@@ -52,6 +52,7 @@
 		sim.failAttempt(p.attempt)
 		return
 	}
+	p.attempt.Request.struck = true
 	if e.silent {
 		sim.at(p.attempt.Deadline, func() { sim.failAttempt(p.attempt) })
 		return
@@ -168,6 +169,7 @@
 		sim.failAttempt(p.attempt)
 		return
 	}
+	p.attempt.Request.struck = true
 	if e.silent {
 		sim.at(p.attempt.Deadline, func() { sim.failAttempt(p.attempt) })
 		return
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -39,7 +39,7 @@
 // The examples load. A file with an unknown field and one without the required figures do not.
 func TestExamplesLoad(t *testing.T) {
 	is := is.New(t)
-	for _, path := range []string{"../../examples/model/kochi.jsonc", "../../examples/model/nairobi.jsonc"} {
+	for _, path := range []string{"../../examples/model/kochi.jsonc", "../../examples/model/nairobi.jsonc", "../../examples/model/ljubljana.jsonc"} {
 		s, err := Load(path)
 		is.NoErr(err)
 		is.Equal(len(s.Days), 6)
--- a/internal/model/placed.go
+++ b/internal/model/placed.go
@@ -19,8 +19,9 @@
 
 // Admission decides whether an attempt is sent to the engine chosen for it, deferred or refused.
 type Admission interface {
-	// Admit decides at virtual time now on the attempt a, for which c was chosen.
-	Admit(a *Attempt, c place.Choice, now time.Duration) place.Verdict
+	// Admit decides at virtual time now on the attempt a, for which c was chosen. deferred describes
+	// the deferred attempts of all VMs.
+	Admit(a *Attempt, c place.Choice, deferred Deferred, now time.Duration) place.Verdict
 	// Finish tells the admission that an attempt has ended.
 	Finish(a *Attempt)
 	// ExchangeReports has the VMs exchange what they share of their decisions.
@@ -29,6 +30,15 @@
 	Priority(a *Attempt) int
 }
 
+// Deferred describes the deferred attempts of all VMs.
+type Deferred struct {
+	// Prefill is the total prefill time of the attempts, and Engines the number of engines.
+	Prefill time.Duration
+	Engines int
+	// Random is a random number, uniform in [0, 1).
+	Random float64
+}
+
 // placerPolicy places attempts with the code that real VMs use: each VM has a place.Placer, which
 // knows the work of its own VM and the latest reports of the other VMs. peers and placers are
 // indexed by VM.
@@ -85,14 +95,17 @@
 // Prefill implements Policy.
 func (p *placerPolicy) Prefill(a *Attempt, now time.Duration) Decision {
 	placer, at := p.placers[a.VM], epoch.Add(now)
+	targets := p.fleet.Targets()
 	a.Prompt.Deferred = a.deferral != nil
-	c, ok := placer.Prefill(p.fleet.Targets(), p.spec, a.Prompt, a.Tried, at)
+	a.Prompt.MaxWait = a.admissionInput(now).MaxWait()
+	c, ok := placer.Prefill(targets, p.spec, a.Prompt, a.Tried, at)
 	if !ok {
 		return Decision{}
 	}
 	verdict := place.Send
 	if a.Sends == 0 {
-		verdict = p.admission.Admit(a, c, now)
+		deferred := Deferred{Prefill: placer.DeferredWork(targets[0].Service).Prefill, Engines: len(targets), Random: p.random.Float64()}
+		verdict = p.admission.Admit(a, c, deferred, now)
 	}
 	switch verdict {
 	case place.Refuse:
@@ -102,7 +115,7 @@
 	case place.Defer:
 		c.Ticket.End(place.Neutral, at)
 		if a.deferral == nil {
-			a.deferral = placer.AddDeferred(p.fleet.Targets()[0].Service, c)
+			a.deferral = placer.AddDeferred(targets[0].Service, c)
 		}
 		return Decision{Deferred: true, After: recheckInterval}
 	}
@@ -182,7 +195,7 @@
 	}
 }
 
-// GatewayAdmission admits as package gateway does, except that it sets no limit on deferred work.
+// GatewayAdmission admits as package gateway does.
 type GatewayAdmission struct {
 	// sizes counts, by VM, the requests of each size class that were decided on and admitted.
 	sizes map[int]*fair.Sizes
@@ -196,19 +209,31 @@
 }
 
 // Admit implements Admission.
-func (g *GatewayAdmission) Admit(a *Attempt, c place.Choice, now time.Duration) place.Verdict {
+func (g *GatewayAdmission) Admit(a *Attempt, c place.Choice, deferred Deferred, now time.Duration) place.Verdict {
 	sizes, size := g.classify(a)
-	ruling := place.Admit(c, place.AdmissionInput{
-		Objective: millis(a.Class.AimMS), Waited: now - a.Request.At,
-		HeldFor: now - a.Arrived, TimeLeft: a.Deadline - now, Patience: max(a.Sent+patience-now, 1),
-		Favor: sizes.Favor(a.Class.Name, size),
-	})
+	in := a.admissionInput(now)
+	in.Favor = sizes.Favor(a.Class.Name, size)
+	if a.deferral == nil {
+		in.QueueTime = deferred.Prefill / time.Duration(max(deferred.Engines, 1))
+	} else {
+		in.QueuedPrefill, in.CheckInterval, in.Random = deferred.Prefill, recheckInterval, deferred.Random
+	}
+	ruling := place.Admit(c, in)
 	if ruling.Verdict != place.Defer {
 		sizes.Count(a.Class.Name, size, a.Retry == 0, ruling.Verdict == place.Send, epoch.Add(now))
 	}
 	return ruling.Verdict
 }
 
+// admissionInput returns the part of the input of an admission decision that does not depend on the
+// chosen engine.
+func (a *Attempt) admissionInput(now time.Duration) place.AdmissionInput {
+	return place.AdmissionInput{
+		Objective: millis(a.Class.AimMS), Waited: now - a.Request.At,
+		HeldFor: now - a.Arrived, TimeLeft: a.Deadline - now, Patience: max(a.Sent+a.Class.Patience()-now, 1),
+	}
+}
+
 // classify returns the statistics of the attempt's VM and the attempt's size class.
 func (g *GatewayAdmission) classify(a *Attempt) (*fair.Sizes, fair.Size) {
 	sizes := g.sizes[a.VM]
@@ -250,7 +275,7 @@
 type DeadlineAdmission struct{}
 
 // Admit implements Admission.
-func (DeadlineAdmission) Admit(a *Attempt, c place.Choice, now time.Duration) place.Verdict {
+func (DeadlineAdmission) Admit(a *Attempt, c place.Choice, _ Deferred, now time.Duration) place.Verdict {
 	if c.Expected > millis(a.Class.AimMS)-(now-a.Request.At) {
 		return place.Refuse
 	}
@@ -310,7 +335,7 @@
 }
 
 // Admit implements Admission.
-func (s *ShareAdmission) Admit(a *Attempt, c place.Choice, _ time.Duration) place.Verdict {
+func (s *ShareAdmission) Admit(a *Attempt, c place.Choice, _ Deferred, _ time.Duration) place.Verdict {
 	need := s.engineTimeMS(float64(a.Prompt.Tokens-c.Cached), float64(a.Prompt.Output))
 	if s.admitted[a.Class]+need > s.limits[a.Class] {
 		return place.Refuse
--- a/internal/model/result.go
+++ b/internal/model/result.go
@@ -17,6 +17,9 @@
 	numBands
 )
 
+// numTenths is the number of tenths of the requests of a class by size.
+const numTenths = 10
+
 const (
 	// largestEnd and largeEnd are the fractions of a class's requests, sorted from the largest
 	// down, at which the bands Largest and Large end.
@@ -47,6 +50,9 @@
 	Classes []Count
 	// Sizes counts the requests of each class by size band.
 	Sizes [][numBands]Count
+	// Tenths counts the requests of each class by tenth of size, the largest first. Requests that no
+	// engine can finish in time (see Site.CanFinish) and failures that a fault caused are left out.
+	Tenths [][numTenths]Count
 	// Seconds counts the requests by the second of their first attempt.
 	Seconds []Count
 	// Tokens counts the prompt tokens of all engines.
@@ -60,6 +66,7 @@
 func newResult(s *Site, d *Day) *Result {
 	return &Result{
 		Classes: make([]Count, len(s.Classes)), Sizes: make([][numBands]Count, len(s.Classes)),
+		Tenths:  make([][numTenths]Count, len(s.Classes)),
 		Seconds: make([]Count, int(d.LengthS)+1), site: s, day: d,
 	}
 }
@@ -68,6 +75,9 @@
 func (r *Result) update(q *Request, f func(*Count)) {
 	f(&r.Classes[q.Class])
 	f(&r.Sizes[q.Class][q.band])
+	if q.tenth >= 0 {
+		f(&r.Tenths[q.Class][q.tenth])
+	}
 	f(&r.Seconds[int(q.At.Seconds())])
 }
 
@@ -90,7 +100,13 @@
 // is in progress.
 func (r *Result) recordRefused(a *Attempt) { r.update(a.Request, func(c *Count) { c.Refused++ }) }
 func (r *Result) recordFailed(a *Attempt)  { r.recordLost(a.Request) }
-func (r *Result) recordLost(q *Request)    { r.update(q, func(c *Count) { c.Failed++ }) }
+func (r *Result) recordLost(q *Request) {
+	if q.struck && q.tenth >= 0 {
+		r.Tenths[q.Class][q.tenth].Offered--
+		q.tenth = -1
+	}
+	r.update(q, func(c *Count) { c.Failed++ })
+}
 
 // recordServed records a complete answer and the worth that it earns. An answer is in time if it
 // begins within the latency objective, counted from the first attempt, and no gap between events
@@ -133,10 +149,11 @@
 	return t
 }
 
-// assignBands assigns the requests of each class to size bands.
+// assignBands assigns the requests of each class to size bands, and those that an engine can finish to
+// tenths.
 func assignBands(s *Site, rs []*Request) {
 	for class := range s.Classes {
-		var members []*Request
+		var members, finishable []*Request
 		for _, r := range rs {
 			if r.Class == class {
 				members = append(members, r)
@@ -144,6 +161,10 @@
 		}
 		sort.SliceStable(members, func(i, j int) bool { return members[i].size > members[j].size })
 		for i, r := range members {
+			r.tenth = -1
+			if s.CanFinish(r) {
+				finishable = append(finishable, r)
+			}
 			switch at := float64(i) / float64(len(members)); {
 			case at < largestEnd:
 				r.band = Largest
@@ -153,5 +174,8 @@
 				r.band = Rest
 			}
 		}
+		for i, r := range finishable {
+			r.tenth = i * numTenths / len(finishable)
+		}
 	}
 }
--- a/internal/model/sizes_test.go
+++ b/internal/model/sizes_test.go
@@ -78,6 +78,44 @@
 	}
 }
 
+// Guards against any tenth of a class by size being served much less often than the class, in overload
+// and on slow engines, while faults strike. Large prompts were refused behind a full queue of
+// deferred ones while smaller ones were sent at once.
+func TestEachTenthOfAClassIsServed(t *testing.T) {
+	const lowestShare = 0.8 // of the share of the class
+	for _, site := range []string{"nairobi", "kochi", "ljubljana"} {
+		for _, c := range []struct {
+			day            string
+			speed, traffic float64
+		}{{"quiet-1", 1, 1.6}, {"scale-2", 1, 3}, {"scale-2", 0.65, 1}, {"trouble-3", 0.5, 1}} {
+			t.Run(fmt.Sprintf("%s %s at speed %g with traffic %g", site, c.day, c.speed, c.traffic), func(t *testing.T) {
+				t.Parallel()
+				s, d := loadDay(t, site, c.day, c.speed, c.traffic)
+				r := Play(s, d, GenerateRequests(s, d, 1), 1, builders["today"])
+				for i, class := range s.Classes {
+					all := sumCounts(r.Tenths[i][:]).servedShare()
+					for n, tenth := range r.Tenths[i] {
+						if share := tenth.servedShare(); share < lowestShare*all {
+							t.Errorf("%s: served share of tenth %d, from the largest, is %.2f, of all %.2f", class.Name, n+1, share, all)
+						}
+					}
+				}
+			})
+		}
+	}
+}
+
+// sumCounts returns the sum of the counts of served and offered requests.
+func sumCounts(counts []Count) Count {
+	var sum Count
+	for _, c := range counts {
+		sum.Offered += c.Offered
+		sum.InTime += c.InTime
+		sum.Late += c.Late
+	}
+	return sum
+}
+
 // loadDay returns a site and one of its days, with engines and traffic scaled.
 func loadDay(t *testing.T, site, day string, speed, traffic float64) (*Site, *Day) {
 	t.Helper()
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -19,8 +19,6 @@
 	dialTimeout = 250 * time.Millisecond
 	// drainTime is how long a leaving engine keeps serving, per the users' specification.
 	drainTime = 2 * time.Second
-	// patience is how long a caller waits for the first event of a stream.
-	patience = 2 * time.Second
 	// maxTransferWait is the longest wait for a link between engines. If a KV cache would have to
 	// wait longer, the prompt is prefilled again instead.
 	maxTransferWait = 2 * time.Second
@@ -296,7 +294,7 @@
 // scheduleExpiry schedules the end of a sequence at its deadline, and earlier if the caller has not
 // received a first event within its patience.
 func (sim *simulation) scheduleExpiry(a *Attempt, e *engine, seq *sequence) {
-	sim.at(a.Sent+patience, func() {
+	sim.at(a.Sent+a.Class.Patience(), func() {
 		if a.firstEventAt == 0 && !seq.finished {
 			seq.expiresAt = sim.now
 			e.wake()
