--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -1,12 +1,13 @@
-// Package fair measures which prompt sizes are admitted less often than others, so that admission
-// can favor them.
+// Package fair measures which prompt sizes are served less often than others, so that admission can
+// favor them.
 //
 // Load pattern: more work arrives than the targets can do, for longer than callers wait. Which
-// requests are admitted then depends on their size: a short prompt fits into any gap, but a long
-// one only at a target that is nearly idle, and there is none. Each tenth of a route's prompts by size
-// is therefore owed a share of what is admitted. Each VM counts the requests of its own callers and a
-// sample of those of the other VMs. Its own alone are the fewer the more VMs there are, so that
-// an imbalance would last the longer until a VM had counted enough of them.
+// requests are served then depends on their size: a short prompt fits into any gap, but a long one only at
+// a target that is nearly idle, and there is none. Each tenth of a route's prompts by size is
+// therefore owed a share of what is served. A request counts as served once it is admitted, until it fails.
+// Each VM counts the requests of its own callers and a sample of those of the other VMs. Its own
+// alone are the fewer the more VMs there are, so that an imbalance would last the longer until a VM had
+// counted enough of them.
 package fair
 
 import (
@@ -50,22 +51,21 @@
 	// of LargestTenth.
 	largestShare = 0.1
 	upperShare   = 0.3 // fraction of the recent requests that are larger than the smallest of NextFifth
-	// decayRequests is the number of requests of a route over which the route's admission rate decays
-	// by a factor of e.
+	// decayRequests is the number of requests of a route over which the route's rate of served requests
+	// decays by a factor of e.
 	decayRequests = 512
-	// targetRate is the admission rate that each tenth of a route's prompts is owed, as a fraction of
-	// the admission rate of all of them.
-	targetRate = 0.75
-	// maxCredit is the number of admissions owed to a tenth at which it is favored fully. It also
-	// limits how long a past imbalance is remembered.
-	maxCredit = 4
-	// sharedPerS is the number of admissions that all VMs together share per second, so that what a VM
+	// targetRate is the rate of served requests that each tenth of a route's prompts is owed, as a fraction
+	// of that of all of them.
+	targetRate = 0.8
+	// fullCredit is the number of requests owed to a tenth at which it is favored fully.
+	fullCredit = 4
+	// maxCredit limits the number of requests that a tenth is owed or got in excess, and thus how long a
+	// past imbalance is remembered.
+	maxCredit = 24
+	// sharedPerS is the number of outcomes that all VMs together share per second, so that what a VM
 	// receives does not grow with the group.
 	sharedPerS = 64
-	// shareMinVMs is the smallest group in which admissions are shared. In smaller ones each VM has
-	// enough requests of its own.
-	shareMinVMs = 12
-	// maxShared is the maximum number of admissions that are kept until they are reported.
+	// maxShared is the maximum number of outcomes that are kept until they are reported.
 	maxShared = 64
 )
 
@@ -109,61 +109,61 @@
 	promptTokens, answerTokens int
 }
 
-// Admission is one try of a request that a VM shares with the other VMs.
-type Admission struct {
+// Outcome is how one try of a request ended, as a VM shares it with the other VMs.
+type Outcome struct {
 	// Route is the name of the request's route.
 	Route string
 	// Prompt and Answer are the lengths of the prompt and of the expected answer in tokens.
 	Prompt, Answer int
-	// First states whether this is the caller's first try of the request, and Admitted whether the try
-	// was admitted.
-	First, Admitted bool
+	// First states whether this is the caller's first try of the request, and Served whether it was
+	// answered completely.
+	First, Served bool
 }
 
-// route holds the recent sizes of the requests of one route, and how often they are admitted.
+// route holds the recent sizes of the requests of one route, and how often they are served.
 type route struct {
 	// prompts and answers hold the lengths of the prompts and of the expected answers, in tokens.
 	prompts recentSizes
 	answers recentSizes
-	// requests and admitted count the requests and those that were admitted, with exponential decay.
-	requests, admitted float64
-	// credit is the number of admissions that each tenth of the prompts is owed, from -maxCredit to
+	// requests and served count the requests and those that were served, with exponential decay.
+	requests, served float64
+	// credit is the number of requests that each tenth of the prompts is owed, from -maxCredit to
 	// maxCredit. It is the integral of the tenth's shortfall, so that a lasting shortfall of any size
 	// raises it until the tenth gets its share.
 	credit [numTenths]float64
 }
 
-// admissionRate returns the fraction of the requests that were admitted, or 0 if there were none.
-func (r *route) admissionRate() float64 {
+// servedRate returns the fraction of the requests that were served, or 0 if there were none.
+func (r *route) servedRate() float64 {
 	if r.requests <= 0 {
 		return 0
 	}
-	return min(r.admitted/r.requests, 1)
+	return min(max(r.served/r.requests, 0), 1)
 }
 
-// count records a try of a request in the tenth t. requests and admitted are what it adds to the
+// count records a try of a request in the tenth t. requests and served are what it adds to the
 // counts.
-func (r *route) count(t Tenth, requests, admitted float64) {
+func (r *route) count(t Tenth, requests, served float64) {
 	r.requests += requests
-	r.admitted += admitted
+	r.served += served
 	r.requests *= 1 - requests/decayRequests
-	r.admitted *= 1 - requests/decayRequests
-	owed := r.credit[t] + requests*targetRate*r.admissionRate() - admitted
+	r.served *= 1 - requests/decayRequests
+	owed := r.credit[t] + requests*targetRate*r.servedRate() - served
 	r.credit[t] = min(max(owed, -maxCredit), maxCredit)
 }
 
 // favor returns how much prompts of the tenth t are favored, from -1 to 1. A tenth that got more than
 // it is owed yields only as far as another one is owed.
 func (r *route) favor(t Tenth) float64 {
-	own := r.credit[t] / maxCredit
+	own := min(max(r.credit[t]/fullCredit, -1), 1)
 	if own >= 0 {
 		return own
 	}
-	return own * max(slices.Max(r.credit[:]), 0) / maxCredit
+	return own * min(max(slices.Max(r.credit[:]), 0)/fullCredit, 1)
 }
 
 // Sizes classifies requests by their size among the recent requests of their route, and measures
-// how often requests of each band are admitted. The zero value is ready for use. It is safe for
+// how often requests of each tenth are served. The zero value is ready for use. It is safe for
 // concurrent use.
 type Sizes struct {
 	// groupSize returns the number of VMs. Without it nothing is shared.
@@ -173,9 +173,9 @@
 	mu sync.Mutex
 	// routes holds the routes by name.
 	routes map[string]*route
-	// shared holds the admissions that have not been reported to other VMs yet, and nextShared is when
+	// shared holds the outcomes that have not been reported to other VMs yet, and nextShared is when
 	// the next one may be added.
-	shared     []Admission
+	shared     []Outcome
 	nextShared time.Time
 }
 
@@ -219,32 +219,44 @@
 	return s.route(routeName).favor(size.PromptTenth)
 }
 
-// Count records one try of a request. first states whether this is the caller's first try of the
-// request, and admitted whether the try was admitted. All tries of a caller together count as one
-// request, which is admitted at most once.
+// End records how a request that Count recorded as admitted has ended. first states whether it was the
+// caller's first try, and served whether the answer was complete.
+func (s *Sizes) End(routeName string, size Size, first, served bool, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !served {
+		s.route(routeName).count(size.PromptTenth, 0, -1)
+	}
+	s.share(Outcome{Route: routeName, Prompt: size.promptTokens, Answer: size.answerTokens, First: first, Served: served}, now)
+}
+
+// Count records the admission decision on one try of a request. first states whether this is the caller's
+// first try of the request, and admitted whether the try was admitted; End records how it ends then.
+// All tries of a caller together count as one request, which is served at most once.
 func (s *Sizes) Count(routeName string, size Size, first, admitted bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.route(routeName).count(size.PromptTenth, toFloat(first), toFloat(admitted))
-	s.share(Admission{Route: routeName, Prompt: size.promptTokens, Answer: size.answerTokens, First: first, Admitted: admitted}, now)
+	if !admitted {
+		s.share(Outcome{Route: routeName, Prompt: size.promptTokens, Answer: size.answerTokens, First: first}, now)
+	}
 }
 
-// share keeps an admission for the next report to the other VMs, if one is due. The caller holds s.mu.
-func (s *Sizes) share(a Admission, now time.Time) {
+// share keeps an outcome for the next report to the other VMs, if one is due. The caller holds s.mu.
+func (s *Sizes) share(o Outcome, now time.Time) {
 	if s.groupSize == nil || now.Before(s.nextShared) {
 		return
 	}
 	size := s.groupSize()
-	if size < shareMinVMs || len(s.shared) >= maxShared {
+	if size < 2 || len(s.shared) >= maxShared {
 		return
 	}
-	s.shared = append(s.shared, a)
+	s.shared = append(s.shared, o)
 	s.nextShared = now.Add(time.Duration(size) * time.Second / sharedPerS)
 }
 
-// TakeAdmissions returns the admissions of this VM that are to be reported to other VMs, and clears
-// them.
-func (s *Sizes) TakeAdmissions() []Admission {
+// TakeOutcomes returns the outcomes at this VM that are to be reported to other VMs, and clears them.
+func (s *Sizes) TakeOutcomes() []Outcome {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := s.shared
@@ -252,13 +264,13 @@
 	return out
 }
 
-// ObserveAdmissions takes in admissions that other VMs have shared.
-func (s *Sizes) ObserveAdmissions(admissions []Admission) {
+// ObserveOutcomes takes in outcomes that other VMs have shared.
+func (s *Sizes) ObserveOutcomes(outcomes []Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, a := range admissions {
-		r := s.route(a.Route)
-		r.count(r.classify(a.Prompt, a.Answer).PromptTenth, toFloat(a.First), toFloat(a.Admitted))
+	for _, o := range outcomes {
+		r := s.route(o.Route)
+		r.count(r.classify(o.Prompt, o.Answer).PromptTenth, toFloat(o.First), toFloat(o.Served))
 	}
 }
 
--- a/internal/fair/fair_test.go
+++ b/internal/fair/fair_test.go
@@ -117,3 +117,20 @@
 		is.Equal(s.Favor("r", fair.Size{PromptTenth: tenth}), 0.0)
 	}
 }
+
+// Guards against requests that are admitted and then fail counting as served: the largest prompts, which fail
+// more often, were then favored no more than others.
+func TestSizesThatFailAfterAdmissionAreFavored(t *testing.T) {
+	is := is.New(t)
+	s, r := &fair.Sizes{}, rand.New(rand.NewPCG(1, 1))
+	for range 2000 {
+		size := s.Classify("r", r.IntN(1000), 10)
+		admitted := r.Float64() < 0.5
+		s.Count("r", size, true, admitted, time.Time{})
+		if admitted {
+			s.End("r", size, true, size.Prompt != fair.LargestTenth || r.Float64() < 0.5, time.Time{})
+		}
+	}
+	is.True(s.Favor("r", fair.Size{PromptTenth: 0}) > 0.7)
+	is.True(s.Favor("r", fair.Size{PromptTenth: 5}) <= 0)
+}
--- a/internal/fair/group_test.go
+++ b/internal/fair/group_test.go
@@ -51,6 +51,9 @@
 				size := s.Classify("r", int(1000*r.ExpFloat64()), 10)
 				sent := r.Float64() < admissionChance(size, s.Favor("r", size))
 				s.Count("r", size, true, sent, now)
+				if sent {
+					s.End("r", size, true, true, now)
+				}
 				asked[size.Prompt]++
 				if sent {
 					admitted[size.Prompt]++
@@ -77,11 +80,11 @@
 func exchange(group []*fair.Sizes) int {
 	total := 0
 	for from, s := range group {
-		shared := s.TakeAdmissions()
+		shared := s.TakeOutcomes()
 		total += len(shared)
 		for to, other := range group {
 			if to != from {
-				other.ObserveAdmissions(shared)
+				other.ObserveOutcomes(shared)
 			}
 		}
 	}
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -21,6 +21,7 @@
 	in := x.admissionInput(clock.Now())
 	in.Favor = x.g.sizes.Favor(x.route.Name, x.size())
 	x.addQueueState(&in, c)
+	x.favor, x.aheadWait = in.Favor, in.Ahead
 	return place.Admit(c, in)
 }
 
@@ -38,17 +39,19 @@
 	return in
 }
 
-// addQueueState sets the fields of in that depend on the requests deferred on all VMs. If x is a
-// new request, the field is QueueTime: the time that all engines together need for the deferred
-// requests. If x is deferred itself, the fields are QueuedPrefill, which is the total prefill time
-// of the deferred requests, and those by which place.Admit decides whether it is the turn of x.
+// addQueueState sets the fields of in that depend on the requests deferred on all VMs that x competes
+// with: Ahead, and if x is a new request, QueueTime, the time that all engines together need for them. If x
+// is deferred itself, the fields are QueuedPrefill, which is their total prefill time, and those by
+// which place.Admit decides whether it is the turn of x.
 func (x *exchange) addQueueState(in *place.AdmissionInput, c place.Choice) {
-	waiting := x.g.placer.DeferredWork(x.service).Prefill
+	targets := x.view.Targets[x.service]
+	q := x.g.placer.QueueFor(targets, x.route.Name, in.Favor > 0)
+	in.Ahead = q.Ahead
 	if x.queueTicket == nil {
-		in.QueueTime = waiting / time.Duration(max(len(x.view.Targets[x.service]), 1))
+		in.QueueTime = q.Prefill / time.Duration(max(len(targets), 1))
 		return
 	}
-	in.QueuedPrefill, in.CheckInterval, in.Random = waiting, recheckDelay(c), x.g.randomFloat()
+	in.QueuedPrefill, in.CheckInterval, in.Random = q.Prefill, recheckDelay(c), x.g.randomFloat()
 }
 
 // refuseLate records the refusal of a request that cannot be served in time and returns its error.
--- a/internal/gateway/deferral.go
+++ b/internal/gateway/deferral.go
@@ -17,17 +17,22 @@
 )
 
 // enqueue counts the request as deferred, with the engine chosen for it, unless it is counted
-// already.
+// already. A request of a favored size goes before others of its route.
 func (x *exchange) enqueue(c place.Choice) {
-	if x.queueTicket == nil {
-		x.queueTicket = x.g.placer.AddDeferred(x.service, c)
+	if x.queueTicket != nil {
+		return
+	}
+	x.queueTicket = x.g.placer.AddDeferred(x.service, c)
+	if x.g.sizes.Favor(x.route.Name, x.size()) > 0 {
+		x.favoredTicket = x.g.placer.AddFavored(x.service, x.route.Name, c)
 	}
 }
 
 // dequeue stops counting the request as deferred, if it is counted.
 func (x *exchange) dequeue() {
 	x.queueTicket.End(place.Neutral, clock.Now())
-	x.queueTicket = nil
+	x.favoredTicket.End(place.Neutral, clock.Now())
+	x.queueTicket, x.favoredTicket = nil, nil
 }
 
 // recheckDelay returns the mean time between two checks of the engines for a deferred request.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -81,16 +81,22 @@
 	status          int
 	// firstByteAt is when the first byte of the response went to the caller.
 	firstByteAt time.Time
-	// queueTicket is set while the request is deferred; deferredFor is how long it has been
-	// deferred in total.
-	queueTicket *place.Ticket
-	deferredFor time.Duration
+	// queueTicket is set while the request is deferred, and favoredTicket too if its size is favored;
+	// deferredFor is how long it has been deferred in total.
+	queueTicket   *place.Ticket
+	favoredTicket *place.Ticket
+	deferredFor   time.Duration
 	// longestGap is the longest time between two writes of events to the caller.
 	longestGap time.Duration
 	// admission is set once the request was sent to an engine, or refused because it could not be
 	// on time. sizeClass caches the result of the method size.
 	admission *admission
 	sizeClass *fair.Size
+	// countedAdmitted is set once x.g.sizes has counted the request as admitted.
+	countedAdmitted bool
+	// favor and aheadWait are place.AdmissionInput.Favor and Ahead of the latest admission decision.
+	favor     float64
+	aheadWait time.Duration
 	// seat is the estimate with which the request was placed in the batch of its decode engine.
 	// eventInterval is the measured mean time between the events of that engine's response.
 	seat          *place.Seat
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -40,6 +40,7 @@
 // report logs the request and counts it. It is called once, after the response; err is the error
 // that the request ended with.
 func (x *exchange) report(err error) {
+	x.recordOutcome(err == nil)
 	took := clock.Since(x.arrived)
 	fields := append(x.logFields(), telemetry.F("ms", took.Milliseconds()))
 	if err == nil {
--- a/internal/model/faults.go
+++ b/internal/model/faults.go
@@ -110,7 +110,7 @@
 			sim.failAttempt(a)
 			continue
 		}
-		sim.endAttempt(a)
+		sim.endAttempt(a, false)
 		sim.retryAfterStop(a.Request, a.Retry, back)
 	}
 }
--- a/internal/model/jobs.go
+++ b/internal/model/jobs.go
@@ -155,7 +155,7 @@
 		return
 	}
 	if last {
-		sim.endAttempt(a)
+		sim.endAttempt(a, true)
 		sim.result.recordServed(a)
 	}
 }
--- a/internal/model/placed.go
+++ b/internal/model/placed.go
@@ -22,8 +22,8 @@
 	// Admit decides at virtual time now on the attempt a, for which c was chosen. deferred describes
 	// the deferred attempts of all VMs.
 	Admit(a *Attempt, c place.Choice, deferred Deferred, now time.Duration) place.Verdict
-	// Finish tells the admission that an attempt has ended.
-	Finish(a *Attempt)
+	// Finish tells the admission that an attempt has ended, and whether it was served.
+	Finish(a *Attempt, served bool, now time.Duration)
 	// ExchangeReports has the VMs exchange what they share of their decisions.
 	ExchangeReports()
 	// Priority returns the priority to send to the engines, which serve lower values first.
@@ -32,8 +32,8 @@
 
 // Deferred describes the deferred attempts of all VMs.
 type Deferred struct {
-	// Prefill is the total prefill time of the attempts, and Engines the number of engines.
-	Prefill time.Duration
+	// Queue returns the queue for an attempt, of a favored size or not, and Engines is the number of engines.
+	Queue   func(favored bool) place.Queue
 	Engines int
 	// Random is a random number, uniform in [0, 1).
 	Random float64
@@ -104,8 +104,8 @@
 	}
 	verdict := place.Send
 	if a.Sends == 0 {
-		deferred := Deferred{Prefill: placer.DeferredWork(targets[0].Service).Prefill, Engines: len(targets), Random: p.random.Float64()}
-		verdict = p.admission.Admit(a, c, deferred, now)
+		queue := func(favored bool) place.Queue { return placer.QueueFor(targets, a.Class.Name, favored) }
+		verdict = p.admission.Admit(a, c, Deferred{Queue: queue, Engines: len(targets), Random: p.random.Float64()}, now)
 	}
 	switch verdict {
 	case place.Refuse:
@@ -116,6 +116,9 @@
 		c.Ticket.End(place.Neutral, at)
 		if a.deferral == nil {
 			a.deferral = placer.AddDeferred(targets[0].Service, c)
+			if a.favored {
+				a.favoredDeferral = placer.AddFavored(targets[0].Service, a.Class.Name, c)
+			}
 		}
 		return Decision{Deferred: true, After: recheckInterval}
 	}
@@ -158,15 +161,16 @@
 }
 
 // Finish implements Policy.
-func (p *placerPolicy) Finish(a *Attempt) {
+func (p *placerPolicy) Finish(a *Attempt, served bool, now time.Duration) {
 	p.endDeferral(a)
-	p.admission.Finish(a)
+	p.admission.Finish(a, served, now)
 }
 
 // endDeferral ends the deferral of an attempt. It does nothing if the attempt is not deferred.
 func (p *placerPolicy) endDeferral(a *Attempt) {
 	a.deferral.End(place.Neutral, epoch)
-	a.deferral = nil
+	a.favoredDeferral.End(place.Neutral, epoch)
+	a.deferral, a.favoredDeferral = nil, nil
 }
 
 // ExchangeReports implements Policy.
@@ -213,14 +217,17 @@
 	sizes, size := g.classify(a)
 	in := a.admissionInput(now)
 	in.Favor = sizes.Favor(a.Class.Name, size)
+	queue := deferred.Queue(in.Favor > 0)
+	a.favored, in.Ahead = in.Favor > 0, queue.Ahead
 	if a.deferral == nil {
-		in.QueueTime = deferred.Prefill / time.Duration(max(deferred.Engines, 1))
+		in.QueueTime = queue.Prefill / time.Duration(max(deferred.Engines, 1))
 	} else {
-		in.QueuedPrefill, in.CheckInterval, in.Random = deferred.Prefill, recheckInterval, deferred.Random
+		in.QueuedPrefill, in.CheckInterval, in.Random = queue.Prefill, recheckInterval, deferred.Random
 	}
 	ruling := place.Admit(c, in)
-	if ruling.Verdict != place.Defer {
-		sizes.Count(a.Class.Name, size, a.Retry == 0, ruling.Verdict == place.Send, epoch.Add(now))
+	if ruling.Verdict != place.Defer && ruling.Reason != place.TooLongToPrefill && !a.admitted {
+		a.admitted = ruling.Verdict == place.Send
+		sizes.Count(a.Class.Name, size, a.Retry == 0, a.admitted, epoch.Add(now))
 	}
 	return ruling.Verdict
 }
@@ -254,17 +261,23 @@
 func (g *GatewayAdmission) ExchangeReports() {
 	vms := slices.Sorted(maps.Keys(g.sizes))
 	for _, from := range vms {
-		shared := g.sizes[from].TakeAdmissions()
+		shared := g.sizes[from].TakeOutcomes()
 		for _, to := range vms {
 			if to != from && len(shared) > 0 {
-				g.sizes[to].ObserveAdmissions(shared)
+				g.sizes[to].ObserveOutcomes(shared)
 			}
 		}
 	}
 }
 
 // Finish implements Admission.
-func (g *GatewayAdmission) Finish(a *Attempt) { delete(g.classified, a) }
+func (g *GatewayAdmission) Finish(a *Attempt, served bool, now time.Duration) {
+	if a.admitted {
+		sizes, size := g.classify(a)
+		sizes.End(a.Class.Name, size, a.Retry == 0, served, epoch.Add(now))
+	}
+	delete(g.classified, a)
+}
 
 // Priority implements Admission.
 func (*GatewayAdmission) Priority(a *Attempt) int { return a.Class.Priority }
@@ -286,7 +299,7 @@
 func (DeadlineAdmission) ExchangeReports() {}
 
 // Finish implements Admission.
-func (DeadlineAdmission) Finish(*Attempt) {}
+func (DeadlineAdmission) Finish(*Attempt, bool, time.Duration) {}
 
 // Priority implements Admission.
 func (DeadlineAdmission) Priority(*Attempt) int { return 0 }
@@ -349,7 +362,7 @@
 func (*ShareAdmission) ExchangeReports() {}
 
 // Finish implements Admission.
-func (s *ShareAdmission) Finish(a *Attempt) {
+func (s *ShareAdmission) Finish(a *Attempt, _ bool, _ time.Duration) {
 	s.admitted[a.Class] -= s.work[a]
 	delete(s.work, a)
 }
--- a/internal/model/policy.go
+++ b/internal/model/policy.go
@@ -32,8 +32,8 @@
 	Prefill(a *Attempt, now time.Duration) Decision
 	// Decode chooses the engine that decodes after the engine from has prefilled the prompt.
 	Decode(a *Attempt, from *fleet.Target, now time.Duration) Decision
-	// Finish tells the policy that an attempt has ended.
-	Finish(a *Attempt)
+	// Finish tells the policy that an attempt has ended, and whether it was served.
+	Finish(a *Attempt, served bool, now time.Duration)
 	// ExchangeReports has the VMs exchange reports of the work that they have outstanding.
 	ExchangeReports(now time.Duration)
 }
@@ -71,7 +71,7 @@
 }
 
 // Finish implements Policy.
-func (*pickPolicy) Finish(*Attempt) {}
+func (*pickPolicy) Finish(*Attempt, bool, time.Duration) {}
 
 // ExchangeReports implements Policy.
 func (*pickPolicy) ExchangeReports(time.Duration) {}
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -48,8 +48,9 @@
 	Sends int
 
 	// deferral is the ticket that counts the attempt among those that its VM defers. It is nil
-	// while the attempt is not deferred.
-	deferral *place.Ticket
+	// while the attempt is not deferred. favoredDeferral counts it among the favored ones.
+	deferral        *place.Ticket
+	favoredDeferral *place.Ticket
 	// dataCentre is the index of the data centre of caller and VM.
 	dataCentre int
 	// firstEventAt and lastEventAt are when the caller received the first and the latest
@@ -59,6 +60,10 @@
 	lastEventAt  time.Duration
 	gapExceeded  bool
 	ended        bool
+	// favored says that the size of the request is served less often than others, and admitted that the
+	// attempt was sent to an engine.
+	favored  bool
+	admitted bool
 }
 
 // simulation is the state of one day being simulated.
@@ -350,7 +355,7 @@
 	if a.ended {
 		return
 	}
-	sim.endAttempt(a)
+	sim.endAttempt(a, false)
 	sim.after(millis(sim.site.Network.CallerMS), func() {
 		back := sim.now + min(after, time.Duration(maxRetryShare*float64(a.Deadline-sim.now)))
 		if a.Retry > 0 || back >= a.Deadline {
@@ -366,13 +371,13 @@
 // failAttempt ends an attempt whose answer is not completed.
 func (sim *simulation) failAttempt(a *Attempt) {
 	if !a.ended {
-		sim.endAttempt(a)
+		sim.endAttempt(a, false)
 		sim.result.recordFailed(a)
 	}
 }
 
 // endAttempt marks an attempt as ended and tells the policy.
-func (sim *simulation) endAttempt(a *Attempt) {
+func (sim *simulation) endAttempt(a *Attempt, served bool) {
 	a.ended = true
-	sim.policy.Finish(a)
+	sim.policy.Finish(a, served, sim.now)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -379,7 +379,7 @@
 	if g.Err != nil {
 		return nil, g.Err
 	}
-	group.SetAdmissions(gw.Sizes())
+	group.SetOutcomes(gw.Sizes())
 	kernel.Need[*gateway.ReadyServer](g, ModuleReadyServer).SetReady(gw.Ready)
 	kernel.Need[*telemetry.Admin](g, ModuleAdmin).SetReady(gw.Ready)
 	return gw, g.Err
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -41,16 +41,16 @@
 	versionsNumber uint64
 }
 
-// due returns whether r must be sent now: if it contains send records, admissions, the
+// due returns whether r must be sent now: if it contains send records, outcomes, the
 // use of client accounts, the limits of targets or new software versions, if it differs from the last
 // report, or if the last report was sent at least heartbeatInterval ago. If so, due assigns r the next
 // number. Ages and store times change all the time and are not compared.
 func (s *sender) due(r *report) bool {
 	compared := *r
-	compared.SendRecords, compared.Admissions, compared.Used, compared.Limits, compared.Versions = nil, nil, nil, nil, nil
+	compared.SendRecords, compared.Outcomes, compared.Used, compared.Limits, compared.Versions = nil, nil, nil, nil, nil
 	compared.AgesMS, compared.StoreTimesMS = nil, nil
 	body := string(encode(&compared))
-	urgent := len(r.SendRecords)+len(r.Admissions)+len(r.Used)+len(r.Limits) > 0 || r.versionsChanged
+	urgent := len(r.SendRecords)+len(r.Outcomes)+len(r.Used)+len(r.Limits) > 0 || r.versionsChanged
 	if !urgent && body == s.last && clock.Since(s.lastAt) < heartbeatInterval {
 		return false
 	}
@@ -160,7 +160,7 @@
 	r := &report{
 		From: p.self, Incarnation: p.incarnation, Work: encodeWork(p.placer.Own()),
 		SendRecords: encodeSendRecords(p.placer.TakeSendRecords(), originHash(p.self.VM)),
-		Changing:    p.orders.OpenOrders(), Admissions: p.takeAdmissions(),
+		Changing:    p.orders.OpenOrders(), Outcomes: p.takeOutcomes(),
 	}
 	if p.pathLost != nil && p.pathLost() {
 		r.WithoutPath = []string{p.self.VM}
@@ -284,7 +284,7 @@
 	}
 	if included {
 		p.placer.Observe(decodeSendRecords(r.SendRecords, originHash(p.self.VM)), clock.Now())
-		p.observeAdmissions(r.Admissions)
+		p.observeOutcomes(r.Outcomes)
 		p.observeUsed(r)
 		if p.limits != nil {
 			now := clock.Now()
--- a/internal/peers/admissions_test.go
+++ b/internal/peers/outcomes_test.go
@@ -11,33 +11,33 @@
 	"garnethoist.org/garnethoist/internal/store"
 )
 
-// Admissions of one VM reach all other VMs unchanged, and not the VM itself.
-func TestAdmissionsReachAllVMs(t *testing.T) {
+// Outcomes of one VM reach all other VMs unchanged, and not the VM itself.
+func TestOutcomesReachAllVMs(t *testing.T) {
 	is := is.New(t)
 	large, small := startLarge(t, store.NewMemory())
 	all := append(large, small...)
 	for _, v := range all {
 		defer v.stop(t)
 	}
-	want := []fair.Admission{
+	want := []fair.Outcome{
 		{Route: "r", Prompt: 18300, Answer: 480, First: true},
-		{Route: "q", Prompt: 90, Answer: 13520, Admitted: true},
+		{Route: "q", Prompt: 90, Answer: 13520, Served: true},
 	}
 	from := large[7]
 	for n, v := range all {
 		if v == from {
 			continue
 		}
-		eventually(t, fmt.Sprintf("VM %d has the admissions", n), func() bool {
+		eventually(t, fmt.Sprintf("VM %d has the outcomes", n), func() bool {
 			// A datagram may be lost.
-			from.placer.shareAdmissions(want...)
+			from.placer.shareOutcomes(want...)
 			time.Sleep(50 * time.Millisecond)
-			return len(v.placer.knownAdmissions()) >= len(want)
+			return len(v.placer.knownOutcomes()) >= len(want)
 		})
 	}
-	is.Equal(len(from.placer.knownAdmissions()), 0)
+	is.Equal(len(from.placer.knownOutcomes()), 0)
 	for _, v := range all {
-		for i, a := range v.placer.knownAdmissions() {
+		for i, a := range v.placer.knownOutcomes() {
 			is.Equal(a, want[i%len(want)])
 		}
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -117,7 +117,7 @@
 	usage       Usage
 	quota       Quota
 	limits      Limits
-	admissions  Admissions
+	outcomes    Outcomes
 	origins     OriginRecords
 	versions    Versions
 	// pathLost reports whether this VM reaches no target directly.
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -30,9 +30,9 @@
 	own         map[string]place.Work
 	sendRecords []place.SendRecord
 	observed    []place.SendRecord
-	// decided holds the admissions to be shared, and admissions those that other VMs have shared.
-	decided    []fair.Admission
-	admissions []fair.Admission
+	// decided holds the outcomes to be shared, and outcomes those that other VMs have shared.
+	decided  []fair.Outcome
+	outcomes []fair.Outcome
 	// reads is the number of calls of Own.
 	reads int
 }
@@ -77,15 +77,15 @@
 	p.observed = append(p.observed, records...)
 }
 
-// shareAdmissions sets the admissions that TakeAdmissions returns next.
-func (p *placer) shareAdmissions(a ...fair.Admission) {
+// shareOutcomes sets the outcomes that TakeOutcomes returns next.
+func (p *placer) shareOutcomes(a ...fair.Outcome) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.decided = a
 }
 
-// TakeAdmissions implements peers.Admissions.
-func (p *placer) TakeAdmissions() []fair.Admission {
+// TakeOutcomes implements peers.Outcomes.
+func (p *placer) TakeOutcomes() []fair.Outcome {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := p.decided
@@ -93,18 +93,18 @@
 	return out
 }
 
-// ObserveAdmissions implements peers.Admissions. It adds the admissions to admissions.
-func (p *placer) ObserveAdmissions(a []fair.Admission) {
+// ObserveOutcomes implements peers.Outcomes. It adds the outcomes to outcomes.
+func (p *placer) ObserveOutcomes(a []fair.Outcome) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.admissions = append(p.admissions, a...)
+	p.outcomes = append(p.outcomes, a...)
 }
 
-// knownAdmissions returns the admissions that other VMs have shared.
-func (p *placer) knownAdmissions() []fair.Admission {
+// knownOutcomes returns the outcomes that other VMs have shared.
+func (p *placer) knownOutcomes() []fair.Outcome {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.Clone(p.admissions)
+	return slices.Clone(p.outcomes)
 }
 
 // observedCount returns the number of send records that other VMs have reported.
@@ -220,7 +220,7 @@
 	v := &vm{placer: &placer{}, followed: &followed{}}
 	v.peers = peers.New(m, incarnation, table, telemetry.Discard())
 	v.peers.SetPlacer(v.placer)
-	v.peers.SetAdmissions(v.placer)
+	v.peers.SetOutcomes(v.placer)
 	v.peers.SetOrders(o)
 	v.peers.Follow(v.followed)
 	addQuota(t, v)
--- a/internal/peers/report.go
+++ b/internal/peers/report.go
@@ -58,8 +58,8 @@
 	// SendRecords records the requests sent to targets, and those that failed there, since the
 	// last report.
 	SendRecords []sendRecord `cbor:"7,keyasint,omitempty"`
-	// Admissions are admission decisions since the last report.
-	Admissions []admission `cbor:"20,keyasint,omitempty"`
+	// Outcomes are the outcomes of requests since the last report.
+	Outcomes []outcome `cbor:"20,keyasint,omitempty"`
 	// Newest is the highest applied row version of each followed table.
 	Newest []uint64 `cbor:"8,keyasint"`
 	// Changing holds the engines that have been ordered to change their stage.
--- a/internal/place/admit.go
+++ b/internal/place/admit.go
@@ -28,6 +28,8 @@
 	// NoSeat: the batches that the request could join are full, and the wait for a seat, which is a
 	// free place in one of them, is longer than the wait for pending prompts.
 	NoSeat Reason = "no_seat"
+	// BehindFavored: deferred requests of the same route go first, as their sizes are served less often.
+	BehindFavored Reason = "behind_favored"
 	// NotItsTurn: the requests that are deferred on all VMs need more than the capacity that is
 	// free, and this request was not drawn at random to be sent now.
 	NotItsTurn Reason = "not_its_turn"
@@ -91,6 +93,8 @@
 	// two checks of whether a deferred request can be sent.
 	QueuedPrefill time.Duration
 	CheckInterval time.Duration
+	// Ahead is the time that the engines, all together, will take for deferred requests that go first.
+	Ahead time.Duration
 	// Favor is above 0 for a prompt size that is admitted less often than others, and below 0 for one
 	// that is admitted more often, from -1 to 1. It is the fraction of the request's own prefill time
 	// that is not counted or, if negative, that of yieldShare by which the allowed wait is reduced.
@@ -152,20 +156,25 @@
 func Admit(c Choice, a AdmissionInput) Decision {
 	left := a.timeLeft()
 	lastCheck := a.HeldFor > time.Duration(deferShare*float64(left+a.HeldFor))
-	inTime := c.Wait() <= a.maxWait(c.OwnPrefill)
+	own := time.Duration(prefillMargin * float64(c.OwnPrefill))
+	reason := c.waitReason()
+	inTime := c.Wait() <= a.maxWait(c.OwnPrefill) && (!c.PrefillKnown || c.Wait()+own <= left)
+	if inTime && c.Wait()+a.Ahead > a.maxWait(c.OwnPrefill) {
+		inTime, reason = false, BehindFavored
+	}
 	switch {
-	case c.PrefillKnown && time.Duration(prefillMargin*float64(c.OwnPrefill)) > left:
+	case c.PrefillKnown && own > left:
 		return Decision{Refuse, TooLongToPrefill}
 	case inTime && (lastCheck || isTurn(c, a)):
 		return Decision{Verdict: Send}
 	case lastCheck:
-		return Decision{Refuse, c.waitReason()}
+		return Decision{Refuse, reason}
 	case a.QueueTime > time.Duration(queuedShare*float64(left)):
 		return Decision{Refuse, QueueFull}
 	case inTime:
 		return Decision{Defer, NotItsTurn}
 	}
-	return Decision{Defer, c.waitReason()}
+	return Decision{Defer, reason}
 }
 
 // waitReason returns the cause of most of the expected wait: NoSeat or BehindPrompts.
--- a/internal/place/admit_test.go
+++ b/internal/place/admit_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/place"
 )
 
@@ -27,12 +28,52 @@
 		{"too many are deferred", long, place.AdmissionInput{QueueTime: ms(600)}, place.Decision{Verdict: place.Refuse, Reason: place.QueueFull}},
 		{"prefill takes too long", place.Choice{Expected: ms(1900), OwnPrefill: ms(1900), PrefillKnown: true}, place.AdmissionInput{}, place.Decision{Verdict: place.Refuse, Reason: place.TooLongToPrefill}},
 		{"no prompt of the size was prefilled yet", place.Choice{Expected: ms(1900), OwnPrefill: ms(1900)}, place.AdmissionInput{}, place.Decision{Verdict: place.Send}},
+		{"favored requests go first", place.Choice{Expected: ms(120), OwnPrefill: ms(20)}, place.AdmissionInput{Ahead: ms(80)}, place.Decision{Verdict: place.Defer, Reason: place.BehindFavored}},
+		{"its time ends behind pending prompts", place.Choice{Expected: ms(1900), OwnPrefill: ms(1800), PrefillKnown: true}, place.AdmissionInput{TimeLeft: ms(2300)}, place.Decision{Verdict: place.Defer, Reason: place.BehindPrompts}},
 		{"another deferred request goes first", place.Choice{Expected: ms(30), OwnPrefill: ms(20), ReportAge: ms(20)}, place.AdmissionInput{QueuedPrefill: ms(500), CheckInterval: ms(20), Random: 0.9}, place.Decision{Verdict: place.Defer, Reason: place.NotItsTurn}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			c.input.Objective, c.input.TimeLeft = ms(200), ms(2000)
+			c.input.Objective = ms(200)
+			if c.input.TimeLeft == 0 {
+				c.input.TimeLeft = ms(2000)
+			}
 			is.Equal(place.Admit(c.choice, c.input), c.want)
 		})
 	}
 }
+
+// Guards against large prompts, which are deferred, waiting for as long as small ones arrive: these fit
+// into any gap and were sent at once. Those of the same route that are not favored leave their place.
+func TestSmallPromptsLeaveTheirPlaceToFavoredOnes(t *testing.T) {
+	is := is.New(t)
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	p := newPlacer(peerWork{})
+	targets := []*fleet.Target{{ID: "a", Service: "m", Stage: fleet.Prefill}, {ID: "b", Service: "m", Stage: fleet.Decode}}
+	small := place.Choice{Expected: ms(120), OwnPrefill: ms(20)}
+	verdict := func(route string, favored bool) place.Verdict {
+		q := p.QueueFor(targets, route, favored)
+		return place.Admit(small, place.AdmissionInput{Objective: ms(200), TimeLeft: ms(2000), Ahead: q.Ahead}).Verdict
+	}
+	is.Equal(verdict("r", false), place.Send)
+
+	large := place.Choice{Expected: ms(900), OwnPrefill: ms(400)}
+	deferred, favored := p.AddDeferred("m", large), p.AddFavored("m", "r", large)
+	is.Equal(verdict("r", false), place.Defer)
+	is.Equal(verdict("r", true), place.Send)
+	is.Equal(verdict("other", false), place.Send)
+
+	deferred.End(place.Neutral, time.Time{})
+	favored.End(place.Neutral, time.Time{})
+	is.Equal(verdict("r", false), place.Send)
+}
+
+// Guards against favored prompts being refused behind a queue of others.
+func TestFavoredPromptsDoNotWaitBehindOthers(t *testing.T) {
+	is := is.New(t)
+	p := newPlacer(peerWork{})
+	targets := []*fleet.Target{{ID: "a", Service: "m", Stage: fleet.Prefill}}
+	p.AddDeferred("m", place.Choice{Expected: time.Second, OwnPrefill: time.Second})
+	is.Equal(p.QueueFor(targets, "r", false).Prefill, time.Second)
+	is.Equal(p.QueueFor(targets, "r", true).Prefill, time.Duration(0))
+}
