--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -209,9 +209,14 @@
 }
 
 // formatChoice formats a choice for the log line: the kind of step, the expected time to the first
-// event in ms, and the number of prompt tokens expected in the target's cache.
+// event in ms, the number of prompt tokens expected in the target's cache and, if requests to the target
+// fail, the percentage of them.
 func formatChoice(c place.Choice, step string) string {
-	return step + "~" + strconv.FormatInt(c.Expected.Milliseconds(), 10) + "c" + strconv.Itoa(c.Cached)
+	out := step + "~" + strconv.FormatInt(c.Expected.Milliseconds(), 10) + "c" + strconv.Itoa(c.Cached)
+	if percent := int(100 * c.Failing); percent > 0 {
+		out += "f" + strconv.Itoa(percent)
+	}
+	return out
 }
 
 // prefill has a target prefill the prompt and returns the handle of its KV cache. A prefill never
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -30,6 +30,8 @@
 	FreeCapacity time.Duration
 	// ReportAge is the average age of the reports on the work of other VMs.
 	ReportAge time.Duration
+	// Failing is the fraction of the recent requests to the target that failed, as far as this VM knows.
+	Failing float64
 	// Seat is the estimate of decoding the answer at the target, if it is a decode target.
 	Seat Seat
 	// reserved is the id of the run of the limited decode target to which the request is to be handed
@@ -179,7 +181,7 @@
 		reserved = req.decodeTarget.RunID()
 	}
 	return Choice{
-		reserved: reserved,
+		reserved: reserved, Failing: p.stateOf(chosen.target).failing(req.now),
 		Target:   chosen.target, Expected: chosen.expected, OwnPrefill: chosen.ownPrefill, SeatWait: chosen.seatWait, Cached: chosen.cached, InPlace: chosen.target.Stage != fleet.Prefill,
 		PrefillKnown: req.est.KnowsPrefill(req.prompt.Tokens, chosen.cached),
 		FreeCapacity: freeCapacity(candidates, req.prompt.MaxWait, unreported), ReportAge: age, Seat: req.est.seatEstimate(p.stateOf(chosen.target), chosen.running, req.prompt),
@@ -299,5 +301,5 @@
 	p.occupyLink(q, now)
 	ticket := p.begin(t, Work{Running: 1, Streams: est.longStreams(q), Tokens: q.Tokens + q.Output/2}, now)
 	ticket.task, ticket.prompt, ticket.waitedForSeat, ticket.span.running = taskDecode, q, s.wait > 0, p.totalWork(t.RunID()).Running-1
-	return Choice{Target: t, Expected: s.wait, Ticket: ticket, Seat: est.seatEstimate(p.stateOf(t), ticket.span.running, q)}, true
+	return Choice{Target: t, Expected: s.wait, Ticket: ticket, Failing: p.stateOf(t).failing(now), Seat: est.seatEstimate(p.stateOf(t), ticket.span.running, q)}, true
 }
--- a/internal/place/record.go
+++ b/internal/place/record.go
@@ -77,15 +77,20 @@
 // there. The cost of the target is multiplied by this number, since a cached prompt is worth
 // nothing at a target that fails. The caller holds Placer.mu.
 func (s *state) expectedTries(now time.Time) float64 {
-	share := max(s.failureRate, s.sends.failureRate(now), s.currentRefusalRate(now))
+	share := max(s.failing(now), s.currentRefusalRate(now))
 	return 1 / (1 - min(share, maxFailureRate))
 }
 
+// failing returns the fraction of the recent requests to the target that failed, this VM's or those of
+// all VMs. The caller holds Placer.mu.
+func (s *state) failing(now time.Time) float64 {
+	return max(s.failureRate, s.sends.failureRate(now))
+}
+
 // healthPenalty returns the cost that is added to a target that fails, refuses requests or cannot
 // be reached. The caller holds p.mu.
 func (p *Placer) healthPenalty(s *state, now time.Time) time.Duration {
-	failing := max(s.failureRate, s.sends.failureRate(now))
-	penalty := time.Duration(failing*float64(failurePenalty) + s.currentRefusalRate(now)*float64(refusalPenalty))
+	penalty := time.Duration(s.failing(now)*float64(failurePenalty) + s.currentRefusalRate(now)*float64(refusalPenalty))
 	if !s.reachable(now) {
 		penalty += failurePenalty
 	}
