--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -149,7 +149,6 @@
 	if meta.Prompt != nil {
 		meta.Prompt.Limit = clock.Until(x.deadline)
 		meta.Prompt.InitialLimit = meta.Prompt.Limit + x.g.callerWaits.sinceFirstTry(x.route.Name, meta.Timeout)
-		meta.Prompt.Repeatable = x.route.Repeatable()
 		meta.Prompt.BodyBytes = int(max(x.r.ContentLength, 0))
 	}
 	if err := x.readBody(x.view.Config.Limits); err != nil {
--- a/internal/place/cache.go
+++ b/internal/place/cache.go
@@ -95,23 +95,21 @@
 // reported already. The caller holds p.mu.
 func (p *Placer) recordOwn(r SendRecord, now time.Time) {
 	s := p.stateByID(r.Target)
-	p.addRecord(s, r, now)
+	s.addRecord(r, now)
 	p.noteInPlacePrefill(s, r, now)
 	if len(p.sendRecords) < maxSendRecords {
 		p.sendRecords = append(p.sendRecords, r)
 	}
 }
 
-// addRecord updates the health and the cache model of a target, whose state is s, from a record of any VM.
-// The caller holds p.mu.
-func (p *Placer) addRecord(s *state, r SendRecord, now time.Time) {
+// addRecord updates the health and the cache model of a target from a record of any VM. The caller
+// holds Placer.mu.
+func (s *state) addRecord(r SendRecord, now time.Time) {
 	if r.Failed {
 		s.sends.addFailure(now)
-		p.noteOutlierFailure(r.Target, s, now)
 		return
 	}
 	s.sends.addSend(now)
-	s.outlier.addSend(now)
 	s.cache.add(r.Parts, r.Missing)
 }
 
@@ -146,7 +144,7 @@
 	defer p.mu.Unlock()
 	for _, r := range records {
 		s := p.stateByID(r.Target)
-		p.addRecord(s, r, now)
+		s.addRecord(r, now)
 		p.noteInPlacePrefill(s, r, now)
 		if r.Prefills {
 			p.peerInflow(s.service).add(p.profile(s.service).PrefillTime(r.Missing, 0), now)
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -65,12 +65,11 @@
 func (p *Placer) Plain(targets []*fleet.Target, tried Tried, random uint64, now time.Time) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.noteTargets(targets)
 	var best *fleet.Target
 	var lowest time.Duration
 	for i := range targets {
 		t := targets[(i+int(random%uint64(len(targets))))%len(targets)]
-		if t.Leaving || tried[t.ID] || !p.withinLimit(t.RunID(), now) || !p.stateOf(t).outlier.mayTry(true, now) {
+		if t.Leaving || tried[t.ID] || !p.withinLimit(t.RunID(), now) {
 			continue
 		}
 		cost := p.plainCost(t, now)
@@ -82,7 +81,6 @@
 		return Choice{}, false
 	}
 	p.takePermit(best.RunID(), now)
-	p.stateOf(best).outlier.chosen(now)
 	p.recordOwn(SendRecord{Target: best.RunID()}, now)
 	ticket := p.begin(best, Work{Running: 1}, now)
 	ticket.task = taskPlain
@@ -105,16 +103,15 @@
 	if len(targets) == 0 {
 		return Choice{}, false
 	}
-	p.noteTargets(targets)
 	req := prefillRequest{service: targets[0].Service, est: p.estimatesFor(targets, spec), prompt: q, tried: tried, now: now, keepMaxGap: !p.cfg.Off.Pauses}
 	p.setBatchNeeds(&req.est, targets, q, now)
-	req.decodeTarget, req.decodeSeat = p.pickDecode(p.sampleDecodeTargets(targets), req.est, "", q.Repeatable, tried, now)
+	req.decodeTarget, req.decodeSeat = p.pickDecode(p.sampleDecodeTargets(targets), req.est, "", tried, now)
 	best, chosen := p.bestPrefill(p.sampleTargets(targets, q), req)
 	if best.Target == nil {
 		// No target was found that keeps the maximum gap of its streams. Without that limit, the
 		// streams of the chosen target may have to wait for this prompt.
 		req.keepMaxGap = false
-		req.decodeTarget, req.decodeSeat = p.pickDecode(targets, req.est, "", q.Repeatable, tried, now)
+		req.decodeTarget, req.decodeSeat = p.pickDecode(targets, req.est, "", tried, now)
 		best, chosen = p.bestPrefill(targets, req)
 	}
 	if best.Target == nil {
@@ -163,8 +160,7 @@
 	candidates := make([]candidate, 0, len(targets))
 	costs := make([]time.Duration, 0, len(targets))
 	for _, t := range targets {
-		if !p.usable(t, req.tried) || (t.Stage == fleet.Prefill && req.decodeTarget == nil) || !p.withinLimit(t.RunID(), req.now) ||
-			!p.stateOf(t).outlier.mayTry(req.prompt.Repeatable || t.Stage == fleet.Prefill, req.now) {
+		if !p.usable(t, req.tried) || (t.Stage == fleet.Prefill && req.decodeTarget == nil) || !p.withinLimit(t.RunID(), req.now) {
 			continue
 		}
 		c, ok := p.evaluate(t, req)
@@ -186,7 +182,7 @@
 	}
 	return Choice{
 		reserved: reserved, Failing: p.stateOf(chosen.target).failing(req.now),
-		Target: chosen.target, Expected: chosen.expected, OwnPrefill: chosen.ownPrefill, SeatWait: chosen.seatWait, Cached: chosen.cached, InPlace: chosen.target.Stage != fleet.Prefill,
+		Target:   chosen.target, Expected: chosen.expected, OwnPrefill: chosen.ownPrefill, SeatWait: chosen.seatWait, Cached: chosen.cached, InPlace: chosen.target.Stage != fleet.Prefill,
 		PrefillKnown: req.est.KnowsPrefill(req.prompt.Tokens, chosen.cached),
 		FreeCapacity: freeCapacity(candidates, req.prompt.MaxWait, unreported), ReportAge: age, Seat: req.est.seatEstimate(p.stateOf(chosen.target), chosen.running, req.prompt),
 	}, chosen
@@ -203,7 +199,6 @@
 		return false
 	}
 	p.takePermit(c.Target.RunID(), now)
-	p.stateOf(c.Target).outlier.chosen(now)
 	if q.reservedTarget = c.reserved; c.reserved != "" {
 		p.takePermit(c.reserved, now)
 	}
@@ -246,13 +241,12 @@
 
 // pickDecode returns the decode target with the cheapest seat for a prefilled prompt, together with
 // that seat. It returns a nil target if none can decode the prompt. near is the data centre of the
-// target that holds the prompt's KV cache, or empty if it is not known. repeatable says that the request may
-// be sent again after a failure. The caller holds p.mu.
-func (p *Placer) pickDecode(targets []*fleet.Target, est estimates, near string, repeatable bool, tried Tried, now time.Time) (*fleet.Target, seat) {
+// target that holds the prompt's KV cache, or empty if it is not known. The caller holds p.mu.
+func (p *Placer) pickDecode(targets []*fleet.Target, est estimates, near string, tried Tried, now time.Time) (*fleet.Target, seat) {
 	var best *fleet.Target
 	var lowest seat
 	for _, t := range targets {
-		if t.Stage == fleet.Prefill || !p.usable(t, tried) || !p.withinLimit(t.RunID(), now) || !p.stateOf(t).outlier.mayTry(repeatable, now) {
+		if t.Stage == fleet.Prefill || !p.usable(t, tried) || !p.withinLimit(t.RunID(), now) {
 			continue
 		}
 		s := est.seatAt(t, p.stateOf(t), p.totalWork(t.RunID()), now)
@@ -294,16 +288,15 @@
 	p.setBatchNeeds(&est, targets, q, now)
 	t, s := p.reservedSeat(targets, est, q, tried, now)
 	if t == nil {
-		t, s = p.pickDecode(p.sampleDecodeTargets(targets), est, near, q.Repeatable, tried, now)
+		t, s = p.pickDecode(p.sampleDecodeTargets(targets), est, near, tried, now)
 		if t == nil {
-			t, s = p.pickDecode(targets, est, near, q.Repeatable, tried, now)
+			t, s = p.pickDecode(targets, est, near, tried, now)
 		}
 		if t == nil {
 			return Choice{}, false
 		}
 		p.takePermit(t.RunID(), now)
 	}
-	p.stateOf(t).outlier.chosen(now)
 	p.recordOwnPrompt(SendRecord{Target: t.RunID(), Missing: q.Tokens}, q, now)
 	p.occupyLink(q, now)
 	ticket := p.begin(t, Work{Running: 1, Streams: est.longStreams(q), Tokens: q.Tokens + q.Output/2}, now)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -59,8 +59,6 @@
 	// MaxWait is the longest wait behind other prompts with which the request is still sent (see
 	// AdmissionInput.MaxWait), or 0 if it has not been computed.
 	MaxWait time.Duration
-	// Repeatable is set if the request may be sent again after a target may have run it.
-	Repeatable bool
 	// Deferred is set if the request was deferred and already has its place in the queue.
 	Deferred bool
 	// BodyBytes is the number of bytes that each send of the request puts on the VM's link.
@@ -148,7 +146,6 @@
 	// recent requests of all VMs and those that failed.
 	failureRate float64
 	sends       sendCounts
-	outlier     outlier
 	// refusalRate is the fraction of this VM's recent requests that were refused, as of refusedAt.
 	// It decays with time, because a full target empties.
 	refusalRate float64
@@ -226,11 +223,7 @@
 	// stepLimits holds the longest decode step at which the longest answers end in time, by
 	// service.
 	stepLimits map[string]*stepLimit
-	// failing holds the states of the targets that count as failing, by pool and run id, and latestTargets
-	// the targets of the latest choice, by service.
-	failing       map[targetPool]map[string]*state
-	latestTargets map[string][]*fleet.Target
-	random        *rand.Rand
+	random     *rand.Rand
 	// roundTrips holds the round trip time to the targets of each data centre.
 	roundTrips map[string]time.Duration
 	// linkFreeAt is when this VM's link will have finished the sends in progress.
@@ -249,7 +242,6 @@
 		membership: func() (int, int) { return 0, 1 }, ownLimits: make(map[string]*limitState),
 		states: make(map[string]*state), busy: make(map[string]*state), profiles: make(map[string]*profile.Profile),
 		roundTrips: make(map[string]time.Duration), peerInflows: make(map[string]*workRate), stepLimits: make(map[string]*stepLimit),
-		failing: make(map[targetPool]map[string]*state), latestTargets: make(map[string][]*fleet.Target),
 		random: rand.New(rand.NewPCG(seed, seed)),
 	}
 }
--- a/internal/place/record.go
+++ b/internal/place/record.go
@@ -29,12 +29,9 @@
 }
 
 // decay reduces the counts to their values at now.
-func (c *sendCounts) decay(now time.Time) { c.decayBy(now, sendCountsDecay) }
-
-// decayBy reduces the counts to their values at now with the given time constant.
-func (c *sendCounts) decayBy(now time.Time, timeConstant time.Duration) {
+func (c *sendCounts) decay(now time.Time) {
 	if dt := now.Sub(c.at); dt > 0 {
-		factor := decayFactor(dt, timeConstant)
+		factor := decayFactor(dt, sendCountsDecay)
 		c.sent *= factor
 		c.failed *= factor
 		c.at = now
--- a/internal/place/ticket.go
+++ b/internal/place/ticket.go
@@ -134,7 +134,6 @@
 		s.connErrors = 0
 		s.failureRate -= failureWeight * s.failureRate
 		s.sends.addSuccess()
-		s.noteAnswer()
 		t.observeEnd(s, now)
 	case Refused:
 		s.noteRefusal(now)
@@ -143,21 +142,11 @@
 		p.recordOwn(SendRecord{Target: t.id, Failed: true}, now)
 	case Lost:
 		s.noteFailure()
-		p.noteOutlierFailure(t.id, s, now)
 	case Unreachable:
 		s.noteConnectFailure(now)
 	}
 }
 
-// noteAnswer records that the target answers a request. One that has failed nearly all requests is in full use
-// again then. The caller holds Placer.mu.
-func (s *state) noteAnswer() {
-	if s.outlier.failing {
-		s.failureRate, s.sends = 0, sendCounts{}
-	}
-	s.outlier = outlier{}
-}
-
 // noteFailure records that a request of this VM to the target failed. The caller holds Placer.mu.
 func (s *state) noteFailure() { s.failureRate += failureWeight * (1 - s.failureRate) }
 
@@ -197,7 +186,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.stateByID(t.id)
-	s.noteAnswer()
 	finished := Work{Prefill: t.work.Prefill, Prefills: t.work.Prefills}
 	p.setOwnWork(t.id, s, s.ownWork.Minus(finished))
 	t.work = t.work.Minus(finished)
