--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -182,7 +182,7 @@
 	}
 	return Choice{
 		reserved: reserved, Failing: p.stateOf(chosen.target).failing(req.now),
-		Target:   chosen.target, Expected: chosen.expected, OwnPrefill: chosen.ownPrefill, SeatWait: chosen.seatWait, Cached: chosen.cached, InPlace: chosen.target.Stage != fleet.Prefill,
+		Target: chosen.target, Expected: chosen.expected, OwnPrefill: chosen.ownPrefill, SeatWait: chosen.seatWait, Cached: chosen.cached, InPlace: chosen.target.Stage != fleet.Prefill,
 		PrefillKnown: req.est.KnowsPrefill(req.prompt.Tokens, chosen.cached),
 		FreeCapacity: freeCapacity(candidates, req.prompt.MaxWait, unreported), ReportAge: age, Seat: req.est.seatEstimate(p.stateOf(chosen.target), chosen.running, req.prompt),
 	}, chosen
