--- a/internal/gateway/deferral_test.go
+++ b/internal/gateway/deferral_test.go
@@ -124,3 +124,30 @@
 	is.True(time.Since(x.arrived) < 400*time.Millisecond)
 	is.Equal(len(x.g.placer.Own()), 0)
 }
+
+// Guards against a request of a size that is served less often than others being refused behind a queue of
+// others. It is deferred, and the rest of its route counts it as ahead.
+func TestFavoredRequestIsDeferredBesideAFullQueue(t *testing.T) {
+	is := is.New(t)
+	x := lateExchange(&busyOthers{work: fullWork})
+	x.g.placer.AddDeferred("m", place.Choice{OwnPrefill: time.Second, Expected: time.Second})
+	for n := range 100 {
+		size := x.g.sizes.Classify("r", x.meta.Prompt.Tokens, 10)
+		x.g.sizes.Count("r", size, true, n%2 == 0, time.Now())
+	}
+	for x.g.sizes.Favor("r", x.size()) <= 0 {
+		x.g.sizes.Count("r", x.size(), true, false, time.Now())
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	targets, done := x.view.Targets["m"], make(chan struct{})
+	go func() {
+		defer close(done)
+		_, err := x.choosePrefill(ctx)
+		is.True(err != nil)
+	}()
+	time.Sleep(100 * time.Millisecond)
+	is.True(x.g.placer.QueueFor(targets, "r", false).Ahead > 0)
+	<-done
+	is.Equal(x.g.placer.QueueFor(targets, "r", false).Ahead, time.Duration(0))
+}
