--- a/internal/live/engines.go
+++ b/internal/live/engines.go
@@ -9,6 +9,9 @@
 	"garnethoist.org/garnethoist/platform/platformtest"
 )
 
+// firstVersion is the software version of the first engines.
+const firstVersion = "v0"
+
 // slot is a place at which one engine after the other runs. The engines are reached through a
 // relay, so that an engine can fall silent.
 type slot struct {
@@ -23,8 +26,23 @@
 	link   *proc.Relay
 	// leaving says that the present engine is listed as leaving.
 	leaving bool
-	// started counts the engines of the slot.
+	// started counts the engines of the slot, and version is the software version of the next one.
 	started int
+	version string
+}
+
+// setNextVersion sets the software version of the slot's next engine.
+func (s *slot) setNextVersion(version string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version = version
+}
+
+// serves reports whether the slot has an engine of a version that serves requests.
+func (s *slot) serves(version string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engine != nil && !s.leaving && s.engine.Version == version
 }
 
 // close ends the present engine and its relay.
@@ -49,7 +67,7 @@
 				stage = fleet.Prefill
 			}
 			n := len(h.slots)
-			h.slots = append(h.slots, &slot{index: n, dataCentre: dc.Name, factor: s.TimeFactor(n)})
+			h.slots = append(h.slots, &slot{index: n, dataCentre: dc.Name, factor: s.TimeFactor(n), version: firstVersion})
 			if err := h.startEngine(h.slots[n], stage); err != nil {
 				return err
 			}
@@ -62,9 +80,9 @@
 func (h *harness) startEngine(s *slot, stage fleet.Stage) error {
 	s.mu.Lock()
 	s.started++
-	id := fmt.Sprintf("engine-%d-%d", s.index, s.started)
+	id, version := fmt.Sprintf("engine-%d-%d", s.index, s.started), s.version
 	s.mu.Unlock()
-	e, err := h.fleet.Start(id, s.dataCentre, stage, s.factor, func(e *platformtest.LiveEngine) { h.list(s, e) })
+	e, err := h.fleet.Start(id, version, s.dataCentre, stage, s.factor, func(e *platformtest.LiveEngine) { h.list(s, e) })
 	if err != nil {
 		return err
 	}
--- a/internal/live/faults.go
+++ b/internal/live/faults.go
@@ -21,6 +21,11 @@
 	EngineDrain FaultKind = "engine_drain"
 	// EngineSlow makes engines take slowFactor times as long.
 	EngineSlow FaultKind = "engine_slow"
+	// EngineRelease replaces engines one after the other: each drains, and one of the next software version
+	// starts in its place.
+	EngineRelease FaultKind = "engine_release"
+	// EnginePause makes engines do nothing.
+	EnginePause FaultKind = "engine_pause"
 	// VMKill ends VMs with SIGKILL; they start again when the fault ends.
 	VMKill FaultKind = "vm_kill"
 	// VMPause stops VMs' processes with SIGSTOP.
@@ -32,6 +37,8 @@
 	// ShortTimeouts changes the configuration: the routes' timeouts become shortTimeoutShare of what
 	// they were.
 	ShortTimeouts FaultKind = "short_timeouts"
+	// ConfigChange writes the configuration anew, with the same content.
+	ConfigChange FaultKind = "config_change"
 	// CallersLeave makes leaveShare of the callers leave leaveAfter after they have sent a request.
 	CallersLeave FaultKind = "callers_leave"
 	// HotVM makes hotShare of the callers send their first attempts to one VM.
--- a/internal/live/inject.go
+++ b/internal/live/inject.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sort"
 	"sync"
@@ -22,6 +23,8 @@
 	// drainPollInterval is how often a leaving engine checks whether it is idle.
 	drainPollInterval = 100 * time.Millisecond
 	slowFactor        = 5
+	// releaseGap is the time between the replacements of two engines.
+	releaseGap = 400 * time.Millisecond
 	// rollGap is the time between the stops of two VMs.
 	rollGap    = 1500 * time.Millisecond
 	leaveShare = 0.25
@@ -53,8 +56,15 @@
 // inject injects one fault and returns when it has ended.
 func (h *harness) inject(ctx context.Context, f Fault) {
 	switch f.Kind {
-	case EngineCrash, EngineSilent, EngineDrain, EngineSlow:
-		h.eachSlot(f, func(s *slot) { h.disturbEngine(ctx, s, f) })
+	case EngineCrash, EngineSilent, EngineDrain, EngineSlow, EnginePause:
+		h.eachSlot(f, func(_ int, s *slot) { h.disturbEngine(ctx, s, f) })
+	case EngineRelease:
+		version := fmt.Sprint("v", h.lastVersion.Add(1))
+		h.eachSlot(f, func(n int, s *slot) {
+			kernel.Sleep(ctx, time.Duration(n)*releaseGap)
+			s.setNextVersion(version)
+			h.disturbEngine(ctx, s, f)
+		})
 	case VMKill:
 		h.eachVM(f, func(_ int, v *vm) { h.killVM(ctx, v, f.Duration) })
 	case VMPause:
@@ -72,6 +82,8 @@
 		h.writeConfig(shortTimeoutShare)
 		kernel.Sleep(ctx, f.Duration)
 		h.writeConfig(1)
+	case ConfigChange:
+		h.writeConfig(1)
 	case CallersLeave:
 		h.leaving.Add(1)
 		kernel.Sleep(ctx, f.Duration)
@@ -83,12 +95,13 @@
 	}
 }
 
-// eachSlot calls do for f.Count slots at once and waits until all calls have returned.
-func (h *harness) eachSlot(f Fault, do func(*slot)) {
+// eachSlot calls do for f.Count slots at once and waits until all calls have returned. The first
+// argument of do counts the calls.
+func (h *harness) eachSlot(f Fault, do func(n int, s *slot)) {
 	var running sync.WaitGroup
 	defer running.Wait()
-	for _, i := range choose(f, len(h.slots)) {
-		running.Go(func() { do(h.slots[i]) })
+	for n, i := range choose(f, len(h.slots)) {
+		running.Go(func() { do(n, h.slots[i]) })
 	}
 }
 
@@ -116,7 +129,7 @@
 		s.mu.Unlock()
 		return
 	}
-	if f.Kind != EngineSlow {
+	if f.Kind != EngineSlow && f.Kind != EnginePause {
 		s.leaving = true
 	}
 	s.mu.Unlock()
@@ -125,7 +138,9 @@
 		e.Slow(s.factor * slowFactor)
 		kernel.Sleep(ctx, f.Duration)
 		e.Slow(s.factor)
-	case EngineDrain:
+	case EnginePause:
+		e.Pause(f.Duration)
+	case EngineDrain, EngineRelease:
 		h.list(s, e)
 		began := time.Now()
 		kernel.Sleep(ctx, drainTime)
@@ -156,7 +171,7 @@
 	defer unlist.Stop()
 	kernel.Sleep(ctx, max(f.Duration, h.listedFor(f)))
 	link.Close()
-	if ctx.Err() != nil || f.Duration == 0 {
+	if ctx.Err() != nil || (f.Duration == 0 && f.Kind != EngineRelease) {
 		return
 	}
 	h.store.Remove(platformtest.TableTargets, e.ID)
@@ -166,7 +181,7 @@
 
 // listedFor returns how long the row of an engine remains after its end.
 func (h *harness) listedFor(f Fault) time.Duration {
-	if f.Kind == EngineDrain {
+	if f.Kind == EngineDrain || f.Kind == EngineRelease {
 		return 0
 	}
 	return crashListingDelay
--- a/internal/live/play.go
+++ b/internal/live/play.go
@@ -18,8 +18,10 @@
 	// A refused caller retries after the time that the response names, but waits for at most
 	// 1/retryWaitDivisor of its remaining time.
 	retryWaitDivisor = 3
-	// maxAttempts is the maximum number of times that a caller sends a request.
-	maxAttempts = 2
+	// defaultMaxAttempts is the default of Config.MaxAttempts.
+	defaultMaxAttempts = 2
+	// reconnectDelay is the pause after two attempts in a row that no VM has answered.
+	reconnectDelay = 500 * time.Millisecond
 )
 
 // playDay sends the day's requests when they are due, except plain ones, and waits until all have
@@ -47,9 +49,9 @@
 	return report
 }
 
-// ask sends a request as its caller does, and returns the result. The caller sends it once more if it
+// ask sends a request as its caller does, and returns the result. The caller sends it again if it
 // was refused, if the connection ended before the first event, or, where answers may be resumed, if
-// the connection ended later.
+// the connection ended later, Config.MaxAttempts times at most.
 func (h *harness) ask(ctx context.Context, number int, q *model.Request, class *model.Class) result {
 	began := time.Now()
 	limit := millis(class.DeadlineMS)
@@ -58,22 +60,32 @@
 		limit = min(limit, leaveAfter)
 	}
 	r := result{request: q}
-	seen := 0
+	seen, first := 0, ""
 	for attempt := 0; ; attempt++ {
 		sent := time.Now()
 		v, id := h.callerVM(q, attempt), attemptID(number, attempt, q.Output)
+		maySucceed := r.stream.version == "" || h.serving(r.stream.version) >= minServing
 		response := h.callers.Do(ctx, platformtest.LiveCall{
 			Address: string(v.cfg.Listen), ID: id, Route: class.Name, Prompt: q.Prompt,
-			Bytes: q.Prompt.BodyBytes, Timeout: limit - sent.Sub(began), Patience: class.Patience(), LastEvent: seen,
+			Bytes: q.Prompt.BodyBytes, Timeout: limit - sent.Sub(began), Patience: class.Patience(), LastEvent: seen, Resumes: first,
 		})
+		r.stream.add(response, seen, maySucceed)
+		if seen == 0 && response.Events > 0 {
+			first = id
+		}
+		unanswered := response.Status == 0 && r.response.Status == 0 && attempt > 0
 		response.Events += seen
 		r.response, r.vm, r.attempts = response, v.name(), attempt+1
 		r.brokenOff = r.brokenOff || h.disturbed.brokeOff(id, v.name(), sent, time.Now())
 		r.took = time.Since(began)
 		left := limit - time.Since(began)
-		if mayRetry(response, class) && attempt+1 < maxAttempts && left > 0 {
+		if mayRetry(response, class) && attempt+1 < h.maxAttempts() && left > 0 {
 			seen = response.Events
-			kernel.Sleep(ctx, min(response.RetryAfter, left/retryWaitDivisor))
+			wait := min(response.RetryAfter, left/retryWaitDivisor)
+			if unanswered {
+				wait = reconnectDelay
+			}
+			kernel.Sleep(ctx, wait)
 			continue
 		}
 		r.outcome = outcomeOf(h.cfg.Site, q, class, response, sent.Sub(began), isRefusal(response))
@@ -84,6 +96,25 @@
 	}
 }
 
+// maxAttempts returns the number of times that a caller sends a request at most.
+func (h *harness) maxAttempts() int {
+	if h.cfg.MaxAttempts == 0 {
+		return defaultMaxAttempts
+	}
+	return h.cfg.MaxAttempts
+}
+
+// serving returns the number of engines of a version that serve requests.
+func (h *harness) serving(version string) int {
+	n := 0
+	for _, s := range h.slots {
+		if s.serves(version) {
+			n++
+		}
+	}
+	return n
+}
+
 // isRefusal reports whether a response states that the request has not run.
 func isRefusal(response platformtest.LiveResult) bool {
 	return response.Status == http.StatusServiceUnavailable || response.Status == http.StatusTooManyRequests
--- a/internal/live/report.go
+++ b/internal/live/report.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -89,6 +90,7 @@
 	response platformtest.LiveResult
 	// brokenOff says that a fault of its engine or VM struck one of the attempts.
 	brokenOff bool
+	stream    streamState
 }
 
 // counts reports whether the request counts in the shares by size. Requests that failed because a
@@ -273,6 +275,8 @@
 			fmt.Fprintf(&b, " of %.2f\n", all)
 		}
 	}
+	streams := r.Streams(0, math.MaxInt64)
+	fmt.Fprintf(&b, "streams that may be resumed: %+v, share that goes on of the share that begins %.2f\n", streams, streams.ShareThatGoesOn())
 	fmt.Fprintf(&b, "failed by cause: %v; engines late by at most %s\n", r.causes, r.maxLag.Round(time.Millisecond))
 	for _, u := range r.Underserved() {
 		fmt.Fprintf(&b, "unserved: %s, %s by %s: %.2f of %.2f\n", u.Class, u.Band, u.Measure, u.Share, u.All)
--- a/internal/live/world.go
+++ b/internal/live/world.go
@@ -40,6 +40,8 @@
 	Busy float64
 	// EngineConns is the number of connections that an engine accepts, or 0 for the default.
 	EngineConns int
+	// MaxAttempts is the number of times that a caller sends a request at most, or 0 for two.
+	MaxAttempts int
 	// Faults are injected while the day is played. See DayFaults and DealFaults.
 	Faults []Fault
 	// Bin is the directory of the programs, and Dir the one for settings and logs.
@@ -64,6 +66,8 @@
 	hot atomic.Pointer[vm]
 	// configVersion is the version of the configuration that was written last.
 	configVersion atomic.Int64
+	// lastVersion is the number of the newest software version of engines.
+	lastVersion atomic.Int64
 }
 
 // Run plays the day and returns the outcomes of its requests. It returns an error if an engine or a
--- a/internal/model/engine.go
+++ b/internal/model/engine.go
@@ -75,8 +75,10 @@
 	spec   *Engine
 	// timeFactor multiplies the duration of each step.
 	timeFactor float64
-	clock      *clock
-	cache      *kvCache
+	// pausedUntil is the time until which no step begins.
+	pausedUntil time.Duration
+	clock       *clock
+	cache       *kvCache
 
 	waiting []*sequence
 	// prefilling sequences have a slot, and their prompts are not fully prefilled.
@@ -154,6 +156,10 @@
 		e.stepScheduled = false
 		return
 	}
+	if e.pausedUntil > e.clock.now {
+		e.clock.at(e.pausedUntil, e.step)
+		return
+	}
 	e.dropExpired()
 	e.admit()
 	if len(e.prefilling)+len(e.running) == 0 {
--- a/internal/model/live.go
+++ b/internal/model/live.go
@@ -286,6 +286,14 @@
 	l.engines[id].crash()
 }
 
+// Pause has an engine begin no step for d.
+func (l *Live) Pause(id string, d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.catchUp()
+	l.engines[id].pausedUntil = l.clock.now + d
+}
+
 // SetFactor changes by which factor an engine's work takes longer than its figures say, from its
 // next step on.
 func (l *Live) SetFactor(id string, factor float64) {
