--- a/internal/live/report.go
+++ b/internal/live/report.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -266,6 +265,10 @@
 		}
 		fmt.Fprintf(&b, "%s: asked=%d on_time=%d late=%d refused=%d failed=%d gone=%d; broken off by faults and not counted by size: %d\n",
 			c.Name, len(r.outcomes[i]), counts[inTime], counts[late], counts[refused], counts[failed], counts[gone], brokenOff)
+		if c.Resumable {
+			streams := r.Streams(i)
+			fmt.Fprintf(&b, "  streams: %+v, share that goes on of the share that begins %.2f\n", streams, streams.ShareThatGoesOn())
+		}
 		for _, m := range Measures() {
 			tenths, all := r.ServedByTenth(i, m)
 			fmt.Fprintf(&b, "  served by %s, largest tenth first:", m)
@@ -275,8 +278,6 @@
 			fmt.Fprintf(&b, " of %.2f\n", all)
 		}
 	}
-	streams := r.Streams(0, math.MaxInt64)
-	fmt.Fprintf(&b, "streams that may be resumed: %+v, share that goes on of the share that begins %.2f\n", streams, streams.ShareThatGoesOn())
 	fmt.Fprintf(&b, "failed by cause: %v; engines late by at most %s\n", r.causes, r.maxLag.Round(time.Millisecond))
 	for _, u := range r.Underserved() {
 		fmt.Fprintf(&b, "unserved: %s, %s by %s: %.2f of %.2f\n", u.Class, u.Band, u.Measure, u.Share, u.All)
--- a/internal/live/streams.go
+++ b/internal/live/streams.go
@@ -1,10 +1,6 @@
 package live
 
-import (
-	"time"
-
-	"garnethoist.org/garnethoist/platform/platformtest"
-)
+import "garnethoist.org/garnethoist/platform/platformtest"
 
 // minServing is the number of engines of its version that must serve for a resumed stream to count.
 const minServing = 2
@@ -63,20 +59,16 @@
 	return float64(c.WentOn) * float64(c.Asked) / max(float64(c.Resumed)*float64(c.Began), 1)
 }
 
-// Streams returns the counts of the streams that callers asked for from one time of the day to another.
-func (r *Report) Streams(from, to time.Duration) StreamCounts {
+// Streams returns the counts of the streams of a class, an index into Site.Classes.
+func (r *Report) Streams(class int) StreamCounts {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var c StreamCounts
-	for i, outcomes := range r.outcomes {
-		if !r.site.Classes[i].Resumable {
-			continue
-		}
-		for _, o := range outcomes {
-			if o.request.At >= from && o.request.At < to {
-				c.add(o.stream)
-			}
-		}
+	if !r.site.Classes[class].Resumable {
+		return c
+	}
+	for _, o := range r.outcomes[class] {
+		c.add(o.stream)
 	}
 	return c
 }
