A VM that does not know the group yet neither writes nor reads the streams in the store

After all VMs were killed at once each would take itself for the collector, and 2,000 would read and write for themselves. Supposed from reading; not seen.

--- a/internal/origin/group_test.go
+++ b/internal/origin/group_test.go
@@ -198,11 +198,18 @@
 	return v
 }
 
+// Joined implements JournalGroup.
+func (v *testVM) Joined() <-chan struct{} {
+	joined := make(chan struct{})
+	close(joined)
+	return joined
+}
+
 // SendToCollector implements JournalGroup.
 func (v *testVM) SendToCollector(r Record) bool {
 	c := v.collector()
 	if c != v && v.reaches(c) {
-		c.journal.Collect(r)
+		c.journal.Add(r)
 	}
 	return c != v
 }
--- a/internal/origin/journal.go
+++ b/internal/origin/journal.go
@@ -33,6 +33,9 @@
 // JournalGroup tells which VMs write the journal, the collectors, and carries records and questions to them.
 // Its methods are safe for concurrent use.
 type JournalGroup interface {
+	// Joined returns a channel that is closed once this VM knows the group. Before that its other methods must
+	// not be called.
+	Joined() <-chan struct{}
 	// SendToCollector sends a record to the collector of this VM. It returns false if this VM is one itself.
 	// It does not block, and the record may be lost.
 	SendToCollector(r Record) bool
@@ -98,15 +101,15 @@
 	return nil
 }
 
-// Add has a record written, by the collector of this VM.
+// Add has a record written by the collector of this VM, unless too many wait already. It does not block.
 func (j *Journal) Add(r Record) {
-	if !j.group.SendToCollector(r) {
-		j.Collect(r)
+	select {
+	case <-j.group.Joined():
+		if j.group.SendToCollector(r) {
+			return
+		}
+	default:
 	}
-}
-
-// Collect has a record written by this VM, unless too many wait already. It does not block.
-func (j *Journal) Collect(r Record) {
 	j.mu.Lock()
 	if len(j.pending) < maxPending {
 		j.pending = append(j.pending, expiringRecord{r, clock.Now().Add(min(r.TTL, maxTTL))})
@@ -120,6 +123,9 @@
 
 // runWrites writes records soon after they are added, and deletes obsolete rows.
 func (j *Journal) runWrites(ctx context.Context) {
+	if !j.awaitGroup(ctx) {
+		return
+	}
 	sweep := time.NewTicker(sweepInterval)
 	defer sweep.Stop()
 	var delay time.Duration
@@ -149,12 +155,25 @@
 	}
 }
 
-// flush writes the pending records.
+// awaitGroup waits until this VM knows the group. It returns false if ctx ends before.
+func (j *Journal) awaitGroup(ctx context.Context) bool {
+	select {
+	case <-j.group.Joined():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// flush writes the pending records, or sends those to the collector that came before this VM knew the group.
 func (j *Journal) flush(ctx context.Context) error {
 	j.mu.Lock()
 	batch := j.pending
 	j.pending = nil
 	j.mu.Unlock()
+	for len(batch) > 0 && j.group.SendToCollector(batch[0].Record) {
+		batch = batch[1:]
+	}
 	for len(batch) > 0 {
 		n := min(len(batch), maxRowRecords)
 		if err := j.write(ctx, batch[:n]); err != nil {
@@ -211,6 +230,9 @@
 	if at, ok := j.lookUp(k); ok {
 		return at, true
 	}
+	if !j.awaitGroup(ctx) {
+		return Origin{}, false
+	}
 	if !j.group.ReadsJournal() {
 		return j.group.AskCollector(ctx, k)
 	}
--- a/internal/peers/journal.go
+++ b/internal/peers/journal.go
@@ -19,7 +19,7 @@
 
 // Journal keeps in the store where streams began. origin.Journal implements it.
 type Journal interface {
-	Collect(r origin.Record)
+	Add(r origin.Record)
 	Find(ctx context.Context, k origin.Key) (origin.Origin, bool)
 }
 
@@ -56,7 +56,7 @@
 		return
 	}
 	for _, r := range m.decode() {
-		p.journal.Collect(r)
+		p.journal.Add(r)
 	}
 }
 
