--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"encoding/json"
 	"slices"
 	"strings"
@@ -193,6 +194,8 @@
 	// records and versions are what the VM knows of the software versions of streams.
 	records  *origin.Records
 	versions *origin.Versions
+	// journal is nil for a VM that keeps nothing of streams in the store.
+	journal *origin.Journal
 }
 
 // ports allocates ports for all tests of the package.
@@ -230,6 +233,11 @@
 	v.peers.SetOrigins(v.records)
 	v.versions = origin.NewVersions(fleet.NewKeeper(), table, v.peers, telemetry.Discard())
 	v.peers.SetVersions(v.versions)
+	v.journal = origin.NewJournal(table, v.peers, fmt.Sprint(m.VM, "/", incarnation), telemetry.Discard())
+	v.peers.SetJournal(v.journal)
+	if err := v.journal.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
 	if err := v.peers.Start(context.Background()); err != nil {
 		t.Fatal(err)
 	}
@@ -239,6 +247,11 @@
 // stop stops the VM and fails the test if that returns an error.
 func (v *vm) stop(t *testing.T) {
 	t.Helper()
+	if v.journal != nil {
+		if err := v.journal.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+	}
 	if err := v.peers.Stop(context.Background()); err != nil {
 		t.Error(err)
 	}
