--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
