Resumed streams may leave a debt in their account's allowance

Cause: after a restart of all VMs the buckets of allowances are empty, and callers resume in the first seconds. The cost of a stream, mostly its prompt, was taken a second time, and had to be there at once.

Why it works: what a resumed stream costs is still taken, as a debt that is refilled before anything else is permitted, so that the mean rate stays. The debt is limited to half a bucket, as one stream may be resumed again and again.

--- a/internal/gateway/allowance.go
+++ b/internal/gateway/allowance.go
@@ -14,6 +14,8 @@
 type Allowances interface {
 	// Take takes cost out of what the account may use, or returns false if that is not enough.
 	Take(account string, cost int64, now time.Time) (quota.Balance, bool)
+	// TakeResumed is Take for a request that resumes a stream.
+	TakeResumed(account string, cost int64, now time.Time) (quota.Balance, bool)
 	// Return puts back the cost of a request that has not run.
 	Return(account string, cost int64, now time.Time)
 }
@@ -40,7 +42,11 @@
 	}
 	u := &allowanceUse{account: account.Name, cost: account.Allowance.Cost(tokens)}
 	x.allowance = u
-	u.balance, u.taken = x.g.allowances.Take(u.account, u.cost, clock.Now())
+	take := x.g.allowances.Take
+	if x.mayBeResumed() && x.meta.LastEventID != "" {
+		take = x.g.allowances.TakeResumed
+	}
+	u.balance, u.taken = take(u.account, u.cost, clock.Now())
 	if u.taken {
 		return nil
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -30,6 +30,9 @@
 	// maxDebt limits a negative balance, as the time for which the bucket must fill to balance it.
 	// VMs that were cut off may report a large use at once, most of which lies far back.
 	maxDebt = 8 * time.Second
+	// resumeDebt limits the debt that resumed streams may leave, as a fraction of the bucket. Without a limit
+	// one stream, resumed again and again, would use any amount.
+	resumeDebt = 0.5
 	// sourceTTL is how long the totals of a source are kept after its last report.
 	sourceTTL = time.Minute
 	// maxItems is the maximum number of accounts in one report. If more have used something
@@ -137,6 +140,17 @@
 // allowance permits it. If not, nothing is taken out. An account without an allowance is always
 // permitted. A request that costs more than the whole bucket is permitted once the bucket is full.
 func (k *Keeper) Take(name string, cost int64, now time.Time) (Balance, bool) {
+	return k.take(name, cost, 0, now)
+}
+
+// TakeResumed is Take for a request that resumes a stream. The account's allowance permitted the stream when it
+// began, so that it may leave a debt, which is refilled before anything else is permitted.
+func (k *Keeper) TakeResumed(name string, cost int64, now time.Time) (Balance, bool) {
+	return k.take(name, cost, resumeDebt, now)
+}
+
+// take is Take with a permitted debt, as a fraction of the bucket.
+func (k *Keeper) take(name string, cost int64, debt float64, now time.Time) (Balance, bool) {
 	coverage := k.group.Coverage()
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -146,7 +160,7 @@
 	}
 	size := b.fill(now, coverage)
 	out := Balance{Level: b.level, Coverage: coverage}
-	if missing := min(float64(cost), size) - b.level; missing > 0 {
+	if missing := min(float64(cost), size) - b.level - debt*size; missing > 0 {
 		out.Wait = time.Duration(missing / (b.allowance.RatePerS * coverage) * float64(time.Second))
 		return out, false
 	}
