A resumed stream waits at least as long for a target as a new one, however long its prefill is expected to take

Cause: all of the expected prefill of a resumed stream was taken off what it may wait, where a new one's counts 0.4 of the objective at most and is not held against it while no prompt of its size was prefilled. Lines: waits of 57 to 239 ms, own_ms of 422 to 12,401, mostly behind_prompts.

Evidence: two cases of TestResumedStreamsDoNotStandBehindNewOnes, red before.

Why it works: the wait allowed to a new request is the least that a resumed one is allowed, and prefills that were observed count as they do for new ones.

--- a/internal/place/admit.go
+++ b/internal/place/admit.go
@@ -129,10 +129,13 @@
 	return max(time.Duration(yielded*onTimeShare*float64(a.Objective))-a.Waited-own, time.Duration(yielded*float64(idleWait(a.Objective))))
 }
 
-// maxResumeWait returns the longest queueing delay with which a request that resumes a stream is sent. own is the
-// estimated time of its own prefill.
+// maxResumeWait returns the longest queueing delay with which a request that resumes a stream is sent: with which
+// the stream goes on in time, but at least that of a new request, as the estimate of its own prefill, own, may be
+// too long.
 func (a AdmissionInput) maxResumeWait(own time.Duration) time.Duration {
-	return time.Duration(onTimeShare*float64(a.timeLeft())) - own
+	asNew := a
+	asNew.Waited = 0
+	return max(time.Duration(onTimeShare*float64(a.timeLeft()))-own, asNew.maxWait(own))
 }
 
 // MaxWait returns the longest queueing delay with which the request is sent. It is for use while
@@ -183,7 +186,7 @@
 	case c.PrefillKnown && own > left:
 		return Decision{Refuse, TooLongToPrefill}
 	case a.Resumes:
-		return admitResumed(c, a, lastCheck)
+		return admitResumed(c, a, c.PrefillKnown && c.Wait()+own > left, lastCheck)
 	case inTime && (lastCheck || isTurn(c, a)):
 		return Decision{Verdict: Send}
 	case lastCheck:
@@ -196,10 +199,11 @@
 	return Decision{Defer, reason}
 }
 
-// admitResumed is Admit for a request that resumes a stream and whose prompt can be prefilled in time.
-func admitResumed(c Choice, a AdmissionInput, lastCheck bool) Decision {
+// admitResumed is Admit for a request that resumes a stream and whose prompt can be prefilled in time. tooLate says
+// that it can't be behind the prompts that are pending at the target.
+func admitResumed(c Choice, a AdmissionInput, tooLate, lastCheck bool) Decision {
 	switch {
-	case c.Wait() <= a.maxResumeWait(c.OwnPrefill):
+	case !tooLate && c.Wait() <= a.maxResumeWait(c.OwnPrefill):
 		return Decision{Verdict: Send}
 	case lastCheck:
 		return Decision{Refuse, c.waitReason()}
--- a/internal/place/admit_test.go
+++ b/internal/place/admit_test.go
@@ -92,14 +92,21 @@
 		{"served for longer than the objective", busy, place.AdmissionInput{}, place.Decision{Verdict: place.Send}},
 		{"many new ones are deferred", busy, place.AdmissionInput{QueueTime: ms(900), Ahead: ms(900)}, place.Decision{Verdict: place.Send}},
 		{"its own turn is not drawn", busy, place.AdmissionInput{QueuedPrefill: ms(900), CheckInterval: ms(20), Random: 0.9}, place.Decision{Verdict: place.Send}},
+		{"the estimate of its own prefill is long", place.Choice{Expected: ms(1045), OwnPrefill: ms(975)}, place.AdmissionInput{TimeLeft: ms(900)}, place.Decision{Verdict: place.Send}},
+		{"its time ends behind pending prompts", place.Choice{Expected: ms(1900), OwnPrefill: ms(1800), PrefillKnown: true}, place.AdmissionInput{TimeLeft: ms(2300), Patience: ms(2300)}, place.Decision{Verdict: place.Defer, Reason: place.BehindPrompts}},
 		{"the caller leaves before", place.Choice{Expected: ms(1950), OwnPrefill: ms(5), PrefillKnown: true}, place.AdmissionInput{}, place.Decision{Verdict: place.Defer, Reason: place.BehindPrompts}},
 		{"deferred for too long", place.Choice{Expected: ms(1950), OwnPrefill: ms(5), PrefillKnown: true}, place.AdmissionInput{HeldFor: ms(2100)}, place.Decision{Verdict: place.Refuse, Reason: place.BehindPrompts}},
 		{"prefill takes too long", place.Choice{Expected: ms(1900), OwnPrefill: ms(1900), PrefillKnown: true}, place.AdmissionInput{}, place.Decision{Verdict: place.Refuse, Reason: place.TooLongToPrefill}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			c.input.Objective, c.input.Waited, c.input.Patience, c.input.Resumes = ms(150), ms(4000), ms(2000), true
-			c.input.TimeLeft = ms(11000)
+			c.input.Objective, c.input.Waited, c.input.Resumes = ms(150), ms(4000), true
+			if c.input.Patience == 0 {
+				c.input.Patience = ms(2000)
+			}
+			if c.input.TimeLeft == 0 {
+				c.input.TimeLeft = ms(11000)
+			}
 			is.Equal(place.Admit(c.choice, c.input), c.want)
 		})
 	}
