Incomplete requests don't take all connections

Callers saw: no connection while others, as many as the VM has file descriptors, had sent one byte of a body each and kept silent until the deadline that they had named.

Cause: near the limit of descriptors only idle connections were closed. One with an incomplete request was active until its deadline, and nobody was accepted meanwhile.

Now, once three quarters of the connections are in use, those whose requests are incomplete or have not begun may be an eighth of all. Beyond that the one that takes the most for the longest time ends, so that the VM stays below the share at which it reports not ready. Connections are ended for others at a limited rate: callers that come back at once would otherwise take the processor with their connects.

--- a/internal/abuse/abuse_test.go
+++ b/internal/abuse/abuse_test.go
@@ -73,3 +73,10 @@
 
 // Callers of all kinds at once ended the process.
 func TestMixedCrowdExceedsMemory(t *testing.T) { playCrowd(t, littleEach, 0, kinds...) }
+
+// Callers that send one byte of a body, as many as the VM has file descriptors, left ordinary callers without
+// a connection.
+func TestCrowdTakesAllConnections(t *testing.T) {
+	const descriptors = 600
+	playCrowd(t, descriptors, descriptors, named(t, "stated_length_one_byte"))
+}
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -43,6 +43,9 @@
 	// stopAcceptShare is the threshold at which no more callers are accepted. The connections above
 	// it are kept for requests in flight that still need a connection to a target.
 	stopAcceptShare = 0.94
+	// incompleteShare is the part of the connections whose requests may be incomplete, or not have begun,
+	// once closeIdleShare is reached. It leaves the VM below notReadyShare.
+	incompleteShare = 0.125
 )
 
 // What connections take in bytes, beside the bodies that they send.
@@ -311,6 +314,12 @@
 	return !fresh && !connOfHolder(h).pending()
 }
 
+// mayEndFresh reports whether a connection without a request may be closed although its caller has had
+// little time.
+func (cs *callerConns) mayEndFresh(h *intake.Holder) bool {
+	return h.Phase() == intake.New && !connOfHolder(h).pending()
+}
+
 // connOfHolder returns the connection of a holder.
 func connOfHolder(h *intake.Holder) *callerConn { return h.Owner.(*callerConn) }
 
@@ -376,7 +385,7 @@
 // makeRoom ends connections while there are too many or they take too much memory, and reports whether
 // another caller may be accepted.
 func (cs *callerConns) makeRoom() bool {
-	for cs.usedAtLeast(closeIdleShare) && cs.closeIdle() {
+	for cs.usedAtLeast(closeIdleShare) && (cs.closeIdle() || cs.endIncomplete()) {
 	}
 	if !cs.makeMemory() {
 		now := clock.Now()
@@ -424,6 +433,23 @@
 	return true
 }
 
+// endIncomplete ends a connection whose request is incomplete, or has not begun, if there are more of them than
+// incompleteShare allows, and reports whether it did.
+func (cs *callerConns) endIncomplete() bool {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	incomplete := cs.ledger.Count(intake.New) + cs.ledger.Count(intake.Reading)
+	if float64(incomplete) <= incompleteShare*float64(cs.maxConns) {
+		return false
+	}
+	h := cs.ledger.Worst(clock.Now(), cs.mayEndFresh)
+	if h == nil || !cs.paceLocked() {
+		return false
+	}
+	cs.endLocked(h, resourceDescriptors)
+	return true
+}
+
 // paceLocked reports whether another connection may be ended for a new one. Callers that come back at once
 // would otherwise take the processor with their connects.
 func (cs *callerConns) paceLocked() bool {
