Bodies of requests are not copied for each send

Callers saw: the memory of a VM was used up by large bodies sooner than their size told.

Cause: each send to a target built one buffer of head and body, which a slow target kept alive beside the body itself. The account of callers' memory holds a body once.

A body that is written while the response is read is now written from the exchange's own buffer, after the head.

Evidence: by reading; no test failed for it.

--- a/internal/httpsend/send.go
+++ b/internal/httpsend/send.go
@@ -204,8 +204,17 @@
 // write sends the request. A request larger than maxInlineWrite is written by a goroutine while the
 // response is read. The channel receives the result of the write.
 func (cn *conn) write(r *Request) (<-chan error, error) {
-	data := encode(r)
 	done := make(chan error, 1)
+	if len(r.Body) > maxInlineWrite {
+		// The body is not copied, as callers' bodies are accounted for once.
+		data := net.Buffers{encodeHead(r, 0), r.Body}
+		go func() {
+			_, err := data.WriteTo(cn.nc)
+			done <- err
+		}()
+		return done, nil
+	}
+	data := append(encodeHead(r, len(r.Body)), r.Body...)
 	if len(data) > maxInlineWrite {
 		go func() {
 			_, err := cn.nc.Write(data)
@@ -224,10 +233,11 @@
 	return done, nil
 }
 
-// encode returns the request in wire format. The body is framed by Content-Length.
-func encode(r *Request) []byte {
+// encodeHead returns the head of the request in wire format, with room for extra bytes. The body is framed by
+// Content-Length.
+func encodeHead(r *Request, extra int) []byte {
 	var b bytes.Buffer
-	b.Grow(1<<10 + len(r.Body))
+	b.Grow(1<<10 + extra)
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.URI)
@@ -248,7 +258,6 @@
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
 
