What VMs keep of invented parts of prompts is bounded

Callers saw: nothing yet. Callers choose the ids of the parts of their prompts, and each VM keeps up to 8,192 of them for each target: 2.7 GB at 10,000 targets, 30 MB at 90.

Cause: the bound was one for each target, not one for all.

The models of all targets now keep about 524,288 parts together, 32 for each target at least. Up to 64 targets each keeps as many as before.

Evidence: TestPartsThatCallersInventAreBounded, 1,000 targets, failed before.

--- a/internal/place/cache.go
+++ b/internal/place/cache.go
@@ -18,8 +18,18 @@
 	lastUse map[uint64]float64
 }
 
-// maxCacheParts is the maximum number of parts that a cacheModel keeps.
-const maxCacheParts = 8192
+const (
+	// maxCacheParts and minCacheParts bound the number of parts that a cacheModel keeps. Callers choose the
+	// ids of parts, so the models of all targets together keep about totalCacheParts.
+	maxCacheParts   = 8192
+	minCacheParts   = 32
+	totalCacheParts = 1 << 19
+)
+
+// cachePartLimit returns the number of parts that each of a number of cacheModels keeps at most.
+func cachePartLimit(models int) int {
+	return min(max(totalCacheParts/max(models, 1), minCacheParts), maxCacheParts)
+}
 
 // newCacheModel returns the model of an empty cache.
 func newCacheModel() *cacheModel { return &cacheModel{lastUse: make(map[uint64]float64)} }
@@ -39,13 +49,14 @@
 }
 
 // add records that the target now holds all parts with these hashes. missing is the number of the
-// prompt's tokens that the target did not hold before.
-func (c *cacheModel) add(parts []uint64, missing int) {
+// prompt's tokens that the target did not hold before. If there are more than limit parts, the older ones
+// are forgotten.
+func (c *cacheModel) add(parts []uint64, missing, limit int) {
 	c.tokensAdded += float64(missing)
 	for _, hash := range parts {
 		c.lastUse[hash] = c.tokensAdded
 	}
-	if len(c.lastUse) > maxCacheParts {
+	if len(c.lastUse) > limit {
 		c.evictOlderHalf()
 	}
 }
@@ -95,22 +106,22 @@
 // reported already. The caller holds p.mu.
 func (p *Placer) recordOwn(r SendRecord, now time.Time) {
 	s := p.stateByID(r.Target)
-	s.addRecord(r, now)
+	s.addRecord(r, cachePartLimit(len(p.states)), now)
 	p.noteInPlacePrefill(s, r, now)
 	if len(p.sendRecords) < maxSendRecords {
 		p.sendRecords = append(p.sendRecords, r)
 	}
 }
 
-// addRecord updates the health and the cache model of a target from a record of any VM. The caller
-// holds Placer.mu.
-func (s *state) addRecord(r SendRecord, now time.Time) {
+// addRecord updates the health and the cache model of a target, which keeps at most limit parts, from a
+// record of any VM. The caller holds Placer.mu.
+func (s *state) addRecord(r SendRecord, limit int, now time.Time) {
 	if r.Failed {
 		s.sends.addFailure(now)
 		return
 	}
 	s.sends.addSend(now)
-	s.cache.add(r.Parts, r.Missing)
+	s.cache.add(r.Parts, r.Missing, limit)
 }
 
 // noteInPlacePrefill updates the state of a decode target from the record of a prompt that the
@@ -144,7 +155,7 @@
 	defer p.mu.Unlock()
 	for _, r := range records {
 		s := p.stateByID(r.Target)
-		s.addRecord(r, now)
+		s.addRecord(r, cachePartLimit(len(p.states)), now)
 		p.noteInPlacePrefill(s, r, now)
 		if r.Prefills {
 			p.peerInflow(s.service).add(p.profile(s.service).PrefillTime(r.Missing, 0), now)
