Log lines are cut at 8 KB

Callers saw: nothing yet. Lines quote ids and headers of callers, of up to 64 KB each, and 256 lines are queued for a slow output.

Evidence: TestLongLinesAreCut failed before with 1 MB.

--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -13,6 +13,9 @@
 // logQueueLines is the number of lines that are queued for a slow output.
 const logQueueLines = 256
 
+// maxLineBytes is the size of the longest line.
+const maxLineBytes = 8 << 10
+
 // BoundedWriter is a rate-limited writer of log lines that never blocks. Lines that exceed the
 // rate, or that find the queue full, are dropped and counted. The count is written once a second
 // if it is not zero.
@@ -41,13 +44,17 @@
 // SetRate sets the limit of lines per second.
 func (w *BoundedWriter) SetRate(perSecond int) { w.linesPerS.Store(int64(perSecond)) }
 
-// Write queues one line, or drops it. It never blocks and always succeeds.
+// Write queues one line, or drops it. It never blocks and always succeeds. A line of more than maxLineBytes is
+// cut, as callers choose a part of it.
 func (w *BoundedWriter) Write(line []byte) (int, error) {
 	if !w.admit() {
 		w.dropped.Add(1)
 		return len(line), nil
 	}
-	copied := append([]byte(nil), line...)
+	copied := append([]byte(nil), line[:min(len(line), maxLineBytes)]...)
+	if len(line) > maxLineBytes {
+		copied[maxLineBytes-1] = '\n'
+	}
 	select {
 	case w.queue <- copied:
 	default:
--- a/internal/telemetry/bounded_test.go
+++ b/internal/telemetry/bounded_test.go
@@ -53,6 +53,18 @@
 	is.True(strings.Contains(out.String(), "event=log_dropped lines="))
 }
 
+// Lines that hold what callers send must not take memory in proportion.
+func TestLongLinesAreCut(t *testing.T) {
+	is := is.New(t)
+	out := &output{}
+	w := telemetry.NewBoundedWriter(out, 10)
+	_, err := w.Write([]byte(strings.Repeat("x", 1<<20) + "\n"))
+	is.NoErr(err)
+	is.NoErr(w.Stop(context.Background()))
+	is.True(len(out.String()) <= 8<<10)
+	is.True(strings.HasSuffix(out.String(), "x\n"))
+}
+
 // TestBlockedOutputDoesNotBlockWriters checks that lines are dropped and counted while the output
 // does not take any.
 func TestBlockedOutputDoesNotBlockWriters(t *testing.T) {
