Connections to a VM's other servers are limited

Callers saw: nothing yet. A VM's servers for readiness checks, metrics and other VMs accepted any number of connections, and so could take all file descriptors that are kept for callers and targets.

Cause: only the callers' listener counts its connections.

internal/connlimit accepts a number of connections at once and replaces the oldest by a further one, so that connections that are held keep nobody out. Tunnels, which have a limit of their own, are not counted once they are established.

--- a/internal/abuse/abuse_test.go
+++ b/internal/abuse/abuse_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"garnethoist.org/garnethoist/internal/settings"
 )
 
 // rounds is how often each caller of a crowd comes.
@@ -80,3 +82,20 @@
 	const descriptors = 600
 	playCrowd(t, descriptors, descriptors, named(t, "stated_length_one_byte"))
 }
+
+// Connections to the VM's other servers, as many as it has file descriptors, left ordinary callers without one.
+func TestOtherServersTakeAllConnections(t *testing.T) {
+	const descriptors = 600
+	is := is.New(t)
+	r := newRig(t, descriptors)
+	for _, address := range []settings.Addr{r.vm.ReadyListen, r.vm.MetricsListen} {
+		stop := r.watch()
+		crowd{address: string(address), callers: descriptors, rounds: 1, kinds: []kind{named(t, "stated_length_one_byte")}}.run(func(int) {
+			if err := r.ordinary(); err != nil {
+				t.Errorf("ordinary request beside connections to %s: %v", address, err)
+			}
+		})
+		r.check(t, stop(), descriptors)
+	}
+	is.NoErr(r.ordinary())
+}
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -8,10 +8,16 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"garnethoist.org/garnethoist/internal/connlimit"
 )
 
-// readyHeaderTimeout limits reading the header of a readiness check.
-const readyHeaderTimeout = 5 * time.Second
+const (
+	// readyHeaderTimeout limits reading the header of a readiness check.
+	readyHeaderTimeout = 5 * time.Second
+	// maxReadyConns limits the connections for readiness checks.
+	maxReadyConns = 16
+)
 
 // ReadyServer answers the load balancer's readiness checks.
 type ReadyServer struct {
@@ -43,7 +49,7 @@
 	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: readyHeaderTimeout}
 	s.wg.Go(func() {
 		// Serve returns an error only because Stop closes the listener.
-		_ = s.server.Serve(l)
+		_ = s.server.Serve(connlimit.New(l, maxReadyConns))
 	})
 	return nil
 }
--- a/internal/snapshot/server.go
+++ b/internal/snapshot/server.go
@@ -12,6 +12,7 @@
 	"github.com/gin-gonic/gin"
 	"github.com/pkg/errors"
 
+	"garnethoist.org/garnethoist/internal/connlimit"
 	"garnethoist.org/garnethoist/internal/silence"
 	"garnethoist.org/garnethoist/internal/telemetry"
 )
@@ -36,6 +37,9 @@
 	// transferTimeout limits the time of one transfer. A copy of ten thousand targets takes 0.3 s on
 	// the slowest links, of 10 Mbit/s.
 	transferTimeout = 8 * time.Second
+	// maxConns limits the connections that are not tunnels. Hundreds of VMs may ask at once for copies, or for
+	// tunnels, which have a limit of their own.
+	maxConns = 512
 	// silenceTimeout is how long a connection between VMs may stay silent.
 	silenceTimeout = 700 * time.Millisecond
 )
@@ -88,10 +92,10 @@
 		}
 		tables.ServeHTTP(w, r)
 	})
-	s.http = &http.Server{Handler: handler, ReadHeaderTimeout: silenceTimeout, WriteTimeout: transferTimeout, ErrorLog: telemetry.StdLogger(s.log)}
+	s.http = &http.Server{Handler: handler, ReadHeaderTimeout: silenceTimeout, WriteTimeout: transferTimeout, ConnState: connlimit.Hijacked, ErrorLog: telemetry.StdLogger(s.log)}
 	go func() {
 		defer close(s.done)
-		if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.http.Serve(connlimit.New(l, maxConns)); !errors.Is(err, http.ErrServerClosed) {
 			s.log.Warn(telemetry.EventStopped, telemetry.F("cause", err))
 		}
 	}()
--- a/internal/telemetry/admin.go
+++ b/internal/telemetry/admin.go
@@ -9,10 +9,16 @@
 
 	"github.com/gin-gonic/gin"
 	"github.com/pkg/errors"
+
+	"garnethoist.org/garnethoist/internal/connlimit"
 )
 
-// adminHeaderTimeout limits the time to read the header of a request.
-const adminHeaderTimeout = 5 * time.Second
+const (
+	// adminHeaderTimeout limits the time to read the header of a request.
+	adminHeaderTimeout = 5 * time.Second
+	// maxAdminConns limits the connections.
+	maxAdminConns = 16
+)
 
 // Admin is the HTTP server for /healthz, /readyz and /metrics.
 type Admin struct {
@@ -49,7 +55,7 @@
 	a.server = &http.Server{Handler: g, ReadHeaderTimeout: adminHeaderTimeout}
 	a.wg.Go(func() {
 		// Serve returns an error only because Stop closes the listener.
-		_ = a.server.Serve(l)
+		_ = a.server.Serve(connlimit.New(l, maxAdminConns))
 	})
 	return nil
 }
