Callers that don't read or slow down don't hold memory that others wait for

Callers saw: 1,200 callers that ask for answers of 250 KB and don't read them took 156 MB of a VM of 128 MB (900 callers: 156 and 126). Of 80 callers that send the largest body at once, one in three rounds was served, and the others were refused after they had sent most of it.

Cause: the kernel's send buffers grew without a bound, and a held answer could keep the memory that large answers share for as long as its caller liked. And when memory was short the request that had sent most ended, so that none came to its end while others began.

The kernel's send buffer has a fixed size now. While an answer waits for memory, the caller that has been taking a large one for longest is cut off, after a second. All that a body may need is reserved once it outgrows 256 KB, and a request that arrives faster than 4 MB a second is not ended for others. The rest of a refused request is received for half a second, so that its refusal does not wait for it.

Crowds' tests check that no request ran which was refused as not run, and that each such refusal says when to come back.

--- a/internal/abuse/abuse_test.go
+++ b/internal/abuse/abuse_test.go
@@ -7,25 +7,31 @@
 	"github.com/matryer/is"
 
 	"garnethoist.org/garnethoist/internal/settings"
+	"garnethoist.org/garnethoist/platform/platformtest"
 )
 
 // rounds is how often each caller of a crowd comes.
 const rounds = 3
 
-// playCrowd plays a crowd before a VM and checks that the process lives within its limits, that an ordinary
-// request is answered while the crowd holds its connections and afterwards, and that the largest body is
+// playCrowd plays a crowd before a VM and checks that the process lives within its limits, that ordinary
+// requests are answered while the crowd holds its connections and afterwards, and that the largest body is
 // then served.
 func playCrowd(t *testing.T, callers int, descriptors int64, kinds ...kind) {
 	t.Helper()
 	is := is.New(t)
 	r := newRig(t, descriptors)
 	stop := r.watch()
-	crowd{address: string(r.vm.Listen), callers: callers, rounds: rounds, kinds: kinds}.run(func(round int) {
+	all := crowd{address: string(r.vm.Listen), callers: callers, rounds: rounds, kinds: kinds}
+	all.run(func(round int) {
 		if err := r.ordinary(); err != nil {
 			t.Errorf("ordinary request beside round %d: %v", round, err)
 		}
+		if err := r.askFor("/safe"+platformtest.PaddedPath, "x"); err != nil {
+			t.Errorf("ordinary request with a large answer beside round %d: %v", round, err)
+		}
 	})
 	r.check(t, stop(), int(descriptors))
+	r.checkPromises(t, &all.answers)
 	is.NoErr(r.ordinary())
 	is.NoErr(r.ask(strings.Repeat("x", bodyLimit)))
 }
@@ -73,6 +79,9 @@
 // Chunk extensions without end must be refused.
 func TestChunkExtensionsExceedMemory(t *testing.T) { playAlone(t, "chunk_extensions_and_trailers") }
 
+// Answers that callers ask for and don't read take the memory of the process and of the kernel.
+func TestUnreadAnswersExceedMemory(t *testing.T) { playAlone(t, unreadAnswers) }
+
 // Callers of all kinds at once ended the process.
 func TestMixedCrowdExceedsMemory(t *testing.T) { playCrowd(t, littleEach, 0, kinds...) }
 
@@ -90,7 +99,8 @@
 	r := newRig(t, descriptors)
 	for _, address := range []settings.Addr{r.vm.ReadyListen, r.vm.MetricsListen} {
 		stop := r.watch()
-		crowd{address: string(address), callers: descriptors, rounds: 1, kinds: []kind{named(t, "stated_length_one_byte")}}.run(func(int) {
+		others := crowd{address: string(address), callers: descriptors, rounds: 1, kinds: []kind{named(t, "stated_length_one_byte")}}
+		others.run(func(int) {
 			if err := r.ordinary(); err != nil {
 				t.Errorf("ordinary request beside connections to %s: %v", address, err)
 			}
--- a/internal/abuse/crowd_test.go
+++ b/internal/abuse/crowd_test.go
@@ -6,9 +6,12 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
+
+	"garnethoist.org/garnethoist/platform/platformtest"
 )
 
 const (
@@ -45,8 +48,12 @@
 	muchEach   = 80
 	littleEach = 240
 	behindEach = 640
+	unreadEach = 1200
 )
 
+// unreadAnswers is the kind of callers that don't read what they asked for.
+const unreadAnswers = "answers_not_read"
+
 // kinds are the kinds of callers.
 var kinds = []kind{
 	{"large_chunks_one_short_of_the_end", muchEach, func(c net.Conn, id string) error {
@@ -90,6 +97,18 @@
 		_, err := io.WriteString(c, b.String())
 		return err
 	}},
+	{unreadAnswers, unreadEach, func(c net.Conn, id string) error {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			if err := tcp.SetReadBuffer(4 << 10); err != nil {
+				return err
+			}
+		}
+		if _, err := io.WriteString(c, strings.Replace(head(id, "Content-Length: 1\r\n"), "/safe/x", "/safe"+platformtest.PaddedPath, 1)+"x"); err != nil {
+			return err
+		}
+		_, err := c.Read(make([]byte, 1))
+		return err
+	}},
 	{"chunk_extensions_and_trailers", muchEach, func(c net.Conn, id string) error {
 		if _, err := io.WriteString(c, head(id, "Transfer-Encoding: chunked\r\n")+"1;"); err != nil {
 			return err
@@ -146,19 +165,21 @@
 	callers int
 	rounds  int
 	kinds   []kind
+	// answers holds what the callers got.
+	answers answers
 }
 
 // run plays the crowd. whileHeld is called in each round while all connections that the VM has not closed
 // are held.
-func (c crowd) run(whileHeld func(round int)) {
+func (c *crowd) run(whileHeld func(round int)) {
 	for round := range c.rounds {
 		var sent, ended sync.WaitGroup
 		leave := make(chan struct{})
 		for i := range c.callers {
-			send := c.kinds[i%len(c.kinds)].send
+			k := c.kinds[i%len(c.kinds)]
 			sent.Add(1)
 			ended.Go(func() {
-				holdOne(c.address, fmt.Sprintf("crowd-%d-%d", round, i), send, sent.Done, leave)
+				holdOne(c.address, fmt.Sprintf("crowd-%d-%d", round, i), k, &c.answers, sent.Done, leave)
 			})
 		}
 		sent.Wait()
@@ -170,25 +191,57 @@
 
 // holdOne plays one caller of a crowd: it calls sent once it has sent what it sends or failed to, and keeps
 // its connection until leave is closed. What the VM sends is read and dropped, and ends the sending.
-func holdOne(address, id string, send behaviour, sent func(), leave <-chan struct{}) {
+func holdOne(address, id string, k kind, answers *answers, sent func(), leave <-chan struct{}) {
 	conn, err := net.DialTimeout("tcp", address, patience)
 	if err != nil {
 		sent()
 		return
 	}
-	defer conn.Close()
 	// A deadline cannot fail on an open connection.
 	_ = conn.SetDeadline(time.Now().Add(routeTimeout))
-	go func() {
-		br := bufio.NewReader(conn)
-		if _, err := br.ReadByte(); err == nil {
-			// The answer, whatever it is, ends what the caller sends.
-			_ = conn.SetWriteDeadline(time.Now())
-			_, _ = io.Copy(io.Discard, br)
-		}
-	}()
+	var reading sync.WaitGroup
+	defer reading.Wait()
+	defer conn.Close()
+	if k.name != unreadAnswers {
+		reading.Go(func() { readAnswer(conn, id, answers) })
+	}
 	// A failure is the VM's refusal, which is allowed.
-	_ = send(conn, id)
+	_ = k.send(conn, id)
 	sent()
 	<-leave
 }
+
+// readAnswer reads what the VM sends and records the status of a whole answer. Any answer ends what the caller
+// sends.
+func readAnswer(conn net.Conn, id string, answers *answers) {
+	br := bufio.NewReader(conn)
+	if _, err := br.Peek(1); err != nil {
+		return
+	}
+	// It fails only once the connection is closed.
+	_ = conn.SetWriteDeadline(time.Now())
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err == nil {
+		answers.add(id, resp)
+	}
+}
+
+// answers holds the answers that a crowd got, by request id. It is safe for concurrent use.
+type answers struct {
+	mu   sync.Mutex
+	byID map[string]*http.Response
+}
+
+// add records an answer.
+func (a *answers) add(id string, r *http.Response) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.byID == nil {
+		a.byID = make(map[string]*http.Response)
+	}
+	a.byID[id] = r
+}
--- a/internal/abuse/rig_test.go
+++ b/internal/abuse/rig_test.go
@@ -46,6 +46,8 @@
 	// stream.
 	targetsOf = 3
 	eventGap  = 20 * time.Millisecond
+	// answerBytes is the size of large answers.
+	answerBytes = 250 << 10
 )
 
 // rig is one VM before stand-ins of the store and of the targets.
@@ -54,6 +56,7 @@
 	vm       *settings.Node
 	process  *proc.Process
 	requests int
+	targets  []*platformtest.Engine
 }
 
 // newRig starts a VM that may use memoryMB and the given number of file descriptors, or as many as the
@@ -64,9 +67,10 @@
 	store := platformtest.NewStore()
 	t.Cleanup(store.Close)
 	store.Put(platformtest.TableOperator, platformtest.KeyConfig, largeConfig())
+	var targets []*platformtest.Engine
 	for i := range targetsOf {
-		addTarget(t, store, fmt.Sprintf("i-model-%d", i), "decode", platformtest.ServiceModel)
-		addTarget(t, store, fmt.Sprintf("i-plain-%d", i), "", platformtest.ServicePlain)
+		targets = append(targets, addTarget(t, store, fmt.Sprintf("i-model-%d", i), "decode", platformtest.ServiceModel),
+			addTarget(t, store, fmt.Sprintf("i-plain-%d", i), "", platformtest.ServicePlain))
 	}
 	cluster := proc.NewCluster(t.TempDir(), binDir, proc.NewPorts())
 	addrs, err := cluster.Addrs(4)
@@ -79,7 +83,7 @@
 	t.Cleanup(func() { cluster.StopAll(stopGrace) })
 	p, err := cluster.Run("garnet-node", vm.VM, vm)
 	is.NoErr(err)
-	r := &rig{t: t, vm: vm, process: p}
+	r := &rig{t: t, vm: vm, process: p, targets: targets}
 	ctx, cancel := context.WithTimeout(t.Context(), startTimeout)
 	defer cancel()
 	is.NoErr(proc.WaitFor(ctx, "the VM to be ready", proc.Ready("http://"+string(vm.ReadyListen)+"/readiness")))
@@ -87,13 +91,15 @@
 	return r
 }
 
-// addTarget starts a target and enters it in the store.
-func addTarget(t *testing.T, store *platformtest.Store, id, stage, service string) {
+// addTarget starts a target, enters it in the store and returns it.
+func addTarget(t *testing.T, store *platformtest.Store, id, stage, service string) *platformtest.Engine {
 	e := platformtest.NewEngine(id, stage)
 	t.Cleanup(e.Close)
 	e.SetDiscardBodies()
 	e.SetGap(eventGap)
+	e.SetPadding(answerBytes)
 	store.Put(platformtest.TableTargets, id, e.Row(service, "dc-1"))
+	return e
 }
 
 // largeConfig returns the configuration of the tests, which allows bodies of bodyLimit.
@@ -118,10 +124,13 @@
 func (r *rig) ordinary() error { return r.ask(strings.Repeat("x", 1000)) }
 
 // ask is ordinary with a given body.
-func (r *rig) ask(body string) error {
+func (r *rig) ask(body string) error { return r.askFor("/safe/x", body) }
+
+// askFor is ask for a given path.
+func (r *rig) askFor(path, body string) error {
 	var last error
 	for range ordinaryAttempts {
-		if last = r.askOnce(body); last == nil {
+		if last = r.askOnce(path, body); last == nil {
 			return nil
 		}
 		if r.process.Exited() {
@@ -133,15 +142,41 @@
 }
 
 // askOnce sends one plain request.
-func (r *rig) askOnce(body string) error {
+func (r *rig) askOnce(path, body string) error {
 	c, err := platformtest.DialCaller(string(r.vm.Listen), patience)
 	if err != nil {
 		return err
 	}
 	defer c.Close()
-	reply := c.Do(platformtest.Call{ID: r.nextID(), Path: "/safe/x", Body: body, Timeout: patience})
+	reply := c.Do(platformtest.Call{ID: r.nextID(), Path: path, Body: body, Timeout: patience})
 	if reply.Err == nil && reply.Status != http.StatusOK {
 		return errors.Errorf("status %d: %s", reply.Status, reply.Body)
 	}
 	return reply.Err
 }
+
+// checkPromises fails the test if a request has run that was answered with a status which says that it has not,
+// or if such an answer does not say when to come back.
+func (r *rig) checkPromises(t *testing.T, answers *answers) {
+	t.Helper()
+	ran := make(map[string]bool)
+	for _, target := range r.targets {
+		for _, id := range target.Runs() {
+			ran[id] = true
+		}
+	}
+	statuses := make(map[int]int)
+	for id, answer := range answers.byID {
+		statuses[answer.StatusCode]++
+		if !(platformtest.Result{Status: answer.StatusCode}).NotRun() {
+			continue
+		}
+		if ran[id] {
+			t.Errorf("%s has run and was answered %d", id, answer.StatusCode)
+		}
+		if answer.StatusCode == http.StatusServiceUnavailable && answer.Header.Get("Retry-After") == "" {
+			t.Errorf("%s was refused without a Retry-After", id)
+		}
+	}
+	t.Logf("answers of the crowd by status: %v", statuses)
+}
--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"io"
+	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/semaphore"
@@ -20,20 +21,50 @@
 // Memory is the memory that large bodies may take together. It is safe for concurrent use.
 type Memory struct {
 	large *semaphore.Weighted
+	// onShort, if not nil, is called while Reserve waits, at once and then every shortInterval.
+	onShort func()
 }
 
+// shortInterval is the time between two calls of onShort for one that waits.
+const shortInterval = 100 * time.Millisecond
+
 // NewMemory returns a Memory of the given size in bytes.
 func NewMemory(size int64) *Memory { return &Memory{large: semaphore.NewWeighted(size)} }
 
+// SetOnShort sets a function that is called while a Reserve waits, to end what holds memory for too long. It must
+// be called before the first Reserve.
+func (m *Memory) SetOnShort(f func()) { m.onShort = f }
+
 // Reserve waits until n bytes are free and reserves them. n must not be above the size of the Memory.
 // The caller must call release once. Reserve fails with the error of ctx.
 func (m *Memory) Reserve(ctx context.Context, n int64) (release func(), err error) {
+	if m.large.TryAcquire(n) {
+		return func() { m.large.Release(n) }, nil
+	}
+	if m.onShort != nil {
+		waiting, done := context.WithCancel(ctx)
+		defer done()
+		go m.callOnShort(waiting)
+	}
 	if err := m.large.Acquire(ctx, n); err != nil {
 		return nil, errors.Wrap(err, "wait for memory")
 	}
 	return func() { m.large.Release(n) }, nil
 }
 
+// callOnShort calls onShort until ctx ends.
+func (m *Memory) callOnShort(ctx context.Context) {
+	ticker := time.NewTicker(shortInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		m.onShort()
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
 // ReadAll reads r to its end, at most limit bytes. length is the length that the response states, or -1.
 // A body above SmallBytes keeps its memory reserved until held ends. ReadAll fails with ErrTooLarge, with the
 // error of ctx or with that of r.
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -18,6 +18,8 @@
 	// doubles.
 	firstBodyBytes    = 64 << 10
 	firstChunkedBytes = 4 << 10
+	// smallBodyBytes is the size up to which memory is reserved step by step.
+	smallBodyBytes = 256 << 10
 )
 
 // readBody reads the request body. It fails if the body exceeds the configured size, is not
@@ -42,6 +44,7 @@
 // endBody ends the reading of the body, which failed with err unless err is nil.
 func (x *exchange) endBody(err error) error {
 	if x.conn.endBody(err == nil) {
+		x.trimBody()
 		return nil
 	}
 	x.body = nil
@@ -61,58 +64,76 @@
 // readWhole reads the body into x.body, at most limit bytes, and reserves the memory for it as it comes.
 func (x *exchange) readWhole(ctx context.Context, limit int64) error {
 	stated := x.r.ContentLength
-	size := min(firstChunkedBytes, limit+1)
+	size, most := min(firstChunkedBytes, limit+1), limit+1 // one byte more shows that the body is too large
 	if stated > 0 {
-		size, limit = min(stated, firstBodyBytes), stated
-	}
-	if err := x.growBody(ctx, size); err != nil {
-		return err
+		size, most = min(stated, firstBodyBytes), stated
 	}
 	for {
-		n, err := x.r.Body.Read(x.body[len(x.body):cap(x.body)])
-		x.body = x.body[:len(x.body)+n]
-		have := int64(len(x.body))
-		switch {
-		case have > limit:
-			return errTooLarge
-		case have == stated:
-			return nil
-		case errors.Is(err, io.EOF) && stated < 0:
-			return nil
-		case err != nil:
+		if err := x.growBody(ctx, size, most); err != nil {
 			return err
 		}
-		if len(x.body) < cap(x.body) {
-			continue
-		}
-		most := limit
-		if stated < 0 {
-			most++ // shows that the body is too large
-		}
-		if err := x.growBody(ctx, min(2*have, most)); err != nil {
-			return err
+		for len(x.body) < cap(x.body) {
+			n, err := x.r.Body.Read(x.body[len(x.body):cap(x.body)])
+			x.body = x.body[:len(x.body)+n]
+			have := int64(len(x.body))
+			switch {
+			case have > limit:
+				return errTooLarge
+			case have == stated, errors.Is(err, io.EOF) && stated < 0:
+				return nil
+			case err != nil:
+				return err
+			}
 		}
+		size = nextBodySize(int64(cap(x.body)), most, stated > 0)
 	}
 }
 
+// nextBodySize returns the size of the buffer that follows one of the given size, for a body of at most most bytes.
+func nextBodySize(size, most int64, stated bool) int64 {
+	next := 2 * size
+	if 2*next > most || (stated && next > smallBodyBytes) {
+		return most
+	}
+	return next
+}
+
 // growBody replaces the buffer of the body by one of the given size. Both are reserved while the body is copied.
-func (x *exchange) growBody(ctx context.Context, size int64) error {
+// Before a body outgrows smallBodyBytes, all that it may need is reserved, up to most bytes, so that requests
+// which have sent much are not refused for the last of it.
+func (x *exchange) growBody(ctx context.Context, size, most int64) error {
 	// Those that wait for memory must not keep others from parsing, and so from giving up theirs.
 	x.conn.endTurn()
-	if err := x.conn.conns.reserve(ctx, x.conn, size); err != nil {
-		return err
+	before := int64(cap(x.body))
+	need := before + size
+	large := size > smallBodyBytes
+	if large && size < most && need > x.bodyBytes {
+		need = max(need, min(most+most/2, x.conn.conns.maxBody()))
 	}
-	x.bodyBytes += size
-	if size > firstBodyBytes {
+	if n := need - x.bodyBytes; n > 0 {
+		if err := x.conn.conns.reserve(ctx, x.conn, n); err != nil {
+			return err
+		}
+		x.bodyBytes += n
+	}
+	if large {
 		x.conn.widenWindow()
 	}
-	before := int64(cap(x.body))
 	x.body = append(make([]byte, 0, size), x.body...)
-	x.conn.conns.release(x.conn, before)
-	x.bodyBytes -= before
+	if !large {
+		x.trimBody()
+	}
 	return nil
 }
 
+// trimBody returns the memory that is reserved beyond the buffer of the body.
+func (x *exchange) trimBody() {
+	if excess := x.bodyBytes - int64(cap(x.body)); excess > 0 {
+		x.conn.conns.release(x.conn, excess)
+		x.bodyBytes -= excess
+	}
+}
+
 // releaseBody returns the memory that was reserved for the body.
 func (x *exchange) releaseBody() {
 	x.conn.conns.release(x.conn, x.bodyBytes)
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -94,6 +94,9 @@
 // maxReadAhead limits how many bytes of pipelined requests are read while a request is in flight.
 const maxReadAhead = 64 << 10
 
+// discardTimeout limits the time in which the rest of a refused request is received.
+const discardTimeout = 500 * time.Millisecond
+
 // freeReadAhead is how many bytes of pipelined requests are read without a reservation.
 const freeReadAhead = 8 << 10
 
@@ -277,6 +280,15 @@
 	return c.conns.endBody(c, complete, reserved)
 }
 
+// limitDiscard limits the time in which net/http receives the rest of a request that is refused before it is
+// complete, so that the response does not wait for it.
+func (c *callerConn) limitDiscard() {
+	if c.part.Load() != partNone {
+		// It fails only if the connection is already closed.
+		_ = c.Conn.SetReadDeadline(time.Now().Add(discardTimeout))
+	}
+}
+
 // endRequest records that a request was responded to. The next bytes are those of a head.
 func (c *callerConn) endRequest() {
 	c.conns.release(c, c.windowBytes)
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"container/list"
 	"context"
 	"runtime"
 	"sync"
@@ -62,9 +63,16 @@
 	// receiveWindow is the kernel's buffer for received bytes of a connection, and bulkWindow that while a
 	// large body is read.
 	receiveWindow = 32 << 10
-	bulkWindow    = 256 << 10
+	// sendWindow is the kernel's buffer for bytes to send on a connection.
+	sendWindow = 32 << 10
+	bulkWindow = 256 << 10
 	// freeBodyBytes is the size up to which the parsing of a body takes no turn.
 	freeBodyBytes = 64 << 10
+	// minPace is the pace in bytes per second below which a request that arrives may be ended for others while
+	// memory is short.
+	minPace = 4 << 20
+	// A body reserves at most the memory of all callers divided by maxBodyDivisor in advance.
+	maxBodyDivisor = 2
 	// minCallerBytes is the least that callers may take together.
 	minCallerBytes = 16 << 20
 )
@@ -83,6 +91,9 @@
 	// maxEndsPerInterval limits how many connections with incomplete requests are ended in an
 	// acceptRetryInterval to accept others.
 	maxEndsPerInterval = 10
+	// writeGrace is how long a caller may take to receive a large answer while others wait for the memory
+	// that it takes.
+	writeGrace = time.Second
 	// endLogInterval is the time between two log lines about connections that were ended.
 	endLogInterval = time.Second
 )
@@ -119,6 +130,8 @@
 	// openCount counts the callers' connections.
 	openCount int
 	ledger    *intake.Ledger
+	// writers holds the *callerConn to which a large answer is being written, longest first.
+	writers list.List
 	// freed is closed and replaced when a connection gives up memory.
 	freed chan struct{}
 	// paced is the number of connections with an incomplete request that were ended for their
@@ -307,17 +320,24 @@
 	return true
 }
 
-// mayEnd reports whether a connection that waits for a request may be closed without a loss: it has no
-// unread bytes, and its caller has had time to send some.
+// mayEnd reports whether a connection may be ended for the memory that it takes. A request that arrives faster
+// than minPace stays: if requests that are nearly complete ended for new ones, none would be served. A connection
+// that waits for a request is closed without a loss if it has no unread bytes, and its caller has had time to
+// send some.
 func (cs *callerConns) mayEnd(h *intake.Holder) bool {
-	fresh := h.Phase() == intake.New && clock.Since(h.Since()) < newConnGrace
-	return !fresh && !connOfHolder(h).pending()
+	switch now := clock.Now(); {
+	case h.Phase() == intake.Reading:
+		return h.Slow(now, minPace)
+	case h.Phase() == intake.New && now.Sub(h.Since()) < newConnGrace:
+		return false
+	}
+	return !connOfHolder(h).pending()
 }
 
-// mayEndFresh reports whether a connection without a request may be closed although its caller has had
-// little time.
-func (cs *callerConns) mayEndFresh(h *intake.Holder) bool {
-	return h.Phase() == intake.New && !connOfHolder(h).pending()
+// mayEndIncomplete reports whether a connection may be ended for its descriptor: its request is incomplete or has
+// not begun, however little time its caller has had.
+func (cs *callerConns) mayEndIncomplete(h *intake.Holder) bool {
+	return h.Phase() == intake.Reading || (h.Phase() == intake.New && !connOfHolder(h).pending())
 }
 
 // connOfHolder returns the connection of a holder.
@@ -367,6 +387,9 @@
 	cs.log.Warn(telemetry.EventCallersEnded, fields...)
 }
 
+// maxBody returns the most memory that a body reserves in advance.
+func (cs *callerConns) maxBody() int64 { return cs.ledger.Limit() / maxBodyDivisor }
+
 // usedBytes returns what callers take.
 func (cs *callerConns) usedBytes() int64 {
 	cs.mu.Lock()
@@ -442,7 +465,7 @@
 	if float64(incomplete) <= incompleteShare*float64(cs.maxConns) {
 		return false
 	}
-	h := cs.ledger.Worst(clock.Now(), cs.mayEndFresh)
+	h := cs.ledger.Worst(clock.Now(), cs.mayEndIncomplete)
 	if h == nil || !cs.paceLocked() {
 		return false
 	}
@@ -450,6 +473,38 @@
 	return true
 }
 
+// beginWrite records that an answer is being written that takes memory that others may wait for. The returned
+// function ends that.
+func (cs *callerConns) beginWrite(c *callerConn) (end func()) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	e := cs.writers.PushBack(writer{c, clock.Now()})
+	return func() {
+		cs.mu.Lock()
+		defer cs.mu.Unlock()
+		cs.writers.Remove(e)
+	}
+}
+
+// writer is a connection to which a large answer has been written since a time.
+type writer struct {
+	conn  *callerConn
+	since time.Time
+}
+
+// endWriter closes the connection that has been taking its large answer for longest, if that is longer than
+// writeGrace.
+func (cs *callerConns) endWriter() {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	e := cs.writers.Front()
+	if e == nil || clock.Since(e.Value.(writer).since) < writeGrace {
+		return
+	}
+	cs.writers.Remove(e)
+	cs.endLocked(&e.Value.(writer).conn.holder, resourceMemory)
+}
+
 // paceLocked reports whether another connection may be ended for a new one. Callers that come back at once
 // would otherwise take the processor with their connects.
 func (cs *callerConns) paceLocked() bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -186,6 +186,7 @@
 	}
 	g.limits.Store(&limits)
 	g.bodies = body.NewMemory(max(p.Memory/bodiesDivisor, minBodies))
+	g.bodies.SetOnShort(g.conns.endWriter)
 	g.sizes.SetGroupSize(func() int { return g.group.Size() })
 	g.retryBudgets = newRetryBudgets(&g.limits, p.Group, p.FirstStart, g.sinceStart)
 	g.abortCtx, g.abort = context.WithCancel(context.Background())
@@ -211,7 +212,7 @@
 
 // Start listens for callers and serves them in the background.
 func (g *Gateway) Start(ctx context.Context) error {
-	l, err := silence.ListenBuffered(ctx, g.listen, callerSilenceTimeout, receiveWindow)
+	l, err := silence.ListenBuffered(ctx, g.listen, callerSilenceTimeout, receiveWindow, sendWindow)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
@@ -308,6 +309,7 @@
 	defer x.releaseBody()
 	err := x.run()
 	if err != nil && !x.responseStarted {
+		x.conn.limitDiscard()
 		x.writeError(errkind.From(err))
 	}
 	x.report(err)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"garnethoist.org/garnethoist/internal/body"
 	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/fleet"
@@ -234,6 +235,9 @@
 	x.firstByteAt = clock.Now()
 	x.status = r.status
 	x.writeHeader(r.status)
+	if len(r.body) > body.SmallBytes {
+		defer x.conn.conns.beginWrite(x.conn)()
+	}
 	if _, err := x.w.Write(r.body); err != nil {
 		return errkind.Wrap(errkind.ClientGone, err, "the caller has gone")
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -210,6 +210,9 @@
 
 // write sends p to the caller. Its error is a ClientGone error.
 func (s *stream) write(p []byte) error {
+	if s.release != nil {
+		defer s.x.conn.conns.beginWrite(s.x.conn)()
+	}
 	if _, err := s.x.w.Write(p); err != nil {
 		return errkind.Wrap(errkind.ClientGone, err, "the caller has gone")
 	}
--- a/internal/intake/ledger.go
+++ b/internal/intake/ledger.go
@@ -183,8 +183,14 @@
 // OldestClosing returns the connection that has been in Closing longest, or nil.
 func (l *Ledger) OldestClosing() *Holder { return front(&l.closing) }
 
-// Worst returns the connection to end for those that need what it takes: the one in Reading, or in New or Idle
-// if may returns true for it, that takes the most bytes for the longest time. It is nil if there is none.
+// Slow reports whether a request has taken more time to arrive, since it grew to twice its size or began, than its
+// bytes need at the given pace in bytes per second.
+func (h *Holder) Slow(now time.Time, pace float64) bool {
+	return now.Sub(h.since).Seconds()*pace >= float64(h.bytes)
+}
+
+// Worst returns the connection to end for those that need what it takes: the one in Reading, New or Idle that takes
+// the most bytes for the longest time, among those for which may returns true. It is nil if there is none.
 func (l *Ledger) Worst(now time.Time, may func(*Holder) bool) *Holder {
 	worst, most := (*Holder)(nil), -1.0
 	consider := func(h *Holder) {
@@ -193,7 +199,7 @@
 		}
 	}
 	for i := range l.reading {
-		if h := front(&l.reading[i]); h != nil {
+		if h := front(&l.reading[i]); h != nil && may(h) {
 			consider(h)
 		}
 	}
--- a/internal/intake/ledger_test.go
+++ b/internal/intake/ledger_test.go
@@ -24,15 +24,17 @@
 		l.Add(h, nil, 100, start)
 	}
 	is.Equal(l.Worst(start, func(*Holder) bool { return false }), nil)
+	reading := func(h *Holder) bool { return h.phase == Reading }
 	l.Enter(&idle, Idle, start)
 	l.Enter(&busy, Serving, start)
 	l.Enter(&small, Reading, start)
 	l.Enter(&large, Reading, start)
 	l.Charge(&large, 1000, start.Add(9*time.Second))
 	later := start.Add(10 * time.Second)
-	is.Equal(l.Worst(later, func(*Holder) bool { return false }), &large) // 1,100 bytes for 1 s
+	is.Equal(l.Worst(later, reading), &large) // 1,100 bytes for 1 s
+	is.True(large.Slow(later, 1100) && !large.Slow(later, 1000))
 	l.Leave(&large)
-	is.Equal(l.Worst(later, func(*Holder) bool { return false }), &small)
+	is.Equal(l.Worst(later, reading), &small)
 	is.True(l.WillFit(nil, 1<<19-400))
 	l.Remove(&large)
 	l.Remove(&small)
--- a/internal/silence/silence.go
+++ b/internal/silence/silence.go
@@ -33,11 +33,14 @@
 	return listen(ctx, address, timeout, func(syscall.RawConn) error { return nil })
 }
 
-// ListenBuffered is Listen for connections of which the kernel holds about receiveBytes of received data at
-// most, however fast they are read.
-func ListenBuffered(ctx context.Context, address string, timeout time.Duration, receiveBytes int) (net.Listener, error) {
+// ListenBuffered is Listen for connections of which the kernel holds about receiveBytes of received data and
+// sendBytes of data to send at most, however fast either end reads.
+func ListenBuffered(ctx context.Context, address string, timeout time.Duration, receiveBytes, sendBytes int) (net.Listener, error) {
 	return listen(ctx, address, timeout, func(raw syscall.RawConn) error {
-		return setOption(raw, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBytes, "SO_RCVBUF")
+		if err := setOption(raw, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBytes, "SO_RCVBUF"); err != nil {
+			return err
+		}
+		return setOption(raw, unix.SOL_SOCKET, unix.SO_SNDBUF, sendBytes, "SO_SNDBUF")
 	})
 }
 
