Callers are charged for what has come, and refusals don't wait for the rest

A request refused before its body had come got no answer until its caller closed the connection.

Cause: a body of a stated length took 64 KB, and the kernel's buffer as much again, before more than a byte had come, so that the account was used up by callers that took little, and the processor by their returns. net/http receives up to 256 KB of the rest of a refused request, without a limit of time.

A body begins with 4 KB; the kernel's buffer begins with 16 KB, and grows and is charged with the body. Connections are charged by phase. The rest of a refused request is received for half a second.

--- a/internal/abuse/abuse_test.go
+++ b/internal/abuse/abuse_test.go
@@ -1,8 +1,13 @@
 package abuse
 
 import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -109,3 +114,18 @@
 	}
 	is.NoErr(r.ordinary())
 }
+
+// A request that is refused before its body has come is answered although the body never comes.
+func TestRefusalWaitsForTheBody(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 0)
+	c, err := net.Dial("tcp", string(r.vm.Listen))
+	is.NoErr(err)
+	defer c.Close()
+	is.NoErr(c.SetDeadline(time.Now().Add(patience)))
+	_, err = io.WriteString(c, "POST /unknown HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q\r\nContent-Length: 100000\r\n\r\nx")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusNotFound)
+}
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	// The buffer of a body begins with firstBodyBytes, or firstChunkedBytes if its length is not stated, and
-	// doubles.
-	firstBodyBytes    = 64 << 10
-	firstChunkedBytes = 4 << 10
+	// The buffer of a body begins with firstBodyBytes. A body of a stated length up to mediumBodyBytes is then
+	// read into a buffer of its size; other buffers double.
+	firstBodyBytes  = 4 << 10
+	mediumBodyBytes = 64 << 10
 	// smallBodyBytes is the size up to which memory is reserved step by step.
 	smallBodyBytes = 256 << 10
 )
@@ -34,17 +34,15 @@
 	ctx, cancel := clock.WithDeadline(x.g.abortCtx, x.deadline)
 	defer cancel()
 	defer x.limitBodyTime(ctx)()
-	err := x.conn.beginBody(ctx)
-	if err == nil {
-		err = x.readWhole(ctx, limits.BodyBytes)
-	}
-	return x.endBody(err)
+	x.conn.beginBody()
+	return x.endBody(x.readWhole(ctx, limits.BodyBytes))
 }
 
 // endBody ends the reading of the body, which failed with err unless err is nil.
 func (x *exchange) endBody(err error) error {
 	if x.conn.endBody(err == nil) {
 		x.trimBody()
+		x.received = true
 		return nil
 	}
 	x.body = nil
@@ -64,10 +62,11 @@
 // readWhole reads the body into x.body, at most limit bytes, and reserves the memory for it as it comes.
 func (x *exchange) readWhole(ctx context.Context, limit int64) error {
 	stated := x.r.ContentLength
-	size, most := min(firstChunkedBytes, limit+1), limit+1 // one byte more shows that the body is too large
+	most := limit + 1 // one byte more shows that the body is too large
 	if stated > 0 {
-		size, most = min(stated, firstBodyBytes), stated
+		most = stated
 	}
+	size := min(firstBodyBytes, most)
 	for {
 		if err := x.growBody(ctx, size, most); err != nil {
 			return err
@@ -92,6 +91,9 @@
 // nextBodySize returns the size of the buffer that follows one of the given size, for a body of at most most bytes.
 func nextBodySize(size, most int64, stated bool) int64 {
 	next := 2 * size
+	if stated && next < mediumBodyBytes {
+		next = min(mediumBodyBytes, most)
+	}
 	if 2*next > most || (stated && next > smallBodyBytes) {
 		return most
 	}
@@ -116,8 +118,10 @@
 		}
 		x.bodyBytes += n
 	}
-	if large {
-		x.conn.widenWindow()
+	if before > 0 {
+		if err := x.conn.widenWindow(ctx, size); err != nil {
+			return err
+		}
 	}
 	x.body = append(make([]byte, 0, size), x.body...)
 	if !large {
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -125,8 +125,9 @@
 	partBytes  int64
 	// headBytes is what the head received so far takes, and headReserved what was reserved for it.
 	headBytes, headReserved int64
-	// windowBytes is what is reserved for the kernel's buffer while a body is read.
-	windowBytes int64
+	// window is the size of the kernel's buffer for received bytes while it is not receiveWindow, and
+	// windowBytes what is reserved for it.
+	window, windowBytes int64
 
 	conns *callerConns
 	// holder is the connection's entry in conns.ledger, guarded by conns.mu.
@@ -192,7 +193,7 @@
 }
 
 // reserveHead reserves memory for received bytes of a head, and reports whether there was enough. Each line
-// takes lineBytes besides its text. requestBytes covers the first freeHeadBytes.
+// takes lineBytes besides its text. readBytes covers the first freeHeadBytes.
 func (c *callerConn) reserveHead(received []byte) bool {
 	if c.headBytes == 0 {
 		c.conns.enter(c, intake.Reading)
@@ -226,31 +227,38 @@
 	}
 }
 
-// beginBody starts the reading of the body of a request. It fails if memory is short or the connection was
-// closed.
-func (c *callerConn) beginBody(ctx context.Context) error {
+// beginBody starts the reading of the body of a request.
+func (c *callerConn) beginBody() {
 	c.partBytes = 0
 	c.part.Store(partBody)
-	if err := c.conns.reserve(ctx, c, receiveWindow); err != nil {
-		return err
-	}
-	c.windowBytes = receiveWindow
-	return nil
 }
 
-// widenWindow lets the kernel hold more of a large body, if there is memory that nobody else has to give up.
-func (c *callerConn) widenWindow() {
-	if c.windowBytes != receiveWindow || !c.conns.reserveFree(c, bulkWindow-receiveWindow) {
-		return
+// widenWindow lets the kernel hold more of a body of at least size bytes. It reserves memory for a large one,
+// for bulkWindow if nobody else has to give up memory for it.
+func (c *callerConn) widenWindow(ctx context.Context, size int64) error {
+	window := int64(bodyWindow)
+	if size > freeBodyBytes && c.windowBytes == 0 {
+		switch {
+		case c.conns.reserveFree(c, bulkWindow):
+			window = bulkWindow
+		default:
+			if err := c.conns.reserve(ctx, c, window); err != nil {
+				return err
+			}
+		}
+		c.windowBytes = window
+	}
+	if window > c.window {
+		c.setReceiveBuffer(window)
 	}
-	c.windowBytes = bulkWindow
-	c.setReceiveBuffer(bulkWindow)
+	return nil
 }
 
 // setReceiveBuffer sets the size of the kernel's buffer for received bytes.
-func (c *callerConn) setReceiveBuffer(size int) {
+func (c *callerConn) setReceiveBuffer(size int64) {
+	c.window = size
 	// An error means that the connection was closed, or has no socket.
-	_ = c.control(func(fd int) error { return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, size) })
+	_ = c.control(func(fd int) error { return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, int(size)) })
 }
 
 // unreadInKernel returns the number of received bytes that were not read.
@@ -270,9 +278,9 @@
 	c.endTurn()
 	c.part.Store(partNone)
 	reserved := c.windowBytes
-	if reserved > receiveWindow {
+	if c.window > receiveWindow {
 		c.setReceiveBuffer(receiveWindow)
-		if c.unreadInKernel() > receiveWindow {
+		if reserved > 0 && c.unreadInKernel() > receiveWindow {
 			reserved = 0
 		}
 	}
@@ -283,10 +291,8 @@
 // limitDiscard limits the time in which net/http receives the rest of a request that is refused before it is
 // complete, so that the response does not wait for it.
 func (c *callerConn) limitDiscard() {
-	if c.part.Load() != partNone {
-		// It fails only if the connection is already closed.
-		_ = c.Conn.SetReadDeadline(time.Now().Add(discardTimeout))
-	}
+	// It fails only if the connection is already closed.
+	_ = c.Conn.SetReadDeadline(time.Now().Add(discardTimeout))
 }
 
 // endRequest records that a request was responded to. The next bytes are those of a head.
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -51,21 +51,26 @@
 
 // What connections take in bytes, beside the bodies that they send.
 const (
-	// connBytes is for the buffers, stacks and tables of a connection, and requestBytes what it takes in
-	// addition while it has a request, with a head of up to freeHeadBytes and freeReadAhead bytes behind it.
-	connBytes    = 16 << 10
-	requestBytes = 32 << 10
+	// connBytes is for the buffers, stacks and tables of a connection, and readBytes what it takes in addition
+	// while a request arrives, with a head of up to freeHeadBytes. serveBytes is what a complete request takes
+	// in addition, with freeReadAhead bytes behind it.
+	connBytes  = 12 << 10
+	readBytes  = 8 << 10
+	serveBytes = 24 << 10
+	// acceptBytes must be free for a connection to be accepted, so that a small request finds room.
+	acceptBytes = connBytes + readBytes + firstBodyBytes
 	// A head takes lineBytes for each line in addition to its text. Memory for it is reserved in steps of
 	// headStep.
-	freeHeadBytes = 16 << 10
+	freeHeadBytes = 8 << 10
 	lineBytes     = 256
 	headStep      = 16 << 10
-	// receiveWindow is the kernel's buffer for received bytes of a connection, and bulkWindow that while a
-	// large body is read.
-	receiveWindow = 32 << 10
+	// receiveWindow is the kernel's buffer for received bytes of a connection, bodyWindow that while a body
+	// arrives, and bulkWindow that while a large one does.
+	receiveWindow = 16 << 10
+	bodyWindow    = 32 << 10
+	bulkWindow    = 256 << 10
 	// sendWindow is the kernel's buffer for bytes to send on a connection.
 	sendWindow = 32 << 10
-	bulkWindow = 256 << 10
 	// freeBodyBytes is the size up to which the parsing of a body takes no turn.
 	freeBodyBytes = 64 << 10
 	// minPace is the pace in bytes per second below which a request that arrives may be ended for others while
@@ -186,19 +191,25 @@
 	cs.ledger.Add(&c.holder, c, connBytes, clock.Now())
 }
 
-// enter records what a connection does from now on. A connection with a request takes requestBytes more
-// than one without.
+// phaseBytes is what a connection takes in a phase in addition to connBytes.
+var phaseBytes = map[intake.Phase]int64{intake.Reading: readBytes, intake.Serving: readBytes + serveBytes, intake.Closing: readBytes}
+
+// enter records what a connection does from now on.
 func (cs *callerConns) enter(c *callerConn, p intake.Phase) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
+	cs.enterLocked(c, p)
+}
+
+// enterLocked is enter for a caller that holds mu.
+func (cs *callerConns) enterLocked(c *callerConn, p intake.Phase) {
 	now, before := clock.Now(), c.holder.Phase()
-	waited, waits := before == intake.New || before == intake.Idle, p == intake.New || p == intake.Idle
 	cs.ledger.Enter(&c.holder, p, now)
-	switch {
-	case waited && !waits:
-		cs.ledger.Charge(&c.holder, requestBytes, now)
-	case waits && !waited:
-		cs.releaseLocked(c, requestBytes)
+	switch n := phaseBytes[p] - phaseBytes[before]; {
+	case n > 0:
+		cs.ledger.Charge(&c.holder, n, now)
+	case n < 0:
+		cs.releaseLocked(c, -n)
 	}
 }
 
@@ -316,7 +327,7 @@
 	if !complete || c.holder.Removed() || c.holder.Leaving() {
 		return false
 	}
-	cs.ledger.Enter(&c.holder, intake.Serving, clock.Now())
+	cs.enterLocked(c, intake.Serving)
 	return true
 }
 
@@ -422,7 +433,7 @@
 func (cs *callerConns) makeMemory() bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	for !cs.ledger.WillFit(nil, connBytes+requestBytes) {
+	for !cs.ledger.WillFit(nil, acceptBytes) {
 		h := cs.ledger.OldestClosing()
 		if h == nil {
 			h = cs.ledger.Worst(clock.Now(), cs.mayEnd)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -41,6 +41,8 @@
 	conn      *callerConn
 	body      []byte
 	bodyBytes int64
+	// received is set once the whole request was received.
+	received bool
 	// deadline is when the response must be complete.
 	deadline time.Time
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -309,7 +309,9 @@
 	defer x.releaseBody()
 	err := x.run()
 	if err != nil && !x.responseStarted {
-		x.conn.limitDiscard()
+		if !x.received {
+			x.conn.limitDiscard()
+		}
 		x.writeError(errkind.From(err))
 	}
 	x.report(err)
