A VM whose callers' memory is short stays ready while it makes room

Callers saw: nothing yet; by reading. A VM reported not ready for two seconds whenever it made a connection wait for the pace at which others end.

It is not ready only if requests that stay have all the memory. Waiters are woken only if there are some, and requests without a body are refused without a limit for its rest.

--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -137,8 +137,9 @@
 	ledger    *intake.Ledger
 	// writers holds the *callerConn to which a large answer is being written, longest first.
 	writers list.List
-	// freed is closed and replaced when a connection gives up memory.
-	freed chan struct{}
+	// freed is closed and replaced when a connection gives up memory that waiters wait for.
+	freed   chan struct{}
+	waiters int
 	// paced is the number of connections with an incomplete request that were ended for their
 	// descriptors since pacedSince.
 	paced      int
@@ -231,8 +232,10 @@
 
 // wakeLocked wakes those that wait for memory.
 func (cs *callerConns) wakeLocked() {
-	close(cs.freed)
-	cs.freed = make(chan struct{})
+	if cs.waiters > 0 {
+		close(cs.freed)
+		cs.freed, cs.waiters = make(chan struct{}), 0
+	}
 }
 
 // release returns memory that a connection reserved.
@@ -288,6 +291,7 @@
 			return nil
 		}
 		freed := cs.freed
+		cs.waiters++
 		cs.mu.Unlock()
 		select {
 		case <-freed:
@@ -422,14 +426,13 @@
 	for cs.usedAtLeast(closeIdleShare) && (cs.closeIdle() || cs.endIncomplete()) {
 	}
 	if !cs.makeMemory() {
-		now := clock.Now()
-		cs.lastShortage.Store(&now)
 		return false
 	}
 	return !cs.usedAtLeast(stopAcceptShare)
 }
 
-// makeMemory makes room for the memory of a further connection and reports whether there is some.
+// makeMemory makes room for the memory of a further connection and reports whether there is some. The VM is not
+// ready for shortagePeriod if requests that stay have it all.
 func (cs *callerConns) makeMemory() bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
@@ -438,7 +441,12 @@
 		if h == nil {
 			h = cs.ledger.Worst(clock.Now(), cs.mayEnd)
 		}
-		if h == nil || !cs.paceLocked() {
+		if h == nil {
+			now := clock.Now()
+			cs.lastShortage.Store(&now)
+			return false
+		}
+		if !cs.paceLocked() {
 			return false
 		}
 		cs.endLocked(h, resourceMemory)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -309,7 +309,7 @@
 	defer x.releaseBody()
 	err := x.run()
 	if err != nil && !x.responseStarted {
-		if !x.received {
+		if !x.received && r.ContentLength != 0 {
 			x.conn.limitDiscard()
 		}
 		x.writeError(errkind.From(err))
