--- a/internal/abuse/abuse_test.go
+++ b/internal/abuse/abuse_test.go
@@ -123,7 +123,7 @@
 	is.NoErr(err)
 	defer c.Close()
 	is.NoErr(c.SetDeadline(time.Now().Add(patience)))
-	_, err = io.WriteString(c, "POST /unknown HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q\r\nContent-Length: 100000\r\n\r\nx")
+	_, err = io.WriteString(c, strings.Replace(head("q", "Content-Length: 100000\r\n"), "/safe/x", "/unknown", 1)+"x")
 	is.NoErr(err)
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	is.NoErr(err)
--- a/internal/abuse/crowd_test.go
+++ b/internal/abuse/crowd_test.go
@@ -123,15 +123,10 @@
 }
 
 // head returns the head of a plain request with the given lines.
-func head(id, lines string) string {
-	return fmt.Sprintf("POST /safe/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nRequest-Deadline: %d\r\n%s\r\n", id, routeTimeout.Milliseconds(), lines)
-}
+func head(id, lines string) string { return platformtest.PlainHead(id, routeTimeout, lines) }
 
 // streamHead returns the head of a request for a stream, without its end.
-func streamHead(id string) string {
-	return fmt.Sprintf("POST /long/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nRequest-Deadline: %d\r\n"+
-		"Model-Name: m\r\nToken-Counts: 100,80\r\nPrompt-Prefix: 5c1e07a2:50,91bd3f06:50\r\n", id, routeTimeout.Milliseconds())
-}
+func streamHead(id string) string { return platformtest.StreamHead(id, routeTimeout) }
 
 // sendChunks sends the head of a request and n large chunks.
 func sendChunks(c net.Conn, id string, n int) error {
