review: a removed target stays in use after all sentinels restart

Case 5, rule DRAIN. In a group of 12 VMs the three sentinels are killed at once and started again 0.5 s later, and the entry of a target is removed in between. The nine other VMs are not told, and go on sending requests to the target until it exits 8 s later.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -25,6 +25,7 @@
 // cases holds the cases by name.
 var cases = map[string]func(*rig) (broken bool, err error){
 	"restarted-engine": playRestartedEngine,
+	"removed-target":   playRemovedTarget,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
