review: entries of a target are dropped after its clock stepped back

A target starts while the time of day of its machine is 2 s ahead, and again under its id 1.2 s later when that is right. All of its entries since are taken for late writes of an earlier run, so its report that it is draining has no effect.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]func(*rig) (broken bool, err error){
 	"restarted-engine": playRestartedEngine,
 	"removed-target":   playRemovedTarget,
+	"clock-back":       playClockBack,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
