--- a/review/rig/caller.go
+++ b/review/rig/caller.go
@@ -61,3 +61,29 @@
 		}
 	}
 }
+
+// callOnce sends a request on a route to a VM, on a new connection. The error is nil if the answer has ended as
+// a complete one.
+func (r *rig) callOnce(n *node, route, id string) (answer, error) {
+	c, err := net.DialTimeout("tcp", string(n.cfg.Listen), time.Second)
+	if err != nil {
+		return answer{}, err
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(callerTimeout)); err != nil {
+		return answer{}, err
+	}
+	_, err = fmt.Fprintf(c, "POST /%s/1 HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nRequest-Deadline: %d\r\nContent-Length: %d\r\n\r\n%s", route, platformtest.Host, id, callerTimeout.Milliseconds(), len(id), id)
+	if err != nil {
+		return answer{}, err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return answer{}, err
+	}
+	defer resp.Body.Close()
+	got := answer{status: resp.StatusCode, seal: resp.Header.Get("Response-Seal")}
+	body, err := io.ReadAll(resp.Body)
+	got.body = string(body)
+	return got, err
+}
--- a/review/rig/removed.go
+++ b/review/rig/removed.go
@@ -1,10 +1,7 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -136,36 +133,13 @@
 		case <-time.After(callPause):
 		}
 		id := fmt.Sprintf("%s-%06d", n.name, i)
-		status, err := r.callOnce(n, id)
-		if err != nil || status != http.StatusOK {
-			r.notef("%s: status %d (%v)", id, status, err)
+		got, err := r.callOnce(n, "unsafe", id)
+		if err != nil || got.status != http.StatusOK {
+			r.notef("%s: status %d (%v)", id, got.status, err)
 		}
 	}
 }
 
-// callOnce sends a request to a VM on a new connection and returns the status of a complete answer.
-func (r *rig) callOnce(n *node, id string) (int, error) {
-	c, err := net.DialTimeout("tcp", string(n.cfg.Listen), time.Second)
-	if err != nil {
-		return 0, err
-	}
-	defer c.Close()
-	if err := c.SetDeadline(time.Now().Add(callerTimeout)); err != nil {
-		return 0, err
-	}
-	_, err = fmt.Fprintf(c, "POST /unsafe/1 HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nRequest-Deadline: 1000\r\nContent-Length: 2\r\n\r\nok", platformtest.Host, id)
-	if err != nil {
-		return 0, err
-	}
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		return 0, err
-	}
-	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, resp.Body)
-	return resp.StatusCode, err
-}
-
 // runsAfter returns how many requests a target has run, and how many of them after a time, by what it printed.
 func (r *rig) runsAfter(t *target, after time.Time) (late, runs int, err error) {
 	for run := 1; run <= t.starts; run++ {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -45,6 +45,8 @@
 	relays  []*proc.Relay
 	nodes   []*node
 	targets []*target
+	// requests counts the requests whose ids were given out.
+	requests int
 }
 
 // node is one VM.
--- a/review/rig/target.go
+++ b/review/rig/target.go
@@ -129,6 +129,9 @@
 		return s.stream(c, r, id)
 	}
 	time.Sleep(s.work)
+	if s.endsWithConn {
+		return s.writeParts(c, id)
+	}
 	return s.write(c, http.StatusOK, seal(s.id, id)+echo(id), plainBody(s.id, id))
 }
 
@@ -166,6 +169,27 @@
 	return err == nil
 }
 
+// answerParts is the number of parts in which an answer is sent that ends with its connection.
+const answerParts = 3
+
+// writeParts sends an answer that ends with its connection, with a pause after each part.
+func (s *targetServer) writeParts(c net.Conn, id string) bool {
+	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s%s\r\n", seal(s.id, id), echo(id)); err != nil {
+		return false
+	}
+	body := plainBody(s.id, id)
+	for n := range answerParts {
+		if _, err := io.WriteString(c, body[n*len(body)/answerParts:(n+1)*len(body)/answerParts]); err != nil {
+			return false
+		}
+		s.printf("sent part %d of %s", n+1, id)
+		if n+1 < answerParts {
+			time.Sleep(s.gap)
+		}
+	}
+	return false
+}
+
 // stream sends the events after the one that the request names.
 func (s *targetServer) stream(c net.Conn, r *http.Request, id string) bool {
 	encoding := "Transfer-Encoding: chunked\r\n"
