--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -1,9 +1,9 @@
 // Command rig plays the cases of the review that are scripts. Each case starts garnet-node as separate
 // processes before stand-ins of the store, the targets and the callers, all on loopback.
 //
-// Usage: rig CASE DIRECTORY. The record is written to DIRECTORY/record.txt. The exit code is 1 if the rule
-// was broken, 0 if it held and 2 if the case could not run. With TROUBLE=0 in the environment the same
-// traffic is played without the disruption.
+// Usage: rig CASE TROUBLE RECORD. If TROUBLE is 0, the same traffic is played without the disruption. RECORD is
+// the file that the record is written to. The exit code is 1 if the rule was broken, 0 if it held and 2 if the
+// case could not run.
 //
 // "rig target" runs one target as a process of its own, so that it can be killed.
 package main
@@ -36,11 +36,11 @@
 	if len(args) > 0 && args[0] == "target" {
 		return runTarget(args[1:])
 	}
-	if len(args) != 2 || cases[args[0]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: rig CASE DIRECTORY")
+	if len(args) != 3 || cases[args[0]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: rig CASE TROUBLE RECORD")
 		return exitNotRun
 	}
-	r, err := newRig(args[1], os.Getenv("TROUBLE") != "0")
+	r, err := newRig(args[2], args[1] != "0")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "rig:", err)
 		return exitNotRun
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -56,9 +56,9 @@
 	process *proc.Process
 }
 
-// newRig returns a rig with an empty store, whose record is in dir.
-func newRig(dir string, trouble bool) (*rig, error) {
-	record, err := os.Create(filepath.Join(dir, "record.txt"))
+// newRig returns a rig with an empty store, which writes its record to the file recordPath.
+func newRig(recordPath string, trouble bool) (*rig, error) {
+	record, err := os.Create(recordPath)
 	if err != nil {
 		return nil, errors.Wrap(err, "create the record")
 	}
