--- a/review/rig/removed.go
+++ b/review/rig/removed.go
@@ -41,8 +41,8 @@
 func playRemovedTarget(r *rig) (bool, error) {
 	r.store.Put(platformtest.TableOperator, platformtest.KeyConfig, platformtest.Config(1))
 	var leaving *target
-	for i := range 3 {
-		t, err := r.addTarget(fmt.Sprintf("i-desk-%d", i+1), platformtest.ServicePlain, "", dataCentre(i), "-work", plainWork.String())
+	for i := range plainTargets {
+		t, err := r.addTarget(fmt.Sprintf("i-desk-%d", i+1), platformtest.ServicePlain, "", dataCentre(i%3), "-work", plainWork.String())
 		if err != nil {
 			return false, err
 		}
