The head of a response is checked against RFC 9110 and RFC 9112 before it counts

Callers saw: status 200 with the body of another response, which stood in the body of one with the status 000; and 200 with bytes behind the body, or with the sizes and line ends of chunks as the body, where a blank stood before the colon of Content-Length or Transfer-Encoding.

Cause: ReadResponse left the head to net/http, which lets pass any three characters that Atoi takes for a status (000, 600, +20), any version, control bytes in the reason, names with blanks (kept, but not taken for the field that they resemble), Transfer-Encoding in HTTP/1.0 (taken away, its chunks as the body) or beside a length, and bodies of informational and 204 responses. readHead then took each status below 200 for an informational one and read on in its body.

A name with a control byte was refused before.

Why this works: each byte of a head passes one check, where the connection is read, before net/http sees the byte. Whatever that check refuses is ErrMalformed, as other bytes that are no response: the request may have run, and is sent again only where its route allows that. The check takes constant memory.

--- /dev/null
+++ b/internal/httpsend/broken_test.go
@@ -0,0 +1,54 @@
+package httpsend_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"garnethoist.org/garnethoist/internal/httpsend"
+	"garnethoist.org/garnethoist/platform/platformtest"
+)
+
+const timeLimit = 10 * time.Second
+
+// A response that RFC 9110 or RFC 9112 forbids is none, and nothing of it reaches the caller.
+func TestBrokenResponseIsNone(t *testing.T) {
+	for name, text := range platformtest.BrokenResponses("Request-Id: q\r\n") {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			target := platformtest.NewRawTarget(platformtest.AnswerText(func(*http.Request) string { return text }))
+			defer target.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), timeLimit)
+			defer cancel()
+			body, err := send(ctx, newClient(), httpsend.Destination{ID: "i-a", Address: target.Address()})
+			is.Equal(phaseOf(err), httpsend.Unanswered)
+			is.True(errors.Is(err, httpsend.ErrMalformed))
+			is.True(!strings.Contains(body, platformtest.Foreign))
+			is.Equal(target.Requests(), 1)
+		})
+	}
+}
+
+// A response that is sound, however unusual, reaches the caller whole. It may come in pieces.
+func TestSoundResponseIsPassedOn(t *testing.T) {
+	const whole = "the whole body"
+	for name, text := range platformtest.SoundResponses("Request-Id: q\r\n", whole) {
+		for _, step := range []int{1, 7, len(text)} {
+			t.Run(name, func(t *testing.T) {
+				is := is.New(t)
+				target := platformtest.NewRawTarget(platformtest.AnswerPieces(text, step))
+				defer target.Close()
+				ctx, cancel := context.WithTimeout(context.Background(), timeLimit)
+				defer cancel()
+				body, err := send(ctx, newClient(), httpsend.Destination{ID: "i-a", Address: target.Address()})
+				is.NoErr(err)
+				is.Equal(body, whole)
+			})
+		}
+	}
+}
--- a/internal/httpsend/reader.go
+++ b/internal/httpsend/reader.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net/http"
+	"sync"
 
 	"github.com/pkg/errors"
 )
@@ -21,6 +22,60 @@
 // too large.
 var ErrMalformed = errors.New("httpsend: the target sent bytes that are no response")
 
+// incoming reads the bytes of responses from a connection. It fails where a head is malformed. It is safe for
+// concurrent use.
+type incoming struct {
+	r io.Reader
+
+	// mu guards the fields below.
+	mu   sync.Mutex
+	head head
+	// malformed is what is wrong with a head, or nil. The connection cannot be read on then.
+	malformed error
+}
+
+// begin prepares for the head of a response to a request, of which the given bytes have been read already.
+func (in *incoming) begin(read []byte) error {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.malformed != nil {
+		return in.malformed
+	}
+	in.head.reset()
+	_, in.malformed = in.head.feed(read)
+	return in.malformed
+}
+
+// malformedErr returns what is wrong with the head, or nil.
+func (in *incoming) malformedErr() error {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.malformed
+}
+
+// Read implements io.Reader.
+func (in *incoming) Read(p []byte) (int, error) {
+	n, err := in.r.Read(p)
+	valid, malformed := in.feed(p[:n])
+	if malformed != nil {
+		// net/http takes an error before the first byte for the end of an unused connection, and may send the
+		// request again. One byte is never a complete head.
+		return max(valid, 1), malformed
+	}
+	return n, err
+}
+
+// feed checks bytes that were read.
+func (in *incoming) feed(p []byte) (int, error) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	n, err := in.head.feed(p)
+	if err != nil {
+		in.malformed = err
+	}
+	return n, err
+}
+
 // ResponseReader reads responses from a connection whose other end may send anything, without end.
 type ResponseReader struct {
 	*bufio.Reader
@@ -29,7 +84,7 @@
 
 // source is the connection of a ResponseReader.
 type source struct {
-	r io.Reader
+	incoming
 	// limited is set while a head is read, of which left more bytes may be read.
 	limited bool
 	left    int
@@ -45,7 +100,7 @@
 	if s.limited && s.left <= 0 {
 		return 0, errHeadTooLarge
 	}
-	n, err := s.r.Read(p)
+	n, err := s.incoming.Read(p)
 	s.left -= n
 	if err != nil {
 		s.failed = true
@@ -55,7 +110,7 @@
 
 // NewResponseReader returns a reader with a buffer of the given size in bytes.
 func NewResponseReader(r io.Reader, size int) *ResponseReader {
-	rr := &ResponseReader{src: source{r: r}}
+	rr := &ResponseReader{src: source{incoming: incoming{r: r}}}
 	rr.Reader = bufio.NewReaderSize(&rr.src, size)
 	return rr
 }
@@ -63,19 +118,19 @@
 // ReadResponse reads the head of the response to req, of about maxHeadBytes at most. It fails with
 // ErrMalformed or with the connection's error.
 func (rr *ResponseReader) ReadResponse(req *http.Request) (*http.Response, error) {
-	rr.src.limited, rr.src.left = true, maxHeadBytes-rr.Buffered()
-	defer func() { rr.src.limited = false }()
-	start, err := rr.Peek(len(protocolName))
-	switch {
-	case errors.Is(err, io.EOF):
-		return nil, io.ErrUnexpectedEOF
-	case err != nil:
+	read, err := rr.Peek(rr.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := rr.src.begin(read); err != nil {
 		return nil, err
-	case string(start) != protocolName:
-		// The parser would quote all that it has received.
-		return nil, ErrMalformed
 	}
+	rr.src.limited, rr.src.left = true, maxHeadBytes-len(read)
+	defer func() { rr.src.limited = false }()
 	resp, err := http.ReadResponse(rr.Reader, req)
+	if malformed := rr.src.malformedErr(); err != nil && malformed != nil {
+		return nil, malformed
+	}
 	if err != nil && !rr.src.failed {
 		detail := err.Error()
 		return nil, errors.Wrap(ErrMalformed, detail[:min(len(detail), maxDetail)])
