A body that ends with its connection is complete only if the request was received

Callers saw: status 200 with a third of the body as the whole answer of a target that had answered a long upload at once, without a length, and then reset the connection while the upload was still being written.

Cause: Linux reports a reset once for each socket. If the goroutine that writes the upload receives it, a read of the same connection sees the same as after an orderly close, which is the end of a body without length and chunks. The result of the write was asked for the reuse of the connection only. The check whether the target runs, which follows such a body, is answered by a living target with yes.

Bodies with a length or chunks don't wait.

--- a/internal/httpsend/head.go
+++ b/internal/httpsend/head.go
@@ -72,6 +72,11 @@
 	return len(p), nil
 }
 
+// endsWithConn reports whether the end of the connection ends the body (RFC 9112, section 6.3).
+func (h *head) endsWithConn() bool {
+	return h.state == inBody && !h.hasLength && !h.hasEncoding && h.status != http.StatusNoContent && h.status != http.StatusNotModified
+}
+
 // next checks one byte.
 func (h *head) next(b byte) error {
 	switch h.state {
--- a/internal/httpsend/reader.go
+++ b/internal/httpsend/reader.go
@@ -22,7 +22,8 @@
 // too large.
 var ErrMalformed = errors.New("httpsend: the target sent bytes that are no response")
 
-// incoming reads the bytes of responses from a connection. It fails where a head is malformed. It is safe for
+// incoming reads the bytes of responses from a connection. It fails where a head is malformed, and at the end of a
+// body that ends with the connection if the connection failed while the request was being written. It is safe for
 // concurrent use.
 type incoming struct {
 	r io.Reader
@@ -30,18 +31,21 @@
 	// mu guards the fields below.
 	mu   sync.Mutex
 	head head
+	// upload is the request that the response belongs to, or nil if it was written before.
+	upload *upload
 	// malformed is what is wrong with a head, or nil. The connection cannot be read on then.
 	malformed error
 }
 
 // begin prepares for the head of a response to a request, of which the given bytes have been read already.
-func (in *incoming) begin(read []byte) error {
+func (in *incoming) begin(u *upload, read []byte) error {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if in.malformed != nil {
 		return in.malformed
 	}
 	in.head.reset()
+	in.upload = u
 	_, in.malformed = in.head.feed(read)
 	return in.malformed
 }
@@ -57,10 +61,15 @@
 func (in *incoming) Read(p []byte) (int, error) {
 	n, err := in.r.Read(p)
 	valid, malformed := in.feed(p[:n])
-	if malformed != nil {
+	switch {
+	case malformed != nil:
 		// net/http takes an error before the first byte for the end of an unused connection, and may send the
 		// request again. One byte is never a complete head.
 		return max(valid, 1), malformed
+	case errors.Is(err, io.EOF):
+		if uploadErr := in.awaitUpload(); uploadErr != nil {
+			return n, uploadErr
+		}
 	}
 	return n, err
 }
@@ -76,10 +85,27 @@
 	return n, err
 }
 
+// awaitUpload waits for the upload at the end of a body that ends with the connection. It fails if the connection
+// has failed.
+func (in *incoming) awaitUpload() error {
+	in.mu.Lock()
+	u := in.upload
+	if !in.head.endsWithConn() {
+		u = nil
+	}
+	in.mu.Unlock()
+	if u == nil {
+		return nil
+	}
+	return u.await()
+}
+
 // ResponseReader reads responses from a connection whose other end may send anything, without end.
 type ResponseReader struct {
 	*bufio.Reader
 	src source
+	// upload is the request that is being written, or nil if it was written before the reading begins.
+	upload *upload
 }
 
 // source is the connection of a ResponseReader.
@@ -122,7 +148,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := rr.src.begin(read); err != nil {
+	if err := rr.src.begin(rr.upload, read); err != nil {
 		return nil, err
 	}
 	rr.src.limited, rr.src.left = true, maxHeadBytes-len(read)
--- a/internal/httpsend/send.go
+++ b/internal/httpsend/send.go
@@ -128,8 +128,8 @@
 	// stopWatch stops the watch that closes the connection when ctx ends. It returns false if the
 	// connection is already being closed.
 	stopWatch func() bool
-	// writeDone receives the result of writing the request.
-	writeDone <-chan error
+	// upload is the writing of the request.
+	upload *upload
 	// ctx is the context of the send.
 	ctx context.Context
 	// once makes repeated calls of Close have no effect.
@@ -184,10 +184,11 @@
 
 // exchange writes r to cn and reads the head of its response.
 func (c *Client) exchange(ctx context.Context, cn *conn, r *Request, match Match) (*Response, error) {
-	written, err := cn.write(r)
+	u, err := cn.write(r)
 	if err != nil {
 		return nil, err
 	}
+	cn.br.upload = u
 	resp, err := cn.readHead(r, match)
 	if err != nil {
 		if ctx.Err() != nil {
@@ -197,30 +198,30 @@
 	}
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framingOf(resp),
-		client: c, conn: cn, resp: resp, writeDone: written, ctx: ctx,
+		client: c, conn: cn, resp: resp, upload: u, ctx: ctx,
 	}, nil
 }
 
 // write sends the request. A request larger than maxInlineWrite is written by a goroutine while the
-// response is read. The channel receives the result of the write.
-func (cn *conn) write(r *Request) (<-chan error, error) {
-	done := make(chan error, 1)
+// response is read.
+func (cn *conn) write(r *Request) (*upload, error) {
+	u := newUpload(cn.nc)
 	if len(r.Body) > maxInlineWrite {
 		// The body is not copied, as callers' bodies are accounted for once.
 		data := net.Buffers{encodeHead(r, 0), r.Body}
 		go func() {
 			_, err := data.WriteTo(cn.nc)
-			done <- err
+			u.finish(err)
 		}()
-		return done, nil
+		return u, nil
 	}
 	data := append(encodeHead(r, len(r.Body)), r.Body...)
 	if len(data) > maxInlineWrite {
 		go func() {
 			_, err := cn.nc.Write(data)
-			done <- err
+			u.finish(err)
 		}()
-		return done, nil
+		return u, nil
 	}
 	n, err := cn.nc.Write(data)
 	switch {
@@ -229,8 +230,8 @@
 	case err != nil:
 		return nil, newError(Unanswered, errors.Wrap(err, "write request"))
 	}
-	done <- nil
-	return done, nil
+	u.finish(nil)
+	return u, nil
 }
 
 // encodeHead returns the head of the request in wire format, with room for extra bytes. The body is framed by
@@ -329,14 +330,6 @@
 // reusable reports whether the exchange is complete and the connection can carry another
 // request.
 func (r *Response) reusable() bool {
-	if !r.complete || r.resp.Close || r.conn.br.Buffered() > 0 {
-		return false
-	}
-	select {
-	case err := <-r.writeDone:
-		return err == nil
-	default:
-		// The target responded before it had received the whole request.
-		return false
-	}
+	// The target may have responded before it had received the whole request.
+	return r.complete && !r.resp.Close && r.conn.br.Buffered() == 0 && r.upload.succeeded()
 }
