A VM in between states a target's end only if the target closed the connection in order

Through a VM in between, the reset of a target that had answered a long upload early could reach the other VM as the target's own end.

Cause: a tunnel copies both directions apart from each other. If the copy of the upload receives the reset, the copy of the response sees the same as after an orderly close, and stated it as the end of the body. A connection that the VM itself had closed counted as an end as well.

Why this works: a read of the target's connection is an end only if no write has failed and the target's kernel has received what was written; a write that is under way is waited for. After the target's end the rest of a request is passed on until the other VM closes the connection, which knows the end from the last chunk, or is silent for a second. Other VMs' software before this needs no change: it closes the connection at the last chunk.

--- a/internal/httpsend/upload.go
+++ b/internal/httpsend/upload.go
@@ -46,7 +46,7 @@
 	if u.err != nil {
 		return errors.Wrap(u.err, "write request")
 	}
-	return awaitReceived(u.nc)
+	return AwaitReceived(u.nc)
 }
 
 // receivedPoll is the time between two checks of whether the peer has acknowledged all data.
@@ -55,9 +55,9 @@
 // tcpClosed is the state of a connection that was reset or has timed out (the kernel's TCP_CLOSE).
 const tcpClosed = 7
 
-// awaitReceived waits until the peer's kernel has acknowledged all data that was written to nc. It fails if the
+// AwaitReceived waits until the peer's kernel has acknowledged all data that was written to nc. It fails if the
 // connection has been reset, timed out or closed. Where the kernel does not state it, all counts as received.
-func awaitReceived(nc net.Conn) error {
+func AwaitReceived(nc net.Conn) error {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return nil
--- a/internal/tunnel/framing.go
+++ b/internal/tunnel/framing.go
@@ -6,9 +6,12 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"sync"
 	"syscall"
 
 	"github.com/pkg/errors"
+
+	"garnethoist.org/garnethoist/internal/httpsend"
 )
 
 // A connection ends in the same way when the VM in between exits as when the target closes it. So that
@@ -67,6 +70,50 @@
 	return c.w.Flush()
 }
 
+// targetConn is a connection to a target. It reads io.EOF only if the target has closed the connection in order. The
+// kernel reports a reset once: after a write that has received it, a read sees the same as after an orderly close.
+type targetConn struct {
+	net.Conn
+	// writing is held during a write.
+	writing sync.Mutex
+	// writeErr is the error of the write that failed, or nil.
+	writeErr error
+}
+
+// Write implements net.Conn.
+func (c *targetConn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// Read implements net.Conn.
+func (c *targetConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if writeErr := c.checkWrites(); writeErr != nil {
+		err = writeErr
+	}
+	return n, err
+}
+
+// checkWrites waits until the target's kernel has received all data that was written. It fails if the connection has
+// failed.
+func (c *targetConn) checkWrites() error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.writeErr != nil {
+		return c.writeErr
+	}
+	return httpsend.AwaitReceived(c.Conn)
+}
+
 // conn is a connection to a target through another VM. It reads io.EOF only if the target has closed the
 // connection, and io.ErrUnexpectedEOF if the other VM has.
 type conn struct {
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -175,6 +176,8 @@
 	// last sent data.
 	waiting     bool
 	respondedAt time.Time
+	// ended is set once the other VM has been told that the target has closed the connection.
+	ended bool
 }
 
 // quiet reports whether no request is in flight.
@@ -186,8 +189,11 @@
 
 // relay copies data between the other VM and the target until one of them closes its connection, and
 // then closes both. A reset is passed on, so that what the other VM has withdrawn does not reach the
-// target later. framed says that what the target sends is passed on in the chunked coding.
-func (t *tunnel) relay(peer, target net.Conn, framed bool) {
+// target later. framed says that what the target sends is passed on in the chunked coding. The other VM then
+// knows the target's end from its last chunk, and closes the connection itself once it has sent the rest of its
+// request, which the target may still read.
+func (t *tunnel) relay(peer, targetSocket net.Conn, framed bool) {
+	target := &targetConn{Conn: targetSocket}
 	var responses sync.WaitGroup
 	responses.Go(func() {
 		w := newChunkWriter(peer, framed)
@@ -195,9 +201,19 @@
 		if err == nil {
 			err = w.End()
 		}
-		end(peer, target, err)
+		if err == nil && framed {
+			err = t.awaitRest(peer)
+			if err == nil {
+				return
+			}
+		}
+		end(peer, targetSocket, err)
 	})
-	end(peer, target, t.copy(target, peer, false))
+	err := t.copy(target, peer, false)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = nil
+	}
+	end(peer, targetSocket, err)
 	responses.Wait()
 }
 
@@ -223,15 +239,35 @@
 				return werr
 			}
 		}
-		if errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
 			return err
 		}
+		if !response && t.hasEnded() {
+			if err := t.awaitRest(src); err != nil {
+				return err
+			}
+		}
 	}
 }
 
+// awaitRest limits the wait for further data of a request to whose response the target's end has been stated.
+func (t *tunnel) awaitRest(peer net.Conn) error {
+	t.mu.Lock()
+	t.ended = true
+	t.mu.Unlock()
+	return peer.SetReadDeadline(time.Now().Add(quietTime))
+}
+
+// hasEnded reports whether the target's end has been stated.
+func (t *tunnel) hasEnded() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ended
+}
+
 // note records that data was received from the target or from the other VM.
 func (t *tunnel) note(response bool) {
 	t.mu.Lock()
