Informational responses are skipped for every reader

Callers saw: nothing was reported; found by the test of broken heads. An engine that sent an informational response before it accepted an order counted as having refused it, and the response to a request for a tunnel was read so too.

Cause: informational responses were skipped by the client of targets only, not where heads are read.

Evidence: TestInformationalResponseIsNoRefusal and one of 49 cases of TestBrokenStatusIsNone (a broken head behind an informational response, taken for a refusal in place of no answer) failed before. The other 48 passed before for status reports and orders of the product's own deployment, and are kept.

Why this works: ReadResponse returns the response that follows, after four informational ones at most.

--- a/internal/httpsend/head.go
+++ b/internal/httpsend/head.go
@@ -29,7 +29,7 @@
 
 const (
 	// versionPrefix begins the version of all responses of HTTP/1 (RFC 9112, section 2.3).
-	versionPrefix = protocolName + "1."
+	versionPrefix = "HTTP/1."
 	statusDigits  = 3
 
 	nameLength   = "content-length"
--- a/internal/httpsend/reader.go
+++ b/internal/httpsend/reader.go
@@ -14,8 +14,6 @@
 	maxHeadBytes = 16 << 10
 	// maxDetail is the number of bytes that are kept of a parser's error, which quotes what was received.
 	maxDetail = 120
-	// protocolName begins every response (RFC 9112, section 4).
-	protocolName = "HTTP/"
 )
 
 // ErrMalformed reports that a target has sent bytes that are no HTTP response, or a response whose head is
@@ -60,12 +58,12 @@
 // Read implements io.Reader.
 func (in *incoming) Read(p []byte) (int, error) {
 	n, err := in.r.Read(p)
-	valid, malformed := in.feed(p[:n])
+	valid, headErr := in.feed(p[:n])
 	switch {
-	case malformed != nil:
+	case headErr != nil:
 		// net/http takes an error before the first byte for the end of an unused connection, and may send the
 		// request again. One byte is never a complete head.
-		return max(valid, 1), malformed
+		return max(valid, 1), headErr
 	case errors.Is(err, io.EOF):
 		if uploadErr := in.awaitUpload(); uploadErr != nil {
 			return n, uploadErr
@@ -141,9 +139,20 @@
 	return rr
 }
 
-// ReadResponse reads the head of the response to req, of about maxHeadBytes at most. It fails with
-// ErrMalformed or with the connection's error.
+// ReadResponse reads the head of the response to req, of about maxHeadBytes at most, and skips informational
+// responses before it. It fails with ErrMalformed or with the connection's error.
 func (rr *ResponseReader) ReadResponse(req *http.Request) (*http.Response, error) {
+	for range maxSkipped {
+		resp, err := rr.readHead(req)
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+	}
+	return nil, malformed("too many informational responses")
+}
+
+// readHead reads the head of one response.
+func (rr *ResponseReader) readHead(req *http.Request) (*http.Response, error) {
 	read, err := rr.Peek(rr.Buffered())
 	if err != nil {
 		return nil, err
@@ -154,12 +163,15 @@
 	rr.src.limited, rr.src.left = true, maxHeadBytes-len(read)
 	defer func() { rr.src.limited = false }()
 	resp, err := http.ReadResponse(rr.Reader, req)
-	if malformed := rr.src.malformedErr(); err != nil && malformed != nil {
-		return nil, malformed
+	if err == nil {
+		return resp, nil
+	}
+	if headErr := rr.src.malformedErr(); headErr != nil {
+		return nil, headErr
 	}
-	if err != nil && !rr.src.failed {
+	if !rr.src.failed {
 		detail := err.Error()
-		return nil, errors.Wrap(ErrMalformed, detail[:min(len(detail), maxDetail)])
+		err = malformed(detail[:min(len(detail), maxDetail)])
 	}
-	return resp, err
+	return nil, err
 }
--- a/internal/httpsend/send.go
+++ b/internal/httpsend/send.go
@@ -23,8 +23,8 @@
 	// the response is read. A larger request is written while the response is read, as the target
 	// may respond before it has read all of the request.
 	maxInlineWrite = 8 << 10
-	// maxSkipped limits how many response heads are read for one request. All but the last of them
-	// belong to earlier requests or are informational (1xx).
+	// maxSkipped limits how many responses are read for one request, all but the last of which belong to earlier
+	// requests, and how many informational ones (1xx) may precede each.
 	maxSkipped = 4
 	// maxSkippedBody is the size in bytes of the largest body of a response to an earlier request that is
 	// skipped.
@@ -262,8 +262,8 @@
 	return b.Bytes()
 }
 
-// readHead reads the head of the first response for which match returns true. It skips
-// informational responses and those to other requests, at most maxSkipped in all.
+// readHead reads the head of the first response for which match returns true. It skips those to other
+// requests.
 func (cn *conn) readHead(r *Request, match Match) (*http.Response, error) {
 	req := &http.Request{Method: r.Method}
 	for range maxSkipped {
@@ -271,9 +271,6 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
 		if match(resp.StatusCode, resp.Header) {
 			return resp, nil
 		}
