Readers that use net/http check responses like all others

Callers saw, on other systems: the same broken answers. Callers of garnet-entry got 200 with foreign or partial bodies, of plain services and of engines.

Why this works: httpsend.Transport is net/http's with each connection read through the check that a Client uses. A trace tells it when a request begins on a connection and with which result it was written. Requests are not sent again for a broken response, on kept connections neither: net/http takes only an error before the first byte for a closed connection.

--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"garnethoist.org/garnethoist/internal/errkind"
+	"garnethoist.org/garnethoist/internal/httpsend"
 	"garnethoist.org/garnethoist/internal/once"
 	"garnethoist.org/garnethoist/internal/relay"
 	"garnethoist.org/garnethoist/internal/target"
@@ -49,14 +50,14 @@
 // connections only if keepAlive is set.
 func newPlainClient(keepAlive bool) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: httpsend.NewTransport(&http.Transport{
 			DialContext:            (&net.Dialer{Timeout: plainDialTimeout}).DialContext,
 			DisableKeepAlives:      !keepAlive,
 			DisableCompression:     true,
 			MaxIdleConnsPerHost:    64,
 			IdleConnTimeout:        time.Minute,
 			MaxResponseHeaderBytes: maxPlainHeadBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"garnethoist.org/garnethoist/internal/errkind"
+	"garnethoist.org/garnethoist/internal/httpsend"
 	"garnethoist.org/garnethoist/internal/retry"
 	"garnethoist.org/garnethoist/internal/target"
 	"garnethoist.org/garnethoist/internal/telemetry"
@@ -105,14 +106,14 @@
 
 // New returns a relay that uses the targets chosen by router.
 func New(cfg Config, router Router, log *telemetry.Logger) *Relay {
-	return &Relay{cfg: cfg, router: router, log: log, http: &http.Client{Transport: &http.Transport{
+	return &Relay{cfg: cfg, router: router, log: log, http: &http.Client{Transport: httpsend.NewTransport(&http.Transport{
 		DialContext:            (&net.Dialer{Timeout: cfg.DialTimeout}).DialContext,
 		MaxIdleConnsPerHost:    maxIdlePerEngine,
 		IdleConnTimeout:        time.Minute,
 		DisableCompression:     true,
 		ReadBufferSize:         readBufferBytes,
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}}}
+	})}}
 }
 
 // Stop closes the idle connections to engines. It always returns nil.
--- a/internal/snapshot/client.go
+++ b/internal/snapshot/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"garnethoist.org/garnethoist/internal/httpsend"
 	"garnethoist.org/garnethoist/internal/kernel"
 	"garnethoist.org/garnethoist/internal/silence"
 )
@@ -38,8 +39,8 @@
 // NewClient returns a client. self is the address at which this VM serves snapshots itself, and
 // sources returns the addresses of the VMs that are the most likely to have a copy.
 func NewClient(self string, sources func() []string) *Client {
-	transport := &http.Transport{DialContext: silence.Dialer(silenceTimeout, silenceTimeout).DialContext, DisableKeepAlives: true,
-		DisableCompression: true, ResponseHeaderTimeout: silenceTimeout}
+	transport := httpsend.NewTransport(&http.Transport{DialContext: silence.Dialer(silenceTimeout, silenceTimeout).DialContext, DisableKeepAlives: true,
+		DisableCompression: true, ResponseHeaderTimeout: silenceTimeout})
 	return &Client{self: self, sources: sources, http: &http.Client{Transport: transport, Timeout: transferTimeout}}
 }
 
--- a/internal/store/httpstore/client.go
+++ b/internal/store/httpstore/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"garnethoist.org/garnethoist/internal/httpsend"
 	"garnethoist.org/garnethoist/internal/store"
 )
 
@@ -66,11 +67,11 @@
 	return &Client{
 		baseURL: "http://" + address,
 		timeout: timeout,
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: httpsend.NewTransport(&http.Transport{
 			DialContext:         dial,
 			MaxIdleConnsPerHost: 16,
 			IdleConnTimeout:     time.Minute,
-		}},
+		})},
 	}
 }
 
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -41,12 +41,12 @@
 // count its bytes.
 func NewCountedClient(timeout time.Duration, wrap func(net.Conn) net.Conn) *Client {
 	c := &Client{timeout: timeout, wrap: wrap}
-	c.http = &http.Client{Transport: &http.Transport{
+	c.http = &http.Client{Transport: httpsend.NewTransport(&http.Transport{
 		DialContext:            c.dial,
 		MaxIdleConnsPerHost:    1,
 		IdleConnTimeout:        time.Minute,
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}}
+	})}
 	return c
 }
 
