A stopping entry takes only what it can finish, and answers what it has taken

Callers saw, on other systems: requests that came late in the grace of a planned stop were taken and passed on, and cut at its end with no answer, among them calls that must not be repeated.

Cause: garnet-entry goes on serving for the ready grace after SIGTERM and then waits for the requests in flight until the stop's time limit. It did not compare the deadline of a request with that limit, and at the limit the process ended with the connections.

Why this works: a request whose deadline is later than the end of the stop is refused as stopping, which states that it has not run, before it is sent, and again before it is sent to another target. What ends in time is served.

--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -106,7 +106,7 @@
 	g := &kernel.Getter{Kernel: k}
 	admin := kernel.Need[*telemetry.Admin](g, ModuleAdmin)
 	s := &server{
-		cfg: cfg, ids: newRequestIDs(cfg.VM, incarnation), start: time.Now(),
+		cfg: cfg, drain: newDrain(), ids: newRequestIDs(cfg.VM, incarnation), start: time.Now(),
 		accounts: map[string]*limit.Accounts{}, budgets: map[string]*retry.Budget{},
 		fleet: kernel.Need[*fleet](g, ModuleFleet), feed: kernel.Need[*feed](g, ModuleFeed), relay: kernel.Need[*relay.Relay](g, ModuleRelay),
 		plain: kernel.Need[*plainForwarder](g, ModulePlain), claims: kernel.Need[*once.Store](g, ModuleClaims),
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -72,7 +72,7 @@
 // nor safe runs at most once for each request. With an idempotency key it runs at most
 // once for all of the account's requests with the key.
 func (s *server) servePlain(w *answerWriter, r *http.Request, q *request) error {
-	ctx, cancel := context.WithDeadline(r.Context(), q.arrived.Add(q.row.Deadline))
+	ctx, cancel := context.WithDeadline(r.Context(), q.deadline())
 	defer cancel()
 	if q.row.Repeatable || safeMethod(r.Method) {
 		a, err := s.forwardRepeatable(ctx, r, q)
@@ -112,8 +112,10 @@
 	}
 	// The call goes on even if the caller disconnects, so that its answer is
 	// stored for when the caller asks again.
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), q.arrived.Add(q.row.Deadline))
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), q.deadline())
 	defer cancel()
+	ctx, release := s.drain.bind(ctx)
+	defer release()
 	a, err := s.forwardOnce(ctx, r, q)
 	if err != nil {
 		return s.releaseIfNotRun(claim, q, err)
@@ -171,6 +173,9 @@
 	need := relay.RouteRequest{Service: q.row.Service, Role: target.RoleBoth}
 	var last error
 	for {
+		if err := s.drain.check(q.deadline()); err != nil && (last == nil || errkind.From(last).Response().Outcome == errkind.NotRun) {
+			return once.Answer{}, err
+		}
 		route, err := s.fleet.Route(need)
 		if err != nil {
 			return once.Answer{}, firstNonNil(last, err)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -60,8 +60,8 @@
 
 	httpServer *http.Server
 	// serving is done when the HTTP server has stopped.
-	serving  sync.WaitGroup
-	stopping atomic.Bool
+	serving sync.WaitGroup
+	drain   *drain
 	// inFlight is the number of requests of all services in flight.
 	inFlight atomic.Int64
 
@@ -89,9 +89,10 @@
 }
 
 // Stop fails readiness, keeps serving for the ready grace so that load balancers
-// notice, and then waits for the requests in flight until ctx ends.
+// notice, and then waits for the requests in flight. Shortly before ctx ends, those that are left are answered with
+// an error.
 func (s *server) Stop(ctx context.Context) error {
-	s.stopping.Store(true)
+	defer s.drain.begin(ctx)()
 	s.log.Info(telemetry.EventStopping, telemetry.F("in_flight", s.inFlight.Load()))
 	kernel.Sleep(ctx, s.cfg.ReadyGrace.D())
 	err := s.httpServer.Shutdown(ctx)
@@ -102,7 +103,7 @@
 // notReadyReason returns why the entry is not ready for requests, or "" if it is.
 func (s *server) notReadyReason() string {
 	switch {
-	case s.stopping.Load():
+	case s.drain.begun.Load():
 		return "stopping"
 	case !s.feed.isReady():
 		return reasonNoConfig
@@ -135,6 +136,9 @@
 	account uint64
 }
 
+// deadline returns when the request must have been answered.
+func (q *request) deadline() time.Time { return q.arrived.Add(q.row.Deadline) }
+
 // serve handles one request, writes the error body if it fails, and counts it once.
 func (s *server) serve(c *gin.Context) {
 	s.inFlight.Add(1)
@@ -142,12 +146,14 @@
 	q := &request{id: s.ids.next(), path: c.Param("path"), arrived: time.Now()}
 	service := c.Param("service")
 	w := &answerWriter{ResponseWriter: c.Writer}
-	err := s.handle(w, c.Request, service, q)
+	ctx, release := s.drain.bind(c.Request.Context())
+	defer release()
+	err := s.handle(w, c.Request.WithContext(ctx), service, q)
 	if err == nil {
 		s.recordAnswer(service, q, w, nil)
 		return
 	}
-	e := errkind.From(err)
+	e := s.drain.cause(errkind.From(err))
 	started := w.started
 	if !started {
 		errkind.Write(w, e)
@@ -213,6 +219,9 @@
 	if err := s.readBody(w, r, q); err != nil {
 		return err
 	}
+	if err := s.drain.check(q.deadline()); err != nil {
+		return err
+	}
 	s.retryBudget(service).Request()
 	if row.Kind == table.Language {
 		return s.serveLanguage(w, r, q)
@@ -357,7 +366,7 @@
 	}
 	call := &relay.Call{
 		ID: q.id, Service: q.row.Service, Chat: chat,
-		Deadline: q.arrived.Add(q.row.Deadline), Budget: s.retryBudget(q.row.Service),
+		Deadline: q.deadline(), Budget: s.retryBudget(q.row.Service),
 	}
 	if last := r.Header.Get(target.HeaderLastEventID); last != "" && chat.Stream {
 		id, err := relay.ParseEventID(last)
