--- a/internal/origin/group_test.go
+++ b/internal/origin/group_test.go
@@ -494,7 +494,7 @@
 						others++
 					}
 				}
-		
+
 				is.Equal(others, 0)
 				for _, v := range w.vms {
 					v.stop()
