Bytes without end take a bounded memory in every reader

Callers saw, on other systems: a faulty engine sent bytes that were no answer, without end, until the caller closed; the machine that had called it kept them all and ran out of memory, and the requests of other clients ended with it.

Cause: garnet-node's readers of targets have been bounded before (TestBytesWithoutEndExceedMemory, TestAnswersWithoutEndExceedMemory and TestReportsWithoutEndExceedMemory stand). Those of garnet-entry and the relay bounded bodies one by one (32 and 16 MB) and not together; the client of the platform's store bounded nothing. Two readers cut a body that was too large and took the part for the whole: the relay passed 16 MB of an error on as the engine's complete answer, and the client of the product's own store returned the first 64 MB of an object.

Why this works: bodies above 16 kB that are read completely share response_memory_mb (256 MiB, at least 64) and wait for it in two stages, so that bodies without end, which take their turn as large ones, don't hold up those below 1 MiB; the chunks are reused. What is too large is target_failed.

--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -7,6 +7,7 @@
 	"io"
 	"time"
 
+	"garnethoist.org/garnethoist/internal/body"
 	"garnethoist.org/garnethoist/internal/gossip"
 	"garnethoist.org/garnethoist/internal/kernel"
 	"garnethoist.org/garnethoist/internal/limit"
@@ -32,6 +33,7 @@
 	ModuleShares   = "entry.shares"
 	ModuleRelay    = "entry.relay"
 	ModulePlain    = "entry.plain"
+	ModuleBodies   = "entry.bodies"
 	ModuleClaims   = "entry.claims"
 	ModuleServer   = "entry.server"
 )
@@ -49,7 +51,11 @@
 	k.Register(ModuleStore, func(*kernel.Kernel) (any, error) { return gossip.NewStore(time.Now), nil })
 	k.Register(ModuleDecision, func(*kernel.Kernel) (any, error) { return newDecisionLog(cfg.VM), nil })
 	k.Register(ModuleShares, func(*kernel.Kernel) (any, error) { return newShares(cfg.MaxEntries), nil })
-	k.Register(ModulePlain, func(*kernel.Kernel) (any, error) { return newPlainForwarder(), nil })
+	k.Register(ModuleBodies, func(*kernel.Kernel) (any, error) { return body.NewStaged(cfg.ResponseMemoryMB << 20), nil })
+	k.Register(ModulePlain, func(k *kernel.Kernel) (any, error) {
+		g := &kernel.Getter{Kernel: k}
+		return newPlainForwarder(kernel.Need[*body.Staged](g, ModuleBodies)), g.Err
+	})
 	k.Register(ModuleUsage, provideUsage)
 	k.Register(ModuleFleet, func(k *kernel.Kernel) (any, error) { return provideFleet(k, cfg) })
 	k.Register(ModuleFeed, func(k *kernel.Kernel) (any, error) { return provideFeed(k, cfg, incarnation) })
@@ -99,7 +105,9 @@
 func provideRelay(k *kernel.Kernel) (any, error) {
 	g := &kernel.Getter{Kernel: k}
 	f, log := kernel.Need[*fleet](g, ModuleFleet), kernel.Need[*telemetry.Logger](g, ModuleLog)
-	return relay.New(relay.DefaultConfig(), f, log), g.Err
+	cfg := relay.DefaultConfig()
+	cfg.Bodies = kernel.Need[*body.Staged](g, ModuleBodies)
+	return relay.New(cfg, f, log), g.Err
 }
 
 func provideServer(k *kernel.Kernel, cfg *settings.Entry, incarnation uint64) (any, error) {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"garnethoist.org/garnethoist/internal/body"
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/httpsend"
 	"garnethoist.org/garnethoist/internal/once"
@@ -40,10 +41,12 @@
 	// request again on its own only after a failure on a reused connection, so
 	// that a call that must not be repeated is never sent twice.
 	noReuse *http.Client
+	// bodies is the memory for answers.
+	bodies *body.Staged
 }
 
-func newPlainForwarder() *plainForwarder {
-	return &plainForwarder{keepAlive: newPlainClient(true), noReuse: newPlainClient(false)}
+func newPlainForwarder(bodies *body.Staged) *plainForwarder {
+	return &plainForwarder{bodies: bodies, keepAlive: newPlainClient(true), noReuse: newPlainClient(false)}
 }
 
 // newPlainClient returns a client that follows no redirects, and that reuses
@@ -226,16 +229,16 @@
 		return once.Answer{}, withContextCause(ctx, e)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPlainAnswerBytes+1))
+	data, err := s.plain.bodies.ReadAll(ctx, r.Context(), resp.Body, resp.ContentLength, maxPlainAnswerBytes)
+	if errors.Is(err, body.ErrTooLarge) {
+		route.Done(relay.OutcomeOK)
+		return once.Answer{}, errkind.New(errkind.TargetFailed, "the answer is larger than %d bytes", maxPlainAnswerBytes)
+	}
 	if err != nil {
 		route.Done(failureOutcome(ctx))
 		return once.Answer{}, withContextCause(ctx, errkind.Wrap(errkind.TargetLost, err, "the connection failed before the target's answer was complete"))
 	}
-	if len(body) > maxPlainAnswerBytes {
-		route.Done(relay.OutcomeOK)
-		return once.Answer{}, errkind.New(errkind.TargetFailed, "the answer is larger than %d bytes", maxPlainAnswerBytes)
-	}
-	if code := relay.ErrorCode(body); resp.StatusCode == http.StatusServiceUnavailable && target.MeansNotRun(code) {
+	if code := relay.ErrorCode(data); resp.StatusCode == http.StatusServiceUnavailable && target.MeansNotRun(code) {
 		route.Done(relay.OutcomeRefused)
 		e := errkind.New(errkind.TargetFailed, "the target refused the call: %s", code)
 		e.Outcome = errkind.NotRun
@@ -244,7 +247,7 @@
 	route.Done(relay.OutcomeOK)
 	header := http.Header{}
 	relay.CopyHeader(header, resp.Header)
-	return once.Answer{Status: resp.StatusCode, Header: header, Body: body}, nil
+	return once.Answer{Status: resp.StatusCode, Header: header, Body: data}, nil
 }
 
 // failureOutcome returns the outcome of a failed call: abandoned if the caller
--- a/internal/entry/plain_test.go
+++ b/internal/entry/plain_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"garnethoist.org/garnethoist/api"
+	"garnethoist.org/garnethoist/internal/body"
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/gossip"
 	"garnethoist.org/garnethoist/internal/limit"
@@ -113,15 +114,15 @@
 // A call that must not be repeated reaches the target once, also when the connection
 // breaks after the target has read the call.
 func TestUnrepeatableCallIsSentOnce(t *testing.T) {
-	for _, body := range []string{"", `{"subscriber":1}`} {
+	for _, text := range []string{"", `{"subscriber":1}`} {
 		is := is.New(t)
 		c := newClosingTarget(t)
-		s := &server{plain: newPlainForwarder()}
-		q := &request{id: "q1", row: table.Row{Service: "renewals", Kind: table.Plain, Deadline: time.Second}, body: []byte(body)}
+		s := &server{plain: newPlainForwarder(body.NewStaged(relay.DefaultBodiesBytes))}
+		q := &request{id: "q1", row: table.Row{Service: "renewals", Kind: table.Plain, Deadline: time.Second}, body: []byte(text)}
 		var outcomes []relay.Outcome
 		route := relay.Route{Name: "desk-1", Address: c.listener.Addr().String(), Done: func(o relay.Outcome) { outcomes = append(outcomes, o) }}
 		for _, key := range []string{"warm-up", "close"} {
-			r := httptest.NewRequest(http.MethodPost, "/services/renewals/confirm", strings.NewReader(body))
+			r := httptest.NewRequest(http.MethodPost, "/services/renewals/confirm", strings.NewReader(text))
 			r.Header.Set(headerIdempotencyKey, key)
 			_, err := s.forward(context.Background(), s.plain.noReuse, r, q, route)
 			if key == "warm-up" {
@@ -143,7 +144,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	is.NoErr(l.Close())
-	s := &server{plain: newPlainForwarder()}
+	s := &server{plain: newPlainForwarder(body.NewStaged(relay.DefaultBodiesBytes))}
 	q := &request{id: "q1", row: table.Row{Service: "renewals", Kind: table.Plain}}
 	r := httptest.NewRequest(http.MethodPost, "/services/renewals/confirm", nil)
 	route := relay.Route{Address: l.Addr().String(), Done: func(relay.Outcome) {}}
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -18,6 +18,7 @@
 	"github.com/openai/openai-go/v3/option"
 
 	"garnethoist.org/garnethoist/api"
+	"garnethoist.org/garnethoist/internal/body"
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/gossip"
 	"garnethoist.org/garnethoist/internal/limit"
@@ -114,7 +115,7 @@
 	fd := &feed{}
 	fd.ready.Store(true)
 	return &server{
-		cfg: cfg, drain: newDrain(), fleet: fl, feed: fd, relay: relay.New(relay.DefaultConfig(), fl, log), plain: newPlainForwarder(),
+		cfg: cfg, drain: newDrain(), fleet: fl, feed: fd, relay: relay.New(relay.DefaultConfig(), fl, log), plain: newPlainForwarder(body.NewStaged(relay.DefaultBodiesBytes)),
 		claims: once.NewStore(f.memory, f.memory, "vm-1", time.Now), usage: u, decisions: decisions,
 		shares: newShares(cfg.MaxEntries), log: log, ids: newRequestIDs("vm-1", 1), start: time.Now(),
 		accounts: map[string]*limit.Accounts{}, budgets: map[string]*retry.Budget{},
--- a/internal/httpsend/transport.go
+++ b/internal/httpsend/transport.go
@@ -16,9 +16,15 @@
 
 var _ http.RoundTripper = (*Transport)(nil)
 
+// defaultMaxHead limits the head of a response in bytes unless a Transport has another limit.
+const defaultMaxHead = 64 << 10
+
 // NewTransport returns a Transport with the settings of t, which must have a DialContext and must not be used on its
 // own.
 func NewTransport(t *http.Transport) *Transport {
+	if t.MaxResponseHeaderBytes == 0 {
+		t.MaxResponseHeaderBytes = defaultMaxHead
+	}
 	dial := t.DialContext
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		nc, err := dial(ctx, network, address)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,13 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"garnethoist.org/garnethoist/internal/body"
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/httpsend"
 	"garnethoist.org/garnethoist/internal/retry"
@@ -79,11 +79,16 @@
 	// MaxResponseBytes bounds a response that is read completely before it is used, such as
 	// one that is buffered so that the request can be retried until it is complete.
 	MaxResponseBytes int64
+	// Bodies is the memory for responses that are read completely.
+	Bodies *body.Staged
 }
 
+// DefaultBodiesBytes is the size in bytes of Config.Bodies unless it is set.
+const DefaultBodiesBytes = 256 << 20
+
 // DefaultConfig returns the limits used in production.
 func DefaultConfig() Config {
-	return Config{IdleTimeout: 4 * time.Second, DialTimeout: 2 * time.Second, MaxResponseBytes: 16 << 20}
+	return Config{IdleTimeout: 4 * time.Second, DialTimeout: 2 * time.Second, MaxResponseBytes: 16 << 20, Bodies: body.NewStaged(DefaultBodiesBytes)}
 }
 
 // Relay forwards requests for language models to engines. It is safe for concurrent use.
@@ -238,16 +243,27 @@
 		return response{}, dialError(err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, r.cfg.MaxResponseBytes+1))
+	data, err := r.readBody(ctx, resp)
+	if errors.Is(err, body.ErrTooLarge) {
+		route.Done(OutcomeOK)
+		return response{final: true}, r.tooLarge()
+	}
 	if err != nil {
 		route.Done(failureOutcome(ctx))
 		return response{}, errkind.Wrap(errkind.TargetLost, err, "the connection to the engine was lost before the response was complete")
 	}
-	if int64(len(body)) > r.cfg.MaxResponseBytes {
-		route.Done(OutcomeOK)
-		return response{final: true}, errkind.New(errkind.TargetFailed, "the engine's response is larger than %d bytes", r.cfg.MaxResponseBytes)
-	}
-	return r.classifyResponse(resp, body, route)
+	return r.classifyResponse(resp, data, route)
+}
+
+// readBody reads the body of a response completely. It fails with body.ErrTooLarge if that exceeds MaxResponseBytes.
+// The memory is kept until ctx ends.
+func (r *Relay) readBody(ctx context.Context, resp *http.Response) ([]byte, error) {
+	return r.cfg.Bodies.ReadAll(ctx, ctx, resp.Body, resp.ContentLength, r.cfg.MaxResponseBytes)
+}
+
+// tooLarge returns the error for a response that exceeds MaxResponseBytes.
+func (r *Relay) tooLarge() *errkind.Error {
+	return errkind.New(errkind.TargetFailed, "the engine's response is larger than %d bytes", r.cfg.MaxResponseBytes)
 }
 
 // classifyResponse returns a complete response that is to be passed on to the caller, whether a
@@ -359,7 +375,9 @@
 		return target.KVTransfer{}, errors.Wrap(err, "prefill")
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, r.cfg.MaxResponseBytes))
+	readCtx, release := context.WithCancel(ctx)
+	defer release()
+	data, err := r.readBody(readCtx, resp)
 	if err != nil || resp.StatusCode != http.StatusOK {
 		route.Done(OutcomeFailed)
 		return target.KVTransfer{}, errors.Errorf("prefill: status %d, %v", resp.StatusCode, err)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"garnethoist.org/garnethoist/internal/body"
 	"garnethoist.org/garnethoist/internal/errkind"
 	"garnethoist.org/garnethoist/internal/target"
 	"garnethoist.org/garnethoist/internal/telemetry"
@@ -322,11 +323,14 @@
 // and otherwise passes the response on to the caller. resuming says whether the request was to
 // resume a stream.
 func (r *Relay) handleErrorResponse(out *eventWriter, s *streamState, resp *http.Response, resuming bool) error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, r.cfg.MaxResponseBytes))
+	data, err := r.readBody(resp.Request.Context(), resp)
+	if errors.Is(err, body.ErrTooLarge) {
+		return r.tooLarge()
+	}
 	if err != nil {
 		return recoverable(errkind.Wrap(errkind.TargetLost, err, "the connection to the engine was lost before the response was complete"))
 	}
-	code := ErrorCode(body)
+	code := ErrorCode(data)
 	switch {
 	case resuming && resp.StatusCode == http.StatusNotFound:
 		return recoverable(errUnknownStream)
@@ -341,7 +345,7 @@
 		return errkind.New(errkind.StreamLost, "the engine responded with status %d", resp.StatusCode)
 	}
 	// The request is at fault, so the caller gets the engine's response.
-	return response{status: resp.StatusCode, header: resp.Header, body: body}.writeTo(out.w)
+	return response{status: resp.StatusCode, header: resp.Header, body: data}.writeTo(out.w)
 }
 
 // copyEvents relays the events in body until the end of the stream, and records in idle that
--- a/internal/settings/programs.go
+++ b/internal/settings/programs.go
@@ -49,6 +49,9 @@
 	// MaxEntries is the largest number of entry VMs that this data centre will ever run at once. It
 	// determines the fraction of a limit that an entry may use without a grant from the steward.
 	MaxEntries int `json:"max_entries"`
+	// ResponseMemoryMB is the memory that responses of targets above 16 kB may take together while they are held, in
+	// MiB. Half of it is for those above 1 MiB; a response of a plain service may have 32 MiB.
+	ResponseMemoryMB int64 `json:"response_memory_mb"`
 	// StopTimeout limits the wait for requests in flight after SIGTERM.
 	StopTimeout Duration `json:"stop_timeout"`
 	// ReadyGrace is the time from the first failing readiness check to the closing of the listener,
@@ -56,16 +59,20 @@
 	ReadyGrace Duration `json:"ready_grace"`
 }
 
+// minResponseMemoryMB leaves room for one response of the largest size.
+const minResponseMemoryMB = 64
+
 // DefaultEntry returns the default settings of garnet-entry.
 func DefaultEntry() *Entry {
 	return &Entry{
-		Platform:     Endpoint{Timeout: Duration(2 * time.Second)},
-		MaxBodyBytes: 8 << 20,
-		BodyTimeout:  Duration(10 * time.Second),
-		MaxInFlight:  4000,
-		MaxEntries:   8,
-		StopTimeout:  Duration(5 * time.Minute),
-		ReadyGrace:   Duration(2 * time.Second),
+		Platform:         Endpoint{Timeout: Duration(2 * time.Second)},
+		MaxBodyBytes:     8 << 20,
+		BodyTimeout:      Duration(10 * time.Second),
+		MaxInFlight:      4000,
+		MaxEntries:       8,
+		ResponseMemoryMB: 256,
+		StopTimeout:      Duration(5 * time.Minute),
+		ReadyGrace:       Duration(2 * time.Second),
 	}
 }
 
@@ -82,6 +89,9 @@
 	dec.requirePositive("max_in_flight", int64(s.MaxInFlight))
 	dec.requirePositive("max_entries", int64(s.MaxEntries))
 	dec.requirePositive("stop_timeout", int64(s.StopTimeout))
+	if s.ResponseMemoryMB < minResponseMemoryMB {
+		dec.addProblem("response_memory_mb", "must be at least 64, twice the size of the largest response")
+	}
 	if len(s.Stewards) == 0 {
 		dec.addProblem("stewards", "at least one steward is needed")
 	}
--- a/internal/store/httpstore/client.go
+++ b/internal/store/httpstore/client.go
@@ -198,7 +198,7 @@
 	if tag != "" && resp.StatusCode == http.StatusNotModified {
 		return nil, nil
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := readAll(resp.Body)
 	if err != nil {
 		return nil, errors.Wrapf(store.ErrUnavailable, "%v", err)
 	}
@@ -221,7 +221,7 @@
 		return errors.Wrapf(classifyWriteError(err), "%v", err)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := readAll(resp.Body)
 	if err != nil {
 		return errors.Wrapf(store.ErrUnknown, "%v", err)
 	}
@@ -237,6 +237,15 @@
 	return nil
 }
 
+// readAll reads the body of a response. It fails if that is larger than maxResponseBytes.
+func readAll(r io.Reader) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, maxResponseBytes+1))
+	if err == nil && len(data) > maxResponseBytes {
+		return nil, errors.Errorf("the response is larger than %d bytes", maxResponseBytes)
+	}
+	return data, err
+}
+
 // classifyWriteError returns the error of package store for err, which the HTTP client returned for
 // a write: store.ErrUnavailable if the write was certainly not sent, otherwise store.ErrUnknown. It
 // is certain only if the connection could not be established.
