--- a/Makefile
+++ b/Makefile
@@ -56,6 +56,7 @@
 	go test -run '^$$' -fuzz FuzzDecodeTarget -fuzztime $(FUZZTIME) ./platform
 	go test -run '^$$' -fuzz FuzzDecodeConfig -fuzztime $(FUZZTIME) ./platform
 	go test -run '^$$' -fuzz FuzzReadLedger -fuzztime $(FUZZTIME) ./internal/usage
+	go test -run '^$$' -fuzz FuzzHead -fuzztime $(FUZZTIME) ./internal/httpsend
 
 # Plays a day on the wall clock with garnet-node processes, with engines at a part of their
 # speed, and prints service by size; half a minute to two.
