Chunks of bodies without end are given back, not left to the collector

Now the chunks of a body that is given up are free for the next before its reservation is, and are kept while large bodies are read.

--- a/internal/body/staged.go
+++ b/internal/body/staged.go
@@ -20,6 +20,7 @@
 	medium, large *semaphore.Weighted
 	// largeBytes is the size of the second part.
 	largeBytes int64
+	unused     unusedChunks
 }
 
 // NewStaged returns a Staged of the given size in bytes, half of it for bodies above MediumBytes.
@@ -39,7 +40,7 @@
 	case length >= 0:
 		limit = length
 	}
-	var data chunks
+	data := chunks{unused: &s.unused}
 	complete, err := data.fill(r, min(limit, SmallBytes))
 	switch {
 	case err != nil:
@@ -51,7 +52,6 @@
 	}
 	keep, err := s.readReserved(ctx, &data, r, limit)
 	if err != nil {
-		data.free()
 		return nil, err
 	}
 	context.AfterFunc(held, keep)
@@ -68,8 +68,11 @@
 	if limit <= MediumBytes {
 		return nil, ErrTooLarge
 	}
+	s.unused.begin()
+	defer s.unused.end()
 	release, complete, err = readStage(ctx, s.large, data, r, limit)
 	if err == nil && !complete {
+		data.free()
 		release()
 		return nil, ErrTooLarge
 	}
@@ -77,13 +80,14 @@
 }
 
 // readStage reserves memory for limit bytes and reads that many at most into data. It reports whether the body is
-// complete, and then keeps only memory of its size.
+// complete, and then keeps only memory of its size. Data is given back before the memory of a body that failed.
 func readStage(ctx context.Context, memory *semaphore.Weighted, data *chunks, r io.Reader, limit int64) (release func(), complete bool, err error) {
 	if err := memory.Acquire(ctx, limit); err != nil {
 		return nil, false, errors.Wrap(err, "wait for memory")
 	}
 	complete, err = data.fill(r, limit)
 	if err != nil {
+		data.free()
 		memory.Release(limit)
 		return nil, false, err
 	}
@@ -98,13 +102,58 @@
 // maxChunk is the size in bytes of the largest chunk of a body.
 const maxChunk = 1 << 20
 
-// largest holds unused chunks of maxChunk bytes, so that bodies without end make no garbage.
-var largest = sync.Pool{New: func() any { return new([maxChunk]byte) }}
+// unusedChunks holds chunks of maxChunk bytes while large bodies are read, so that bodies without end, which are
+// dropped one after the other, make no garbage.
+type unusedChunks struct {
+	mu     sync.Mutex
+	chunks []*[maxChunk]byte
+	// readers is the number of large bodies that are being read.
+	readers int
+}
+
+// begin is called before a large body is read, and end after that.
+func (u *unusedChunks) begin() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.readers++
+}
+
+// end drops the chunks if no large body is read any more.
+func (u *unusedChunks) end() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.readers--; u.readers == 0 {
+		u.chunks = nil
+	}
+}
+
+// get returns an empty chunk.
+func (u *unusedChunks) get() []byte {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	last := len(u.chunks) - 1
+	if last < 0 {
+		return new([maxChunk]byte)[:0]
+	}
+	chunk := u.chunks[last]
+	u.chunks = u.chunks[:last]
+	return chunk[:0]
+}
+
+// put gives back a chunk that get has returned.
+func (u *unusedChunks) put(chunk []byte) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.readers > 0 {
+		u.chunks = append(u.chunks, (*[maxChunk]byte)(chunk[:maxChunk]))
+	}
+}
 
 // chunks is the beginning of a body. It grows without copies, so that a body without end takes no more memory than is
 // reserved for it.
 type chunks struct {
-	full [][]byte
+	unused *unusedChunks
+	full   [][]byte
 	// last is the chunk that is being filled.
 	last []byte
 	size int64
@@ -136,7 +185,7 @@
 		c.full = append(c.full, c.last)
 	}
 	if c.size >= maxChunk {
-		c.last = largest.Get().(*[maxChunk]byte)[:0]
+		c.last = c.unused.get()
 		return
 	}
 	c.last = make([]byte, 0, max(c.size, bytes.MinRead))
@@ -146,10 +195,10 @@
 func (c *chunks) free() {
 	for _, chunk := range append(c.full, c.last) {
 		if cap(chunk) == maxChunk {
-			largest.Put((*[maxChunk]byte)(chunk[:maxChunk]))
+			c.unused.put(chunk)
 		}
 	}
-	*c = chunks{}
+	c.full, c.last, c.size = nil, nil, 0
 }
 
 // join returns the body.
