A table's position covers removals, and lists forward what they change

Cause: the highest version of a row stood for how far the store had been read. A removed row leaves no version in a list, so a VM that read the list whole told nobody, and confirmed the copies of VMs that lacked the removal. Why it works: VMs state the revision of their copy; one behind that revision polls, or copies, unless a sum over the keys shows the same rows. A list in place of changes forwards the difference.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -245,7 +245,7 @@
 // registerTables registers the modules that follow the configuration table and the targets
 // table.
 func registerTables(k *kernel.Kernel, cfg *settings.Node, a Adapter) {
-	register := func(name, table string, apply func(f *watch.Fleet) (watch.Apply, func(snapshot.Snapshot) error, snapshot.Provider), options ...func(*watch.Table)) {
+	register := func(name, table string, apply func(f *watch.Fleet) (watch.Apply, watch.ApplyCopy, snapshot.Provider), options ...func(*watch.Table)) {
 		k.Register(name, func(k *kernel.Kernel) (any, error) {
 			g := &kernel.Getter{Kernel: k}
 			group, tables := kernel.Need[*peers.Peers](g, ModulePeers), kernel.Need[*watch.Fleet](g, ModuleFleet)
@@ -264,10 +264,10 @@
 			return t, g.Err
 		})
 	}
-	register(ModuleConfigTable, a.ConfigTable, func(f *watch.Fleet) (watch.Apply, func(snapshot.Snapshot) error, snapshot.Provider) {
+	register(ModuleConfigTable, a.ConfigTable, func(f *watch.Fleet) (watch.Apply, watch.ApplyCopy, snapshot.Provider) {
 		return f.ApplyConfig, f.ApplyConfigCopy, f.ConfigCopies()
 	}, (*watch.Table).SetListOnPoll)
-	register(ModuleTargetsTable, a.TargetsTable, func(f *watch.Fleet) (watch.Apply, func(snapshot.Snapshot) error, snapshot.Provider) {
+	register(ModuleTargetsTable, a.TargetsTable, func(f *watch.Fleet) (watch.Apply, watch.ApplyCopy, snapshot.Provider) {
 		return f.ApplyTargets, f.ApplyTargetCopy, f.TargetCopies()
 	})
 }
--- a/internal/peers/copy.go
+++ b/internal/peers/copy.go
@@ -17,7 +17,7 @@
 type Copier interface {
 	// Fetch returns a copy of a table. If wait is set and no VM has one yet, Fetch asks again until
 	// ctx ends.
-	Fetch(ctx context.Context, table string, newest uint64, wait bool) (snapshot.Snapshot, error)
+	Fetch(ctx context.Context, table string, revision uint64, wait bool) (snapshot.Snapshot, error)
 }
 
 // SetCopier makes this VM copy the members of other data centres from VMs of its own. It must be
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -170,7 +170,7 @@
 	for _, f := range p.followed {
 		readTimes = append(readTimes, f.ReadAt())
 		r.StoreTimesMS = append(r.StoreTimesMS, uint64(f.ReadStoreTime().Milliseconds()))
-		r.Newest = append(r.Newest, f.Newest())
+		r.addPosition(f.Position())
 	}
 	r.AgesMS = agesMS(readTimes, clock.Now())
 	return r
@@ -300,7 +300,7 @@
 		p.NotifyWork()
 	}
 	p.addMember(r.From, addr)
-	p.compareVersions(r)
+	p.comparePositions(r)
 	if r.Summary && !r.Forwarded {
 		p.forwardSummary(r)
 	}
@@ -337,7 +337,7 @@
 	}
 	next := &receivedReport{
 		from: r.From, addr: addr, incarnation: r.Incarnation, number: r.Number,
-		receivedAt: clock.Now(), digest: r.Digest, work: decodeWork(r.Work), newest: r.Newest,
+		receivedAt: clock.Now(), digest: r.Digest, work: decodeWork(r.Work), positions: r.positions(),
 		changing: r.Changing, readTimes: r.readTimes(clock.Now()),
 		storeTimesMS: r.StoreTimesMS, holdsDuties: r.HoldsDuties, liveVMs: r.LiveVMs,
 		limits: decodeLimits(r.Limits, clock.Now()), withoutPath: r.WithoutPath,
--- a/internal/peers/news.go
+++ b/internal/peers/news.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// changeGrace is how long compareVersions waits for a row version that another VM has reported,
+	// changeGrace is how long comparePositions waits for changes that another VM has reported,
 	// because this VM's own call or a sentinel's datagram may be about to deliver it.
 	changeGrace = 600 * time.Millisecond
 	// forwardMinVMs is the minimum group size in which sentinels forward the changes that they
@@ -35,7 +35,7 @@
 		for _, part := range splitDelta(d, maxDeltaBytes) {
 			forwarded := datagram{Delta: encodeDelta(i, part)}
 			if len(encode(forwarded)) > maxDatagram {
-				forwarded.Delta.Rows, forwarded.Delta.Packed, forwarded.Delta.TooLarge = nil, nil, f.Newest()
+				forwarded.Delta.Rows, forwarded.Delta.Packed, forwarded.Delta.TooLarge = nil, nil, f.Position().Revision
 			}
 			p.sendTo(forwarded, to)
 		}
@@ -100,31 +100,29 @@
 	}
 }
 
-// compareVersions passes the versions in a report to the followed tables. If the report states a
-// newer version than this VM's copy of a table has, and the copy does not reach it within
-// changeGrace, compareVersions calls NotifyNewer on the table.
-func (p *Peers) compareVersions(r *report) {
-	newest, asOf := r.Newest, r.readTimes(clock.Now())
+// comparePositions passes the positions in a report to the followed tables. If this VM's copy of a table
+// lacks changes that the other copy holds, and does not reach its revision within changeGrace,
+// comparePositions calls NotifyNewer on the table.
+func (p *Peers) comparePositions(r *report) {
+	positions, asOf := r.positions(), r.readTimes(clock.Now())
 	for i, f := range p.followed {
-		if i < min(len(newest), len(asOf)) {
-			f.ObservePeer(newest[i], asOf[i], r.storeTime(i))
+		if i >= min(len(positions), len(asOf)) {
+			return
 		}
-		if i >= len(newest) || newest[i] <= f.Newest() || !p.startGrace(i) {
+		if !f.ObservePeer(positions[i], asOf[i], r.storeTime(i)) || !p.startGrace(i) {
 			continue
 		}
-		version := newest[i]
+		revision := positions[i].Revision
 		time.AfterFunc(changeGrace, func() {
 			p.endGrace(i)
-			if f.Newest() < version {
-				f.NotifyNewer(version)
-			}
+			f.NotifyNewer(revision)
 		})
 	}
 }
 
-// startGrace starts the grace period of the followed table with index i, for which compareVersions
-// waits for a newer version. It returns false if a grace period of the table is running already,
-// because many reports a second state the same version.
+// startGrace starts the grace period of the followed table with index i, for which comparePositions
+// waits for changes. It returns false if a grace period of the table is running already, because many
+// reports a second state the same position.
 func (p *Peers) startGrace(i int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -74,22 +74,22 @@
 type FollowedTable interface {
 	// Name returns the table's name.
 	Name() string
-	// Newest returns the highest row version that the copy has applied.
-	Newest() uint64
+	// Position returns how far the copy has been read.
+	Position() store.Position
 	// ReadAt returns a time at which the copy held all rows of the store, according to the
-	// store's responses to this VM. It must be called before Newest, so that the version that
-	// Newest returns is at least as new as the time.
+	// store's responses to this VM. It must be called before Position, so that the position is at
+	// least as new as the time.
 	ReadAt() time.Time
 	// ReadStoreTime returns the store's clock reading at the time that ReadAt returns; 0 means
 	// unknown.
 	ReadStoreTime() time.Duration
-	// ObservePeer records that another VM's copy, whose highest row version is version, held all
-	// rows of the store at asOf, when the store's clock read storeTime. A storeTime of 0 means
-	// unknown.
-	ObservePeer(version uint64, asOf time.Time, storeTime time.Duration)
-	// NotifyNewer tells the copy that other VMs have read a row of the given version, so that it
-	// reads the row too.
-	NotifyNewer(version uint64)
+	// ObservePeer records that another VM's copy, at position p, held all rows of the store at asOf,
+	// when the store's clock read storeTime. A storeTime of 0 means unknown. It returns whether this
+	// copy lacks changes that the other one holds.
+	ObservePeer(p store.Position, asOf time.Time, storeTime time.Duration) (ahead bool)
+	// NotifyNewer tells the copy that another VM's copy, of the given revision, holds other rows, so
+	// that it reads them too unless it has reached that revision.
+	NotifyNewer(revision uint64)
 	// Offer passes changes that another VM has read to the copy.
 	Offer(store.Delta)
 }
@@ -176,8 +176,8 @@
 	// sentReports holds the latest reports of this VM.
 	usesDigests bool
 	sentReports []sentReport
-	// inGrace marks the followed tables, by index, for which compareVersions waits for a newer
-	// version to arrive.
+	// inGrace marks the followed tables, by index, for which comparePositions waits for changes to
+	// arrive.
 	inGrace map[int]bool
 	// originWaits holds the channels that wait for replies about a stream's version.
 	originWaits map[origin.Key]map[chan originReply]bool
@@ -206,10 +206,10 @@
 	gap time.Duration
 	// work is nil once the report has expired. For a digest, this VM's own work is subtracted.
 	work map[string]place.Work
-	// newest, readTimes and storeTimesMS have an element for each followed table: the highest row
-	// version of the sender's copy, a time at which the copy held all rows of the store, and the
-	// store's clock reading at that time in ms.
-	newest       []uint64
+	// positions, readTimes and storeTimesMS have an element for each followed table: the position of
+	// the sender's copy, a time at which the copy held all rows of the store, and the store's clock
+	// reading at that time in ms.
+	positions    []store.Position
 	readTimes    []time.Time
 	storeTimesMS []uint64
 	// holdsDuties is true if the sender, or a VM of its data centre, holds the duties.
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -141,10 +141,10 @@
 // reports in others that are fresh. The caller must hold p.mu.
 func (p *Peers) aggregate(own *report, others []*receivedReport) *report {
 	work := decodeWork(own.Work)
-	newest := append([]uint64(nil), own.Newest...)
-	// A copy held all rows of the store at its read time, so no row was then newer than the highest
-	// version of that copy, nor than the highest version of all copies. The latest read time is
-	// therefore valid for the highest version of all copies.
+	positions := own.positions()
+	// A copy held all rows of the store at its read time, so no change was then later than the revision
+	// of that copy, nor than the highest revision of all copies. The latest read time is therefore valid
+	// for the copy of the highest revision.
 	now := clock.Now()
 	holdsDuties, liveVMs := own.HoldsDuties, 1
 	withoutPath := slices.Clone(own.WithoutPath)
@@ -159,8 +159,10 @@
 		for target, more := range s.work {
 			work[target] = work[target].Plus(more)
 		}
-		for i := range min(len(newest), len(s.newest)) {
-			newest[i] = max(newest[i], s.newest[i])
+		for i := range min(len(positions), len(s.positions)) {
+			if s.positions[i].Revision > positions[i].Revision {
+				positions[i] = s.positions[i]
+			}
 		}
 		maps.Copy(changing, s.changing)
 		withoutPath = append(withoutPath, s.withoutPath...)
@@ -170,8 +172,10 @@
 			storeTimes[i] = max(storeTimes[i], s.storeTimesMS[i])
 		}
 	}
-	r := &report{From: p.self, Incarnation: p.incarnation, Work: encodeWork(work), Newest: newest,
-		Changing: changing}
+	r := &report{From: p.self, Incarnation: p.incarnation, Work: encodeWork(work), Changing: changing}
+	for _, position := range positions {
+		r.addPosition(position)
+	}
 	r.HoldsDuties, r.LiveVMs = holdsDuties, liveVMs
 	// Equal lists must have equal encodings, so that due recognises an unchanged report.
 	slices.Sort(withoutPath)
--- a/internal/peers/report.go
+++ b/internal/peers/report.go
@@ -64,12 +64,14 @@
 	SendRecords []sendRecord `cbor:"7,keyasint,omitempty"`
 	// Outcomes are the outcomes of requests since the last report.
 	Outcomes []outcome `cbor:"20,keyasint,omitempty"`
-	// Newest is the highest applied row version of each followed table.
-	Newest []uint64 `cbor:"8,keyasint"`
+	// Revisions, Newest and KeySums are the fields of the store.Position of each followed table.
+	Revisions []uint64 `cbor:"8,keyasint"`
+	Newest    []uint64 `cbor:"21,keyasint,omitempty"`
+	KeySums   []uint64 `cbor:"22,keyasint,omitempty"`
 	// Changing holds the engines that have been ordered to change their stage.
 	Changing map[string]fleet.Stage `cbor:"9,keyasint,omitempty"`
 	// AgesMS holds, for each followed table, the time in ms since the store last confirmed that no
-	// row is newer than Newest. The store confirmed it to one of the VMs that the report covers.
+	// change is later than Revisions. The store confirmed it to one of the VMs that the report covers.
 	AgesMS []uint32 `cbor:"10,keyasint,omitempty"`
 	// StoreTimesMS holds, for each followed table, the store's clock reading in ms at that
 	// confirmation. Unlike an age, it stays correct however long the report is in transit.
@@ -97,6 +99,25 @@
 	KnownVMs int `cbor:"12,keyasint,omitempty"`
 }
 
+// addPosition appends the position of the next followed table.
+func (r *report) addPosition(p store.Position) {
+	r.Revisions, r.Newest, r.KeySums = append(r.Revisions, p.Revision), append(r.Newest, p.Newest), append(r.KeySums, p.KeySum)
+}
+
+// positions returns the positions that addPosition has appended. A report of another version of this
+// program may state only revisions.
+func (r *report) positions() []store.Position {
+	out := make([]store.Position, 0, len(r.Revisions))
+	for i, revision := range r.Revisions {
+		p := store.Position{Revision: revision}
+		if i < min(len(r.Newest), len(r.KeySums)) {
+			p.Newest, p.KeySum = r.Newest[i], r.KeySums[i]
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
 // agesMS returns the ages of times at now in ms, limited to the range of uint32.
 func agesMS(times []time.Time, now time.Time) []uint32 {
 	ages := make([]uint32, 0, len(times))
@@ -222,8 +243,8 @@
 	Rows            []deltaRow
 	// Packed holds the rows instead of Rows if they are many: encoded and compressed.
 	Packed []byte
-	// TooLarge is the highest version of the rows if they are left out because they do not fit into
-	// a datagram, and otherwise 0.
+	// TooLarge is the revision that the sender's copy has reached with the rows if they are left out
+	// because they do not fit into a datagram, and otherwise 0.
 	TooLarge uint64
 }
 
--- a/internal/snapshot/client.go
+++ b/internal/snapshot/client.go
@@ -44,12 +44,12 @@
 	return &Client{self: self, sources: sources, http: &http.Client{Transport: transport, Timeout: transferTimeout}}
 }
 
-// Fetch returns a copy of a table whose Newest is at least newest. While VMs are busy, it asks again
+// Fetch returns a copy of a table whose Revision is at least revision. While VMs are busy, it asks again
 // until ctx ends and then fails with ErrBusy. If no VM has such a copy it fails with ErrNone, unless
 // wait is set: then it asks again for that too.
-func (c *Client) Fetch(ctx context.Context, table string, newest uint64, wait bool) (Snapshot, error) {
+func (c *Client) Fetch(ctx context.Context, table string, revision uint64, wait bool) (Snapshot, error) {
 	for {
-		s, err := c.askAll(ctx, table, newest)
+		s, err := c.askAll(ctx, table, revision)
 		if err == nil || (errors.Is(err, ErrNone) && !wait) {
 			return s, err
 		}
@@ -61,7 +61,7 @@
 }
 
 // askAll asks the sources, and the VMs that busy ones name, in one round.
-func (c *Client) askAll(ctx context.Context, table string, newest uint64) (Snapshot, error) {
+func (c *Client) askAll(ctx context.Context, table string, revision uint64) (Snapshot, error) {
 	asked := map[string]bool{c.self: true}
 	queue, busy := c.sources(), false
 	for len(queue) > 0 && len(asked) <= maxAsked && ctx.Err() == nil {
@@ -71,7 +71,7 @@
 			continue
 		}
 		asked[address] = true
-		s, named, err := c.ask(ctx, address, table, newest)
+		s, named, err := c.ask(ctx, address, table, revision)
 		if err == nil {
 			return s, nil
 		}
@@ -86,8 +86,8 @@
 }
 
 // ask asks one VM for a copy. With ErrBusy it returns the VMs that the asked one has named.
-func (c *Client) ask(ctx context.Context, address, table string, newest uint64) (Snapshot, []string, error) {
-	u := url.URL{Scheme: "http", Host: address, Path: pathPrefix + table, RawQuery: url.Values{paramNewest: {strconv.FormatUint(newest, 10)}}.Encode()}
+func (c *Client) ask(ctx context.Context, address, table string, revision uint64) (Snapshot, []string, error) {
+	u := url.URL{Scheme: "http", Host: address, Path: pathPrefix + table, RawQuery: url.Values{paramRevision: {strconv.FormatUint(revision, 10)}}.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
 		return Snapshot{}, nil, errors.Wrap(err, "build request for a snapshot")
--- a/internal/snapshot/server.go
+++ b/internal/snapshot/server.go
@@ -20,8 +20,8 @@
 const (
 	// pathPrefix followed by the name of a table is the path of its copy.
 	pathPrefix = "/snapshot/"
-	// paramNewest is the query parameter with the lowest Newest that the copy must have.
-	paramNewest = "newest"
+	// paramRevision is the query parameter with the lowest Revision that the copy must have.
+	paramRevision = "revision"
 	// headerFrom names the address of the VM that asks, and headerRevision and headerNewest the
 	// fields of the copy.
 	headerFrom     = "Snapshot-From"
@@ -113,7 +113,7 @@
 // the addresses of other VMs if it is busy.
 func (s *Server) serve(c *gin.Context) {
 	table := c.Param("table")
-	newest, err := strconv.ParseUint(c.Query(paramNewest), 10, 64)
+	revision, err := strconv.ParseUint(c.Query(paramRevision), 10, 64)
 	if err != nil {
 		c.Status(http.StatusBadRequest)
 		return
@@ -134,7 +134,7 @@
 		return
 	}
 	copied, ok := p.Snapshot()
-	if !ok || copied.Newest < newest {
+	if !ok || copied.Revision < revision {
 		c.Status(http.StatusNotFound)
 		return
 	}
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -18,7 +18,7 @@
 // Snapshot is a copy of a table.
 type Snapshot struct {
 	// Revision is the revision of the store as of which the copy holds all rows, and Newest the
-	// highest version of a row in it.
+	// highest version of a row that the VM with the copy has applied.
 	Revision uint64
 	Newest   uint64
 	// Data holds the rows in the encoding of the table's Provider, compressed by Compress.
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -34,6 +34,26 @@
 	More bool
 }
 
+// Position states how far a copy of a table has been read, and what it holds, so that copies can be
+// compared.
+type Position struct {
+	// Revision is the revision of the store at which the copy last changed or was read whole. The copy
+	// holds all rows as of it.
+	Revision uint64
+	// Newest is the highest version of a row that the copy has applied. It says nothing about
+	// removals: a table that is read whole states no version for them.
+	Newest uint64
+	// KeySum is a sum over the keys of the rows of the copy; 0 means unknown.
+	KeySum uint64
+}
+
+// SameRows returns whether a copy that holds all rows as of revision, with the given sum over their
+// keys, holds the same rows as the copy at p, whose Revision is not lower. Rows of p that were written
+// after revision would have a higher version, and removed rows would change the sum.
+func (p Position) SameRows(revision, keySum uint64) bool {
+	return p.KeySum != 0 && p.KeySum == keySum && p.Newest <= revision && revision <= p.Revision
+}
+
 // Delta is a set of changes to a table that one VM has read from the store and forwards to others.
 type Delta struct {
 	// From is the revision after which the changes were made: a copy of the table at that
--- a/internal/watch/current.go
+++ b/internal/watch/current.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"garnethoist.org/garnethoist/internal/clock"
+	"garnethoist.org/garnethoist/internal/store"
 )
 
 // AsOf returns a time at which this copy of the table held all rows of the store, according to
@@ -17,8 +18,8 @@
 // ReadAt is like AsOf, but goes only by the store's responses to this VM. Reports to other VMs
 // contain ReadAt and not AsOf: the receiver does not know how long a report was in transit, so the
 // time that it computes from the report is too late by the transit time. If VMs passed AsOf back
-// and forth, it would advance at each pass and never grow old. Call ReadAt before Newest, so that
-// the version is at least as new as the time.
+// and forth, it would advance at each pass and never grow old. Call ReadAt before Position, so that
+// the position is at least as new as the time.
 func (t *Table) ReadAt() time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -41,31 +42,37 @@
 }
 
 // ReadStoreTime returns the store's clock reading at the time that ReadAt returns, or 0 if the
-// store's responses do not state it. Call it before Newest too.
+// store's responses do not state it. Call it before Position too.
 func (t *Table) ReadStoreTime() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.readStoreTime
 }
 
-// ObservePeer records that another VM's copy, whose highest row version is version, held all rows
-// of the store at asOf, when the store's clock read storeTime. If this copy has reached that
-// version, this copy held all rows at that time too. Otherwise the other copy is ahead, see behind.
-func (t *Table) ObservePeer(version uint64, asOf time.Time, storeTime time.Duration) {
-	if version <= t.sharedRevision.Load() {
+// ObservePeer records that another VM's copy at position p held all rows of the store at asOf, when the
+// store's clock read storeTime. If this copy has reached p, or holds the same rows, it held all rows at
+// that time too. Otherwise ObservePeer returns true: the other copy is ahead, see behind.
+func (t *Table) ObservePeer(p store.Position, asOf time.Time, storeTime time.Duration) (ahead bool) {
+	own := t.shared.Load()
+	reached := p.Revision <= own.revision
+	if reached || p.SameRows(own.revision, own.position.KeySum) {
+		if !reached {
+			t.noteUnchanged(own.revision, p.Revision)
+		}
 		t.raiseStoreTime(storeTime)
 		t.raiseAsOf(asOf)
-		return
+		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.aheadVersion <= t.sharedRevision.Load() {
+	if t.aheadRevision <= own.revision {
 		t.aheadSince = clock.Now()
 	}
-	t.aheadVersion = max(t.aheadVersion, version)
+	t.aheadRevision = max(t.aheadRevision, p.Revision)
 	if asOf.After(t.aheadAsOf) {
 		t.aheadAsOf = asOf
 	}
+	return true
 }
 
 // raiseStoreTime records that this copy held all rows of the store when the store's clock read
@@ -109,8 +116,8 @@
 
 // behind returns whether other VMs, which could reach the store, have long had rows that this copy
 // lacks. That is the case if
-//   - a copy that was confirmed at most bound ago has a version that this copy has not reached, and
-//   - both the last confirmation of this copy and the first report of such a version are older than
+//   - a copy that was confirmed at most bound ago has a revision that this copy has not reached, and
+//   - both the last confirmation of this copy and the first report of such a revision are older than
 //     bound minus maxCallGap, the time that a sentinel may take to read a change.
 //
 // Before that first report, this copy was as new as any other.
@@ -118,6 +125,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	limit := bound - maxCallGap
-	return t.aheadVersion > t.sharedRevision.Load() && clock.Since(t.asOf) > limit &&
+	return t.aheadRevision > t.sharedRevision() && clock.Since(t.asOf) > limit &&
 		clock.Since(t.aheadSince) > limit && clock.Since(t.aheadAsOf) <= bound
 }
--- a/internal/watch/encode.go
+++ b/internal/watch/encode.go
@@ -184,19 +184,19 @@
 // ConfigCopies returns the provider of copies of the configuration table.
 func (f *Fleet) ConfigCopies() snapshot.Provider { return configCopies{f} }
 
-// ApplyTargetCopy applies a copy of the target table from another VM. Targets that are not in it are
-// removed, like those without a row.
-func (f *Fleet) ApplyTargetCopy(s snapshot.Snapshot) error {
+// ApplyTargetCopy applies a copy of the target table from another VM, and returns the keys of the rows
+// in it. Targets that are not in it are removed, like those without a row.
+func (f *Fleet) ApplyTargetCopy(s snapshot.Snapshot) ([]string, error) {
 	targets, err := decodeTargets(s.Data)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var changes []fleet.TargetChange
-	present := make(map[string]bool, len(targets))
+	keys, present := make([]string, 0, len(targets)), make(map[string]bool, len(targets))
 	for _, t := range targets {
-		present[t.ID] = true
+		keys, present[t.ID] = append(keys, t.ID), true
 		f.cancelRemoval(t.ID)
 		changes = append(changes, fleet.TargetChange{ID: t.ID, Target: t})
 	}
@@ -204,15 +204,16 @@
 	f.newestTarget = max(f.newestTarget, s.Newest)
 	f.log.Info(telemetry.EventTargets, telemetry.F("rows", len(targets)), telemetry.F("full", true), telemetry.F("copied", true), telemetry.F("revision", s.Revision))
 	f.keeper.ApplyTargets(changes, s.Revision)
-	return nil
+	return keys, nil
 }
 
-// ApplyConfigCopy applies a copy of the configuration table from another VM.
-func (f *Fleet) ApplyConfigCopy(s snapshot.Snapshot) error {
+// ApplyConfigCopy applies a copy of the configuration table from another VM, and returns the keys of
+// the rows in it.
+func (f *Fleet) ApplyConfigCopy(s snapshot.Snapshot) ([]string, error) {
 	value, err := snapshot.Decompress(s.Data)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	f.ApplyConfig(store.Rows{Revision: s.Revision, Rows: []store.Row{{Key: f.decode.ConfigKey, Value: value, Version: s.Newest}}}, false)
-	return nil
+	return []string{f.decode.ConfigKey}, nil
 }
--- a/internal/watch/fleet.go
+++ b/internal/watch/fleet.go
@@ -38,8 +38,8 @@
 	log    *telemetry.Logger
 
 	mu sync.Mutex
-	// newestTarget is the highest version of a row of the target table, and encoded the copy of that
-	// table as of encodedView.
+	// newestTarget is the highest version of an applied row of the target table, and encoded the copy
+	// of that table as of encodedView.
 	newestTarget uint64
 	encodedView  *fleet.View
 	encoded      []byte
@@ -74,12 +74,15 @@
 		taken := f.keeper.SetConfig(c)
 		if taken {
 			f.mu.Lock()
-			f.configCopy, f.configValue = snapshot.Snapshot{Revision: rows.Revision, Newest: row.Version}, row.Value
+			f.configCopy, f.configValue = snapshot.Snapshot{Newest: row.Version}, row.Value
 			f.mu.Unlock()
 		}
 		f.log.Info(telemetry.EventConfig, telemetry.F("version", c.Version),
 			telemetry.F("revision", row.Version), telemetry.F("taken", taken))
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.configCopy.Revision = max(f.configCopy.Revision, rows.Revision)
 }
 
 // ApplyTargets applies rows of the target table. If full is true, the rows are the whole table,
--- /dev/null
+++ b/internal/watch/keyset.go
@@ -0,0 +1,85 @@
+package watch
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"garnethoist.org/garnethoist/internal/store"
+)
+
+// emptyKeySum is the sum of an empty set. It differs from 0, which stands for an unknown sum.
+const emptyKeySum = 1
+
+// keySet is the set of the keys of a table's rows. sum depends only on the keys in it.
+type keySet struct {
+	keys map[string]struct{}
+	sum  uint64
+}
+
+// newKeySet returns a set of the given keys.
+func newKeySet(keys []string) keySet {
+	k := keySet{keys: make(map[string]struct{}, len(keys)), sum: emptyKeySum}
+	for _, key := range keys {
+		k.add(key)
+	}
+	return k
+}
+
+// keysOf returns the keys of rows.
+func keysOf(rows []store.Row) []string {
+	keys := make([]string, 0, len(rows))
+	for _, r := range rows {
+		keys = append(keys, r.Key)
+	}
+	return keys
+}
+
+// has returns whether the set holds the key.
+func (k *keySet) has(key string) bool {
+	_, ok := k.keys[key]
+	return ok
+}
+
+// add adds a key unless the set holds it.
+func (k *keySet) add(key string) {
+	if !k.has(key) {
+		k.keys[key] = struct{}{}
+		k.sum += xxhash.Sum64String(key)
+	}
+}
+
+// change applies the change of a row.
+func (k *keySet) change(r store.Row) {
+	switch {
+	case !r.Removed:
+		k.add(r.Key)
+	case k.has(r.Key):
+		delete(k.keys, r.Key)
+		k.sum -= xxhash.Sum64String(r.Key)
+	}
+}
+
+// difference returns the changes that lead from a table with these keys, as of revision, to rows, which
+// are a later state of the whole table. It returns them in the order of their versions. Removals come
+// first, with the lowest version possible, because the version of a removal is not known: a copy that
+// applies only the first changes must not take a later revision for reached than that of a removal
+// which it lacks.
+func (k *keySet) difference(rows []store.Row, revision uint64) []store.Row {
+	var changes, removals []store.Row
+	present := make(map[string]struct{}, len(rows))
+	for _, r := range rows {
+		present[r.Key] = struct{}{}
+		if r.Version > revision || !k.has(r.Key) {
+			changes = append(changes, r)
+		}
+	}
+	for key := range k.keys {
+		if _, ok := present[key]; !ok {
+			removals = append(removals, store.Row{Key: key, Version: revision + 1, Removed: true})
+		}
+	}
+	slices.SortFunc(changes, func(a, b store.Row) int { return cmp.Compare(a.Version, b.Version) })
+	return append(removals, changes...)
+}
--- a/internal/watch/offer.go
+++ b/internal/watch/offer.go
@@ -48,12 +48,14 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	t.advanceUnchanged()
 }
 
 // applyAllForwarded applies the forwarded changes that arrived while this VM made a call. Sentinels
 // apply forwarded changes too, because they may still receive them from other VMs when their own
 // calls fail.
 func (t *Table) applyAllForwarded() {
+	t.advanceUnchanged()
 	for t.listed {
 		select {
 		case d := <-t.forwarded:
@@ -80,10 +82,7 @@
 	if d.AfterOutage {
 		t.link.peerRecovered(d.SinceRecovery)
 	}
-	t.lastChange = d.Rows.Revision
-	t.raiseNewest(d.Rows)
-	t.apply(d.Rows, false)
-	t.setRevision(d.Rows.Revision)
+	t.applyChanges(d.Rows)
 }
 
 // publish forwards changes to other VMs if this VM is a sentinel. from is the revision of the last
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -18,7 +18,6 @@
 
 	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/kernel"
-	"garnethoist.org/garnethoist/internal/snapshot"
 	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/telemetry"
 )
@@ -83,17 +82,19 @@
 	listed     bool
 	// more is true if the last response did not hold all changes. Only followLoop uses it.
 	more bool
-	// newest is the highest version of an applied row.
-	newest atomic.Uint64
-	// sharedRevision is a copy of revision for use by other goroutines.
-	sharedRevision atomic.Uint64
+	// newest is the highest version of an applied row, and keys holds the keys of the rows. Only
+	// followLoop uses them.
+	newest uint64
+	keys   keySet
+	// shared is a copy of the fields above for use by other goroutines.
+	shared atomic.Pointer[progress]
 
 	// listOnPoll says that polls read the whole table, see SetListOnPoll.
 	listOnPoll bool
 
 	// copier copies the table from other VMs, and applyCopy applies such a copy; see SetCopier.
 	copier    Copier
-	applyCopy func(snapshot.Snapshot) error
+	applyCopy ApplyCopy
 
 	// forwarded queues the changes that sentinels have forwarded. wake signals that a poll is due.
 	forwarded chan store.Delta
@@ -105,10 +106,10 @@
 	// cancelled in order to poll.
 	cancel      context.CancelFunc
 	interrupted bool
-	// wantedVersion is the highest version that NotifyNewer has reported. nextPoll is when the next
-	// poll for that version may be made.
-	wantedVersion uint64
-	nextPoll      time.Time
+	// wantedRevision is the highest revision that NotifyNewer has reported. nextPoll is when the next
+	// poll for it may be made.
+	wantedRevision uint64
+	nextPoll       time.Time
 	// asOf and readAt are the results of AsOf and ReadAt.
 	asOf   time.Time
 	readAt time.Time
@@ -118,18 +119,27 @@
 	asOfStoreTime time.Duration
 	readStoreTime time.Duration
 	lastCallBegan time.Time
-	// aheadVersion is the highest version that another VM has reported to ObservePeer and that
+	// aheadRevision is the highest revision that another VM has reported to ObservePeer and that
 	// this copy had not reached then. aheadAsOf is the latest asOf of such reports, and aheadSince
 	// when the first of them arrived.
-	aheadVersion uint64
-	aheadAsOf    time.Time
-	aheadSince   time.Time
+	aheadRevision uint64
+	aheadAsOf     time.Time
+	aheadSince    time.Time
 	// confirmed, if not nil, is closed when asOf advances.
 	confirmed chan struct{}
 	// confirm says that a poll for callers of Confirm is due. nextConfirm is when the next such
 	// poll may be requested.
 	confirm     bool
 	nextConfirm time.Time
+	// unchanged is the last finding that another VM's copy, of a later revision, holds the same rows.
+	unchanged unchangedRange
+}
+
+// progress is how far a copy has been read: it holds all rows as of revision, and position is what it
+// states to other VMs.
+type progress struct {
+	revision uint64
+	position store.Position
 }
 
 // Group is the set of VMs that follow the same store.
@@ -153,10 +163,12 @@
 // tables of one store share a link. apply is called from one goroutine.
 func NewTable(feed store.Feed, name string, link *Link, group Group, apply Apply,
 	log *telemetry.Logger) *Table {
-	return &Table{
-		feed: feed, name: name, link: link, group: group, apply: apply, log: log,
+	t := &Table{
+		feed: feed, name: name, link: link, group: group, apply: apply, log: log, keys: newKeySet(nil),
 		forwarded: make(chan store.Delta, maxForwarded), wake: make(chan struct{}, 1),
 	}
+	t.setRevision(0)
+	return t
 }
 
 // SetListOnPoll makes polls read the whole table instead of its changes. It is meant for tables of
@@ -167,17 +179,20 @@
 // Name returns the table's name.
 func (t *Table) Name() string { return t.name }
 
-// Newest returns the highest version of an applied row.
-func (t *Table) Newest() uint64 { return t.newest.Load() }
+// Position returns how far this copy of the table has been read.
+func (t *Table) Position() store.Position { return t.shared.Load().position }
+
+// sharedRevision returns the newest applied revision of the store.
+func (t *Table) sharedRevision() uint64 { return t.shared.Load().revision }
 
-// NotifyNewer tells the table that another VM has read a row of the given version. If this copy has
-// not reached that version, the table polls as soon as pollGap allows. For this it cancels a long
-// poll in progress, which may be on a dead connection. It does not cancel a poll, which ends soon
+// NotifyNewer tells the table that another VM's copy, of the given revision, holds other rows. If this
+// copy has not reached that revision, the table polls as soon as pollGap allows. For this it cancels a
+// long poll in progress, which may be on a dead connection. It does not cancel a poll, which ends soon
 // in any case.
-func (t *Table) NotifyNewer(version uint64) {
+func (t *Table) NotifyNewer(revision uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.wantedVersion = max(t.wantedVersion, version)
+	t.wantedRevision = max(t.wantedRevision, revision)
 	if t.pollDueLocked() {
 		t.triggerPoll()
 	}
@@ -198,25 +213,25 @@
 
 // pollDueLocked is like pollDue, but the caller must hold t.mu.
 func (t *Table) pollDueLocked() bool {
-	return t.confirm || (t.wantedVersion > t.sharedRevision.Load() && !clock.Now().Before(t.nextPoll))
+	return t.confirm || (t.wantedRevision > t.sharedRevision() && !clock.Now().Before(t.nextPoll))
 }
 
-// pollDue returns whether the next call must be a poll: for a newer version that another VM has
-// read, or for callers of Confirm.
+// pollDue returns whether the next call must be a poll: for newer rows that another VM has read, or
+// for callers of Confirm.
 func (t *Table) pollDue() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.pollDueLocked()
 }
 
-// beginCall returns whether the call that now begins must be a poll. It clears confirm, because
-// later callers of Confirm need another call.
-func (t *Table) beginCall() bool {
+// beginCall returns whether the call that now begins must be a poll, and whether callers of Confirm
+// wait for it. It clears t.confirm, because later callers of Confirm need another call.
+func (t *Table) beginCall() (poll, confirm bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	poll := t.pollDueLocked()
+	poll, confirm = t.pollDueLocked(), t.confirm
 	t.confirm = false
-	return poll
+	return poll, confirm
 }
 
 // recordPoll records that the store has responded to a poll.
@@ -255,16 +270,19 @@
 // may call it.
 func (t *Table) setRevision(revision uint64) {
 	t.revision = revision
-	t.sharedRevision.Store(revision)
+	t.shared.Store(&progress{revision: revision,
+		position: store.Position{Revision: t.lastChange, Newest: t.newest, KeySum: t.keys.sum}})
 }
 
-// raiseNewest raises t.newest to the highest version of the rows, unless it is higher already.
-func (t *Table) raiseNewest(rows store.Rows) {
+// applyChanges applies changes up to rows.Revision. Only followLoop may call it.
+func (t *Table) applyChanges(rows store.Rows) {
+	t.lastChange = rows.Revision
 	for _, r := range rows.Rows {
-		if r.Version > t.newest.Load() {
-			t.newest.Store(r.Version)
-		}
+		t.newest = max(t.newest, r.Version)
+		t.keys.change(r)
 	}
+	t.apply(rows, false)
+	t.setRevision(rows.Revision)
 }
 
 // Start starts to follow the table in the background. It never fails.
@@ -300,9 +318,9 @@
 		if t.copyFromPeers(ctx) {
 			continue
 		}
-		poll := t.beginCall()
+		poll, confirm := t.beginCall()
 		began := clock.Now()
-		err := t.callStore(ctx, poll || !t.watchesStore())
+		err := t.callStore(ctx, poll || !t.watchesStore(), confirm)
 		if ctx.Err() != nil {
 			return
 		}
@@ -338,8 +356,9 @@
 // callStore makes one call to the store and applies the response. The call is a poll if poll is
 // true, otherwise a long poll. It reads the whole table if that has not been done yet, if the call
 // is a poll of a table with SetListOnPoll, or if the store no longer keeps the changes since the
-// last revision that was applied.
-func (t *Table) callStore(ctx context.Context, poll bool) error {
+// last revision that was applied and no other VM has a copy. confirm says that the store is to confirm
+// the copy, which a copy of another VM does not.
+func (t *Table) callStore(ctx context.Context, poll, confirm bool) error {
 	if !t.listed || (poll && t.listOnPoll) {
 		return t.list(ctx)
 	}
@@ -349,6 +368,9 @@
 		t.log.Warn(telemetry.EventHistoryGone, telemetry.F("table", t.name),
 			telemetry.F("revision", t.revision))
 		t.listed = false
+		if !confirm && t.copyFromPeers(ctx) {
+			return nil
+		}
 		return t.list(ctx)
 	}
 	if err != nil {
@@ -360,9 +382,7 @@
 	from := t.lastChange
 	t.more = rows.More
 	if len(rows.Rows) > 0 {
-		t.lastChange = rows.Revision
-		t.raiseNewest(rows)
-		t.apply(rows, false)
+		t.applyChanges(rows)
 	}
 	t.setRevision(rows.Revision)
 	if !rows.More {
@@ -393,7 +413,8 @@
 // watchesStore returns whether this VM long-polls the store itself.
 func (t *Table) watchesStore() bool { return t.group.Sentinel() || !t.group.ForwardsChanges() }
 
-// list reads and applies the whole table.
+// list reads and applies the whole table. If this VM had a copy already, list forwards what has changed
+// in it: the changes themselves, among them removals, can no longer be read by others.
 func (t *Table) list(ctx context.Context) error {
 	began := clock.Now()
 	rows, err := t.feed.ListRows(ctx, t.name)
@@ -403,11 +424,22 @@
 	if rows.Revision < t.revision {
 		return errStale
 	}
-	t.listed, t.lastChange, t.more = true, rows.Revision, false
-	t.raiseNewest(rows)
+	first, from := t.revision == 0, t.lastChange
+	changes := t.keys.difference(rows.Rows, t.revision)
+	t.listed, t.more = true, false
+	if first || len(changes) > 0 {
+		t.lastChange = rows.Revision
+	}
+	for _, r := range rows.Rows {
+		t.newest = max(t.newest, r.Version)
+	}
+	t.keys = newKeySet(keysOf(rows.Rows))
 	t.apply(rows, true)
 	t.setRevision(rows.Revision)
 	t.recordResponse(rows, began)
+	if !first && len(changes) > 0 {
+		t.publish(from, store.Rows{Rows: changes, Revision: rows.Revision, StoreTime: rows.StoreTime})
+	}
 	return nil
 }
 
