A malformed head fails each further read of its connection

Callers saw: a 504 after up to their whole deadline (2.0 s) where a target sent a status out of range, with a length, on a connection that it left open. Why it works: what is wrong with a head stays with the connection, which cannot be read on, and fails each later read before it asks the target.

--- a/internal/httpsend/broken_test.go
+++ b/internal/httpsend/broken_test.go
@@ -34,6 +34,25 @@
 	}
 }
 
+// atOnce is the time within which a broken response must be found without a further byte of the target.
+const atOnce = time.Second
+
+// Guards against callers that wait for their deadline where a broken response leaves the connection open: net/http
+// drops the error of a read that returns a part of the first line, and the next read waited for the target.
+func TestBrokenResponseOnAnOpenConnectionIsFoundAtOnce(t *testing.T) {
+	for name, text := range platformtest.BrokenResponses("Request-Id: q\r\n") {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			target := platformtest.NewRawTarget(platformtest.AnswerAndWait(func(*http.Request) string { return text }))
+			defer target.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), atOnce)
+			defer cancel()
+			_, err := send(ctx, newClient(), httpsend.Destination{ID: "i-a", Address: target.Address()})
+			is.True(errors.Is(err, httpsend.ErrMalformed))
+		})
+	}
+}
+
 // A response that is sound, however unusual, reaches the caller whole. It may come in pieces.
 func TestSoundResponseIsPassedOn(t *testing.T) {
 	const whole = "the whole body"
--- a/internal/httpsend/reader.go
+++ b/internal/httpsend/reader.go
@@ -55,8 +55,12 @@
 	return in.malformed
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. Once a head is malformed, each call fails: readers of lines drop an error that comes with
+// a part of a line.
 func (in *incoming) Read(p []byte) (int, error) {
+	if err := in.malformedErr(); err != nil {
+		return 0, err
+	}
 	n, err := in.r.Read(p)
 	valid, headErr := in.feed(p[:n])
 	switch {
--- a/internal/httpsend/transport_test.go
+++ b/internal/httpsend/transport_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -81,6 +82,22 @@
 	}
 }
 
+// The same if the connection stays open: net/http waits for no further byte.
+func TestBrokenResponseOnAnOpenConnectionIsFoundAtOnceByTransport(t *testing.T) {
+	for name, text := range platformtest.BrokenResponses("") {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			target := platformtest.NewRawTarget(platformtest.AnswerAndWait(func(*http.Request) string { return text }))
+			defer target.Close()
+			client := newTransport(t)
+			client.Timeout = atOnce
+			_, err := call(client, target.Address(), 0)
+			is.True(err != nil)
+			is.True(!os.IsTimeout(err))
+		})
+	}
+}
+
 // Sound responses pass, on a kept connection too.
 func TestSoundResponsePassesTransport(t *testing.T) {
 	const whole = "the whole body"
