A VM in between confirms what the target has received

Callers saw: a part of a body as a complete answer (MIXED), where the target answered a long upload at once, closed in order, and the rest of the upload was still on its way in another VM. Cause: that VM stated the target's end before it had passed on the request; its own kernel acknowledged the upload, and the reset that followed came late. Why it works: the caller's VM closes its sending side once the request is written; the other VM then waits until the target's kernel has acknowledged all of it, and ends the chunked coding with its trailer section, or resets. VMs that agree on no confirmation work as before.

--- a/internal/httpsend/upload.go
+++ b/internal/httpsend/upload.go
@@ -46,9 +46,20 @@
 	if u.err != nil {
 		return errors.Wrap(u.err, "write request")
 	}
+	if c, ok := u.nc.(Confirmer); ok {
+		return c.ConfirmReceived()
+	}
 	return AwaitReceived(u.nc)
 }
 
+// Confirmer is a connection through another VM. The kernel of the target, which closes the connection, is not the one
+// that acknowledges what is written to it.
+type Confirmer interface {
+	// ConfirmReceived waits until the other VM states that the target's kernel has received all that was written.
+	// It fails if the connection of either has failed. Nothing can be written after it was called.
+	ConfirmReceived() error
+}
+
 // receivedPoll is the time between two checks of whether the peer has acknowledged all data.
 const receivedPoll = time.Millisecond
 
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -311,7 +311,8 @@
 	if !ok {
 		return nil, errors.Errorf("unexpected connection type %T", nc)
 	}
-	if _, err := fmt.Fprintf(nc, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n\r\n", address, address, headerFraming, framingChunked); err != nil {
+	asked := terms{framed: true, confirmed: true}
+	if _, err := fmt.Fprintf(nc, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n%s\r\n", address, address, asked.lines()); err != nil {
 		return nil, errors.Wrapf(errDeclined, "%v", err)
 	}
 	br := httpsend.NewResponseReader(nc, framedReadBytes)
@@ -321,7 +322,7 @@
 	}
 	switch resp.StatusCode {
 	case http.StatusOK:
-		return newConn(tcp, br.Reader, isFramed(resp.Header)), nil
+		return newConn(tcp, br.Reader, termsOf(resp.Header)), nil
 	case http.StatusBadGateway:
 		return nil, errTargetRefused
 	case http.StatusGatewayTimeout:
--- a/internal/tunnel/framing.go
+++ b/internal/tunnel/framing.go
@@ -17,21 +17,49 @@
 // A connection ends in the same way when the VM in between exits as when the target closes it. So that
 // both can be told apart, what the target sends is passed on in the chunked coding (RFC 9112, section
 // 7.1): the last chunk states that the target has closed the connection.
+//
+// The target may have closed it before the rest of a request reached it, and then resets it. A VM that wants to know
+// closes its sending side once it has sent the request. If the target's kernel has received all of it, the VM in
+// between sends the empty trailer section that ends the coding, and otherwise resets the connection.
 const (
 	headerFraming   = "Tunnel-Framing"
 	framingChunked  = "chunked"
+	headerConfirm   = "Tunnel-Confirm"
+	confirmReceived = "received"
+	confirmation    = "\r\n"
 	chunkOverhead   = 32
 	framedReadBytes = 4 << 10
 )
 
-// established and establishedFramed are the responses to a CONNECT request after which the tunnel begins.
-const (
-	established       = "HTTP/1.1 200 Connection established\r\n\r\n"
-	establishedFramed = "HTTP/1.1 200 Connection established\r\n" + headerFraming + ": " + framingChunked + "\r\n\r\n"
-)
+// terms are what both VMs of a tunnel agree on.
+type terms struct {
+	// framed says that what the target sends is passed on in the chunked coding, and confirmed that the VM in between
+	// confirms what the target has received.
+	framed, confirmed bool
+}
+
+// termsOf returns the terms that a header asks for, or states.
+func termsOf(h http.Header) terms {
+	framed := h.Get(headerFraming) == framingChunked
+	return terms{framed: framed, confirmed: framed && h.Get(headerConfirm) == confirmReceived}
+}
 
-// isFramed reports whether a header asks for the chunked coding, or states that it is used.
-func isFramed(h http.Header) bool { return h.Get(headerFraming) == framingChunked }
+// lines returns the lines of a header that termsOf reads.
+func (t terms) lines() string {
+	out := ""
+	if t.framed {
+		out += headerFraming + ": " + framingChunked + "\r\n"
+	}
+	if t.confirmed {
+		out += headerConfirm + ": " + confirmReceived + "\r\n"
+	}
+	return out
+}
+
+// established returns the response to a CONNECT request after which the tunnel begins.
+func (t terms) established() string {
+	return "HTTP/1.1 200 Connection established\r\n" + t.lines() + "\r\n"
+}
 
 // chunkWriter passes on what a target sends, in the chunked coding if framed is set.
 type chunkWriter struct {
@@ -122,23 +150,49 @@
 	br  *bufio.Reader
 	// body is what the target sends.
 	body io.Reader
-	// framed is unset if the other VM does not state the target's end.
-	framed bool
+	// terms are what the other VM has agreed to.
+	terms terms
+	// confirm is the result of ConfirmReceived.
+	confirm func() error
 }
 
 // newConn returns a connection whose data follows in br.
-func newConn(tcp *net.TCPConn, br *bufio.Reader, framed bool) *conn {
-	c := &conn{Conn: tcp, tcp: tcp, br: br, body: br, framed: framed}
-	if framed {
+func newConn(tcp *net.TCPConn, br *bufio.Reader, t terms) *conn {
+	c := &conn{Conn: tcp, tcp: tcp, br: br, body: br, terms: t}
+	if t.framed {
 		c.body = httputil.NewChunkedReader(br)
 	}
+	c.confirm = sync.OnceValue(c.readConfirmation)
 	return c
 }
 
+// ConfirmReceived implements httpsend.Confirmer. It must be called after Read has returned io.EOF.
+func (c *conn) ConfirmReceived() error {
+	if !c.terms.confirmed {
+		return httpsend.AwaitReceived(c.tcp)
+	}
+	return c.confirm()
+}
+
+// readConfirmation closes the sending side and reads the confirmation.
+func (c *conn) readConfirmation() error {
+	if err := c.tcp.CloseWrite(); err != nil {
+		return errors.Wrap(err, "end the request through another VM")
+	}
+	var got [len(confirmation)]byte
+	if _, err := io.ReadFull(c.br, got[:]); err != nil {
+		return errors.Wrap(err, "read whether the target has received the request")
+	}
+	if string(got[:]) != confirmation {
+		return errors.New("tunnel: the other VM sent no confirmation")
+	}
+	return nil
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.body.Read(p)
-	if errors.Is(err, io.EOF) && !c.framed {
+	if errors.Is(err, io.EOF) && !c.terms.framed {
 		err = io.ErrUnexpectedEOF
 	}
 	return n, err
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -89,15 +89,11 @@
 		return
 	}
 	defer peer.Close()
-	framed := isFramed(r.Header)
-	response := established
-	if framed {
-		response = establishedFramed
-	}
-	if _, err := io.WriteString(peer, response); err != nil {
+	agreed := termsOf(r.Header)
+	if _, err := io.WriteString(peer, agreed.established()); err != nil {
 		return
 	}
-	t.relay(peer, target, framed)
+	t.relay(peer, target, agreed)
 }
 
 // statusOf returns the status for a target that could not be connected to.
@@ -176,8 +172,9 @@
 	// last sent data.
 	waiting     bool
 	respondedAt time.Time
-	// ended is set once the other VM has been told that the target has closed the connection.
-	ended bool
+	// ended is set once the other VM has been told that the target has closed the connection, and ending before
+	// that.
+	ended, ending bool
 }
 
 // quiet reports whether no request is in flight.
@@ -189,19 +186,19 @@
 
 // relay copies data between the other VM and the target until one of them closes its connection, and
 // then closes both. A reset is passed on, so that what the other VM has withdrawn does not reach the
-// target later. framed says that what the target sends is passed on in the chunked coding. The other VM then
-// knows the target's end from its last chunk, and closes the connection itself once it has sent the rest of its
-// request, which the target may still read.
-func (t *tunnel) relay(peer, targetSocket net.Conn, framed bool) {
+// target later. In a framed tunnel the other VM knows the target's end from the last chunk, and closes the
+// connection, or its sending side, once it has sent the rest of its request, which the target may still read.
+func (t *tunnel) relay(peer, targetSocket net.Conn, agreed terms) {
 	target := &targetConn{Conn: targetSocket}
 	var responses sync.WaitGroup
 	responses.Go(func() {
-		w := newChunkWriter(peer, framed)
+		w := newChunkWriter(peer, agreed.framed)
 		err := t.copy(w, target, true)
 		if err == nil {
+			t.noteEnding()
 			err = w.End()
 		}
-		if err == nil && framed {
+		if err == nil && agreed.framed {
 			err = t.awaitRest(peer)
 			if err == nil {
 				return
@@ -210,13 +207,26 @@
 		end(peer, targetSocket, err)
 	})
 	err := t.copy(target, peer, false)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		err = nil
+	case err == nil && agreed.confirmed && t.isEnding():
+		responses.Wait()
+		err = confirm(peer, target)
 	}
 	end(peer, targetSocket, err)
 	responses.Wait()
 }
 
+// confirm states to the other VM that the target's kernel has received all that was written, if it has.
+func confirm(peer net.Conn, target *targetConn) error {
+	if err := target.checkWrites(); err != nil {
+		return err
+	}
+	_, err := io.WriteString(peer, confirmation)
+	return err
+}
+
 // end closes both connections, with a reset if err is not nil. Either may be closed already.
 func end(a, b net.Conn, err error) {
 	for _, c := range []net.Conn{a, b} {
@@ -268,6 +278,20 @@
 	return t.ended
 }
 
+// noteEnding records that the target has closed the connection, before the other VM is told so.
+func (t *tunnel) noteEnding() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ending = true
+}
+
+// isEnding reports whether the target has closed the connection.
+func (t *tunnel) isEnding() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ending
+}
+
 // note records that data was received from the target or from the other VM.
 func (t *tunnel) note(response bool) {
 	t.mu.Lock()
