Rows of the store that cannot be used are logged once a version, and counted

Operators saw: a line for an odd row at each read of the whole table, of the configuration at each poll, and no count of them. Cause: each reader logged what it found at each read. Evidence: TestInvalidEntryIsLoggedOnce, 5 lines for 5 reads before, now one.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -134,8 +134,12 @@
 	})
 	k.Register(ModuleMetrics, func(*kernel.Kernel) (any, error) { return telemetry.NewMetrics("garnet-node") })
 	k.Register(ModuleAdmin, func(k *kernel.Kernel) (any, error) {
-		m, err := kernel.Get[*telemetry.Metrics](k, ModuleMetrics)
-		if err != nil {
+		g := &kernel.Getter{Kernel: k}
+		m, log := kernel.Need[*telemetry.Metrics](g, ModuleMetrics), kernel.Need[*telemetry.Logger](g, ModuleLog)
+		if g.Err != nil {
+			return nil, g.Err
+		}
+		if err := log.CountBadRows(m.Meter); err != nil {
 			return nil, err
 		}
 		return telemetry.NewAdmin(string(cfg.MetricsListen), m), nil
--- a/internal/origin/journal.go
+++ b/internal/origin/journal.go
@@ -307,7 +307,7 @@
 	for _, r := range rows {
 		row, err := decodeJournalRow(r.Value)
 		if err != nil {
-			j.log.Warn(telemetry.EventBadRow, telemetry.F("key", r.Key), telemetry.F("cause", err))
+			j.log.BadRow(r.Key, r.Version, err)
 			continue
 		}
 		row.addTo(stored)
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -257,8 +257,7 @@
 		}
 		s, err := decodeRecord(r, prefix, time.Now())
 		if err != nil {
-			k.log.Warn(telemetry.EventBadRow, telemetry.F("key", r.Key),
-				telemetry.F("revision", r.Version), telemetry.F("cause", err))
+			k.log.BadRow(r.Key, r.Version, err)
 			continue
 		}
 		if expired(s, sched) {
--- a/internal/scaling/controller.go
+++ b/internal/scaling/controller.go
@@ -368,7 +368,7 @@
 		return v, false
 	}
 	if err := json.Unmarshal(r.Value, &v); err != nil {
-		c.log.Warn(telemetry.EventBadRow, telemetry.F("key", key), telemetry.F("revision", r.Version), telemetry.F("cause", err))
+		c.log.BadRow(key, r.Version, err)
 		return v, false
 	}
 	return v, true
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -77,7 +77,8 @@
 
 // Logger writes a line of key=value pairs for each event.
 type Logger struct {
-	entry *logrus.Entry
+	entry   *logrus.Entry
+	badRows *badRows
 }
 
 // NewLogger returns a logger that writes to w, with the names of the program and the VM on every
@@ -86,7 +87,7 @@
 	l := logrus.New()
 	l.SetOutput(w)
 	l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
-	return &Logger{entry: l.WithFields(logrus.Fields{"program": program, "vm": vm})}
+	return &Logger{entry: l.WithFields(logrus.Fields{"program": program, "vm": vm}), badRows: &badRows{}}
 }
 
 // Discard returns a logger that writes nothing.
--- a/internal/watch/entries_test.go
+++ b/internal/watch/entries_test.go
@@ -1,8 +1,10 @@
 package watch_test
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -68,3 +70,18 @@
 		is.Equal(len(k.TargetIDs()), 2)
 	}
 }
+
+// A row that cannot be decoded is logged once, however often the table is read whole, and again when it was written
+// again.
+func TestInvalidEntryIsLoggedOnce(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	d := watch.Decoder{Target: func(string, []byte) (*fleet.Target, error) { return nil, errors.New("odd") }}
+	f := watch.NewFleet(fleet.NewKeeper(), d, watch.NewLink(telemetry.Discard()), telemetry.NewLogger(&out, "p", "vm"))
+	for range 5 {
+		f.ApplyTargets(entryRows("i", "", 1), true)
+	}
+	is.Equal(strings.Count(out.String(), "event=bad_row"), 1)
+	f.ApplyTargets(entryRows("i", "", 2), false)
+	is.Equal(strings.Count(out.String(), "event=bad_row"), 2)
+}
--- a/internal/watch/fleet.go
+++ b/internal/watch/fleet.go
@@ -67,8 +67,7 @@
 		}
 		c, err := f.decode.Config(row.Value)
 		if err != nil {
-			f.log.Warn(telemetry.EventBadRow, telemetry.F("key", row.Key),
-				telemetry.F("revision", row.Version), telemetry.F("cause", err))
+			f.log.BadRow(row.Key, row.Version, err)
 			continue
 		}
 		taken := f.keeper.SetConfig(c)
@@ -136,9 +135,7 @@
 	known := f.keeper.Target(row.Key)
 	t, err := f.decode.Target(row.Key, row.Value)
 	if err != nil {
-		f.log.Warn(telemetry.EventBadRow, telemetry.F("key", row.Key),
-			telemetry.F("revision", row.Version), telemetry.F("listed", known != nil),
-			telemetry.F("cause", err))
+		f.log.BadRow(row.Key, row.Version, err, telemetry.F("listed", known != nil))
 		f.cancelRemoval(row.Key)
 		return fleet.TargetChange{ID: row.Key}, known != nil
 	}
