Member records are checked against their keys

Operators saw: VMs that did not find each other, or sent what is for a VM to an address that is not its own, while an odd record stood among theirs. Cause: records were kept by the name in their value, whatever their key, and an address with port 0 or without a host counted. Evidence: TestOddMemberRecordsAreIgnored fails before (the VMs do not count two members within 10 s), passes now. Why it works: a VM writes its record at the key of its name and data centre only; any other record is skipped, logged and counted.

--- a/internal/peers/copy.go
+++ b/internal/peers/copy.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -66,7 +65,7 @@
 	}
 	p.log.Info(telemetry.EventCopied, fields...)
 	for _, m := range members {
-		addr, err := netip.ParseAddrPort(m.Address)
+		addr, err := memberAddress(m)
 		if err != nil {
 			p.log.Warn(telemetry.EventBadRow, telemetry.F("peer", m.VM), telemetry.F("cause", err))
 			continue
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -162,13 +162,15 @@
 		}
 		var m Member
 		if err := json.Unmarshal(r.Value, &m); err != nil {
-			p.log.Warn(telemetry.EventBadRow, telemetry.F("key", r.Key),
-				telemetry.F("revision", r.Version), telemetry.F("cause", err))
+			p.log.BadRow(r.Key, r.Version, err)
 			continue
 		}
-		addr, err := netip.ParseAddrPort(m.Address)
+		addr, err := memberAddress(m)
+		if err == nil && r.Key != RecordKey(m) {
+			err = errors.Errorf("the record is that of VM %q in data centre %q", m.VM, m.DataCentre)
+		}
 		if err != nil {
-			p.log.Warn(telemetry.EventBadRow, telemetry.F("peer", m.VM), telemetry.F("cause", err))
+			p.log.BadRow(r.Key, r.Version, err)
 			continue
 		}
 		p.setMember(m, addr)
@@ -177,6 +179,18 @@
 	return nil
 }
 
+// memberAddress returns the address of a member. It fails if no datagram can be sent to it.
+func memberAddress(m Member) (netip.AddrPort, error) {
+	addr, err := netip.ParseAddrPort(m.Address)
+	if err != nil {
+		return addr, err
+	}
+	if m.VM == "" || addr.Port() == 0 || addr.Addr().IsUnspecified() {
+		return addr, errors.Errorf("VM %q has the address %s", m.VM, m.Address)
+	}
+	return addr, nil
+}
+
 // sendHello announces this VM to all known VMs. They must count this VM at once when they compute
 // their shares of common limits, and this VM's reports do not reach all of them.
 func (p *Peers) sendHello() {
