--- a/internal/stages/journal.go
+++ b/internal/stages/journal.go
@@ -32,7 +32,8 @@
 	outcomeUnknown bool
 	// notSent is set if the engine was not sent the order or refused it.
 	notSent bool
-	// abandoned is set if the order was not sent because the outcome of writing the row was unknown.
+	// abandoned is set if the order was not sent because the outcome of writing the row was unknown, or if the
+	// row is malformed. The row is removed.
 	abandoned bool
 }
 
@@ -55,7 +56,9 @@
 		engine := strings.TrimPrefix(r.Key, KeyPrefix)
 		var v journalRow
 		if err := json.Unmarshal(r.Value, &v); err != nil {
-			return errors.Wrapf(err, "decode %s", r.Key)
+			c.log.BadRow(r.Key, r.Version, err)
+			open[engine] = &openOrder{seenAt: c.clock(), abandoned: true}
+			continue
 		}
 		if known := c.openOrders[engine]; c.journalFence == t.Fence && known != nil && known.row == v {
 			open[engine] = known
--- a/internal/stages/stages_test.go
+++ b/internal/stages/stages_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"garnethoist.org/garnethoist/internal/clock"
 	"garnethoist.org/garnethoist/internal/fleet"
@@ -411,6 +412,27 @@
 	}
 }
 
+// Guards against engines that are never ordered again as one row of the journal of orders cannot be read. The row is
+// removed.
+func TestMalformedJournalRowHidesNoOther(t *testing.T) {
+	is := is.New(t)
+	table := store.NewMemory()
+	ctx := context.Background()
+	previous := lease.New(lease.Config{DataCentre: "all", Service: "stages", Holder: "z", Incarnation: 9, TTL: time.Second}, table, bootClock)
+	is.NoErr(previous.Step(ctx, true))
+	is.NoErr(previous.Release(ctx))
+	_, err := table.Commit(ctx, store.Txn{Puts: []store.Put{{Key: "order/1", Value: []byte(strings.Repeat("[", 20000))}}})
+	is.NoErr(err)
+	k := newKeeper()
+	e := &fakeEngines{keepers: []*fleet.Keeper{k}}
+	start(t, newController("a", k, table, e, bootClock))
+	eventually(t, "engines are ordered", func() bool { return len(e.executed()) > 0 })
+	eventually(t, "the malformed row is removed", func() bool {
+		_, err := table.Get(ctx, "order/1")
+		return errors.Is(err, store.ErrNotFound)
+	})
+}
+
 // lateTable is a store that executes the first write of an order to the journal only when RunLate is called.
 type lateTable struct {
 	*store.Memory
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -58,16 +58,16 @@
 	Window *Window `json:"window"`
 }
 
-// readLedger reads the ledger from its journal in a tenure. It fails if the store cannot be read or a row
-// is malformed.
-func readLedger(ctx context.Context, journal *store.Journal, tenure store.Cond) (*ledger, error) {
+// readLedger reads the ledger from its journal in a tenure. It fails if the store cannot be read, or if it is
+// not known which reports have been sent. Malformed rows of a window count as sent, and are passed to bad.
+func readLedger(ctx context.Context, journal *store.Journal, tenure store.Cond, bad func(key string, version uint64, cause error)) (*ledger, error) {
 	records, err := journal.Read(ctx, tenure)
 	if err != nil {
 		return nil, errors.Wrap(err, "read usage reports")
 	}
 	l := &ledger{}
 	chunks := make(map[Window][]byte)
-	rows := make(map[Window]int)
+	rows, versions := make(map[Window]int), make(map[Window]uint64)
 	var order []Window
 	for _, r := range records {
 		if r.Key == sentKey {
@@ -83,12 +83,14 @@
 		var w Window
 		var chunk int
 		if _, err := fmt.Sscanf(strings.TrimPrefix(r.Key, windowsPrefix), "%d/%d", &w, &chunk); err != nil {
-			return nil, errors.Wrapf(err, "decode %s", r.Key)
+			bad(r.Key, r.Version, err)
+			continue
 		}
 		if rows[w] == 0 {
 			order = append(order, w)
 		}
 		rows[w]++
+		versions[w] = max(versions[w], r.Version)
 		// Rows are listed in the order of their keys, so the chunks of a window arrive in order.
 		chunks[w] = append(chunks[w], r.Value...)
 	}
@@ -99,7 +101,9 @@
 		}
 		rep := &report{window: w, rows: rows[w]}
 		if err := json.Unmarshal(chunks[w], &rep.counts); err != nil {
-			return nil, errors.Wrapf(err, "decode usage report of window %d", w)
+			bad(rowKey(w, 0), versions[w], err)
+			l.markStale(w, rows[w])
+			continue
 		}
 		l.unsent = append(l.unsent, rep)
 	}
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -166,7 +166,7 @@
 func (r *Reporter) loadLedger(ctx context.Context, t duty.Tenure) bool {
 	call, cancel := context.WithTimeout(ctx, store.JournalCalls*callTimeout)
 	defer cancel()
-	l, err := readLedger(call, r.journal, t.Condition)
+	l, err := readLedger(call, r.journal, t.Condition, func(key string, version uint64, cause error) { r.log.BadRow(key, version, cause) })
 	if err != nil {
 		r.log.Warn(telemetry.EventUsage, telemetry.F("ledger", "read"), telemetry.F("cause", err))
 		return false
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"strings"
 	"testing"
 	"time"
 
@@ -351,7 +352,7 @@
 	}
 	s.run(r, 40*time.Second)
 	is.Equal(len(s.platform.reports[w]), accounts)
-	l, err := readLedger(context.Background(), store.NewJournal(s.table, KeyPrefix, sentKey), store.Cond{Key: "fence"})
+	l, err := readLedger(context.Background(), store.NewJournal(s.table, KeyPrefix, sentKey), store.Cond{Key: "fence"}, noteNothing)
 	is.NoErr(err)
 	is.True(l.lastSent >= w)
 }
@@ -379,6 +380,32 @@
 	})
 }
 
+// noteNothing ignores malformed rows.
+func noteNothing(string, uint64, error) {}
+
+// Guards against usage that is never reported as one row of its journal cannot be read. The rows of the other windows
+// are read, and those of the malformed one are removed with the next report.
+func TestMalformedWindowHidesNoOther(t *testing.T) {
+	is := is.New(t)
+	table := store.NewMemory()
+	for key, value := range map[string]string{
+		rowKey(7, 0): `{"a":5}`, rowKey(8, 0): strings.Repeat("[", 20000), rowKey(9, 0): `{"a":1e99}`, windowsPrefix + "x": "\xff", rowKey(10, 0): `{"b":2}`,
+	} {
+		_, err := table.Commit(context.Background(), store.Txn{Puts: []store.Put{{Key: key, Value: []byte(value)}}})
+		is.NoErr(err)
+	}
+	var bad []string
+	l, err := readLedger(context.Background(), store.NewJournal(table, KeyPrefix, sentKey), store.Cond{Key: "fence"},
+		func(key string, version uint64, cause error) {
+			is.True(version > 0 && cause != nil)
+			bad = append(bad, key)
+		})
+	is.NoErr(err)
+	is.Equal([]Window{l.unsent[0].window, l.unsent[1].window}, []Window{7, 10})
+	is.Equal(len(bad), 3)
+	is.Equal(l.stale, []string{rowKey(8, 0), rowKey(9, 0)})
+}
+
 // readLedger must read any store content or fail with an error, without a panic.
 func FuzzReadLedger(f *testing.F) {
 	f.Add("usage/w/00000000000000000007/000", []byte(`{"a":5}`))
@@ -389,7 +416,7 @@
 		if _, err := table.Commit(context.Background(), store.Txn{Puts: []store.Put{{Key: key, Value: value}}}); err != nil {
 			return
 		}
-		l, err := readLedger(context.Background(), store.NewJournal(table, KeyPrefix, sentKey), store.Cond{Key: "fence"})
+		l, err := readLedger(context.Background(), store.NewJournal(table, KeyPrefix, sentKey), store.Cond{Key: "fence"}, noteNothing)
 		if err != nil {
 			return
 		}
