A start time in the future does not outrank a target's own entries

Callers saw: requests sent to a draining target until it exited, after another program had written an entry under its id that says that it starts far in the future; all entries of the target were dropped as late writes. Cause: the highest start time ever seen under an id won, without a bound. Evidence: TestEntryFromTheFutureIsReplaced is red before in its three cases. Why it works: a start time over a minute ahead of this VM's clock cannot be that of a running target, so the next entry replaces it. The order by start time is otherwise unchanged. The odd entry itself is still applied, so that a VM whose clock is wrong does not lose its targets.

--- a/internal/watch/entries_test.go
+++ b/internal/watch/entries_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
@@ -71,6 +73,24 @@
 	}
 }
 
+// Guards against a living target whose entries are dropped for good as those of an earlier run, its "draining" among them:
+// another program has written an entry under its id that says that it starts far in the future.
+func TestEntryFromTheFutureIsReplaced(t *testing.T) {
+	now := time.Now().UnixMilli()
+	for name, odd := range map[string]int64{"the largest number": math.MaxInt64, "the year 2100": 4102444800000, "an hour ahead": now + 3600_000} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f, k := newFleet()
+			f.ApplyTargets(entryRows("i", entryValue(now), 1), true)
+			f.ApplyTargets(entryRows("i", entryValue(odd), 2), false)
+			f.ApplyTargets(entryRows("i", entryValue(now), 3), false)
+			is.Equal(k.Target("i").Born, now)
+			f.ApplyTargets(entryRows("i", entryValue(now-1000), 4), false) // a delayed write of the earlier run
+			is.Equal(k.Target("i").Born, now)
+		})
+	}
+}
+
 // A row that cannot be decoded is logged once, however often the table is read whole, and again when it was written
 // again.
 func TestInvalidEntryIsLoggedOnce(t *testing.T) {
--- a/internal/watch/fleet.go
+++ b/internal/watch/fleet.go
@@ -16,6 +16,11 @@
 // targets that have left must stop within two seconds, so removalGrace is a little less.
 const removalGrace = 1700 * time.Millisecond
 
+// maxBornAhead is how far the start time of a running target may lie in the future by this VM's clock. A later
+// one was written by another program, and does not make the target's own entries those of an earlier run. It
+// is above the differences between the clocks of targets and VMs.
+const maxBornAhead = time.Minute
+
 // maxLoggedChanges is the largest number of changes that are logged one by one if all targets in them
 // are new. A group's targets start by the thousand.
 const maxLoggedChanges = 32
@@ -147,7 +152,7 @@
 			telemetry.F("revision", row.Version),
 		}
 	}
-	if known != nil && t.Born != 0 && t.Born < known.Born {
+	if known != nil && t.Born != 0 && t.Born < known.Born && known.Born <= time.Now().Add(maxBornAhead).UnixMilli() {
 		// This is a delayed write of the target's previous run.
 		f.log.Warn(telemetry.EventTargets, append(fields(), telemetry.F("stale", true),
 			telemetry.F("known_born", known.Born))...)
