--- a/internal/httpsend/broken_test.go
+++ b/internal/httpsend/broken_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -53,6 +55,30 @@
 	}
 }
 
+// A response whose head breaks off at any byte is none, to a Client and to net/http.
+func TestHeadThatBreaksOffIsNone(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: q\r\nX: y\r\n\r\n"
+	is := is.New(t)
+	for n := range len(head) {
+		for _, reset := range []bool{false, true} {
+			target := platformtest.NewRawTarget(func(c net.Conn, _ *http.Request) bool {
+				_, _ = io.WriteString(c, head[:n]) // the peer may have closed the connection
+				if reset {
+					_ = c.(*net.TCPConn).SetLinger(0)
+				}
+				return false
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), timeLimit)
+			_, err := send(ctx, newClient(), httpsend.Destination{ID: "i-a", Address: target.Address()})
+			is.True(err != nil)
+			_, err = call(newTransport(t), target.Address(), 3)
+			is.True(err != nil)
+			cancel()
+			target.Close()
+		}
+	}
+}
+
 // A response that is sound, however unusual, reaches the caller whole. It may come in pieces.
 func TestSoundResponseIsPassedOn(t *testing.T) {
 	const whole = "the whole body"
