Rows that cannot be used count for no position

Operators saw nothing yet: found while looking for the same cause elsewhere. Cause: copies hold no rows that cannot be used, so a VM that has copied the list had another sum of keys than one that has read it, and would have called the store whenever a sentinel restarts, as long as an odd row stands. Evidence: TestUnusableRowCostsNoCall; it fails where all rows count. Why it works: only rows that can be used are in the sum, on all VMs; one that becomes usable, or takes a usable one's place, has a higher version.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -249,7 +249,7 @@
 // registerTables registers the modules that follow the configuration table and the targets
 // table.
 func registerTables(k *kernel.Kernel, cfg *settings.Node, a Adapter) {
-	register := func(name, table string, apply func(f *watch.Fleet) (watch.Apply, watch.ApplyCopy, snapshot.Provider), options ...func(*watch.Table)) {
+	register := func(name, table string, apply func(f *watch.Fleet) (watch.Apply, watch.ApplyCopy, snapshot.Provider), options ...func(*watch.Table, *watch.Fleet)) {
 		k.Register(name, func(k *kernel.Kernel) (any, error) {
 			g := &kernel.Getter{Kernel: k}
 			group, tables := kernel.Need[*peers.Peers](g, ModulePeers), kernel.Need[*watch.Fleet](g, ModuleFleet)
@@ -263,17 +263,17 @@
 				group, rows, kernel.Need[*telemetry.Logger](g, ModuleLog))
 			t.SetCopier(snapshot.NewClient(string(cfg.PeerAddress), group.SnapshotSources), copied)
 			for _, option := range options {
-				option(t)
+				option(t, tables)
 			}
 			return t, g.Err
 		})
 	}
 	register(ModuleConfigTable, a.ConfigTable, func(f *watch.Fleet) (watch.Apply, watch.ApplyCopy, snapshot.Provider) {
 		return f.ApplyConfig, f.ApplyConfigCopy, f.ConfigCopies()
-	}, (*watch.Table).SetListOnPoll)
+	}, func(t *watch.Table, _ *watch.Fleet) { t.SetListOnPoll() })
 	register(ModuleTargetsTable, a.TargetsTable, func(f *watch.Fleet) (watch.Apply, watch.ApplyCopy, snapshot.Provider) {
 		return f.ApplyTargets, f.ApplyTargetCopy, f.TargetCopies()
-	})
+	}, func(t *watch.Table, f *watch.Fleet) { t.SetUsable(f.HasTarget) })
 }
 
 // providePlacer returns the placer. It also connects the peers, the placer and the stage controller
--- a/internal/snapshot/server.go
+++ b/internal/snapshot/server.go
@@ -21,7 +21,7 @@
 	// pathPrefix followed by the name of a table is the path of its copy.
 	pathPrefix = "/snapshot/"
 	// paramRevision is the query parameter with the lowest Revision that the copy must have.
-	paramRevision = "revision"
+	paramRevision = "newest"
 	// headerFrom names the address of the VM that asks, and headerRevision and headerNewest the
 	// fields of the copy.
 	headerFrom     = "Snapshot-From"
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -43,7 +43,7 @@
 	// Newest is the highest version of a row that the copy has applied. It says nothing about
 	// removals: a table that is read whole states no version for them.
 	Newest uint64
-	// KeySum is a sum over the keys of the rows of the copy; 0 means unknown.
+	// KeySum is a sum over the keys of the usable rows of the copy; 0 means unknown.
 	KeySum uint64
 }
 
--- a/internal/watch/copy_test.go
+++ b/internal/watch/copy_test.go
@@ -21,7 +21,9 @@
 type copier struct {
 	mu     sync.Mutex
 	copies []snapshot.Snapshot
-	// fetched holds the versions that were asked for.
+	// keys are the keys of the rows in each copy.
+	keys []string
+	// fetched holds the revisions that were asked for.
 	fetched []uint64
 }
 
@@ -57,7 +59,7 @@
 	return func(t *watch.Table) {
 		t.SetCopier(c, func(s snapshot.Snapshot) ([]string, error) {
 			a.apply(store.Rows{Revision: s.Revision}, true)
-			return nil, nil
+			return c.keys, nil
 		})
 	}
 }
--- a/internal/watch/fleet.go
+++ b/internal/watch/fleet.go
@@ -63,6 +63,10 @@
 	return &Fleet{keeper: k, decode: d, link: link, log: log, pendingRemovals: make(map[string]*time.Timer)}
 }
 
+// HasTarget returns whether the target with an id is known, that is, its row can be used. It is meant as the
+// argument of Table.SetUsable.
+func (f *Fleet) HasTarget(id string) bool { return f.keeper.Target(id) != nil }
+
 // ApplyConfig applies rows of the configuration table. It logs and skips a row that cannot be
 // decoded, so that the previous configuration stays in use.
 func (f *Fleet) ApplyConfig(rows store.Rows, _ bool) {
--- a/internal/watch/keyset.go
+++ b/internal/watch/keyset.go
@@ -12,7 +12,7 @@
 // emptyKeySum is the sum of an empty set. It differs from 0, which stands for an unknown sum.
 const emptyKeySum = 1
 
-// keySet is the set of the keys of a table's rows. sum depends only on the keys in it.
+// keySet is the set of the keys of a table's usable rows. sum depends only on the keys in it.
 type keySet struct {
 	keys map[string]struct{}
 	sum  uint64
@@ -27,11 +27,13 @@
 	return k
 }
 
-// keysOf returns the keys of rows.
-func keysOf(rows []store.Row) []string {
+// keysOf returns the keys of rows for which usable returns true.
+func keysOf(rows []store.Row, usable func(key string) bool) []string {
 	keys := make([]string, 0, len(rows))
 	for _, r := range rows {
-		keys = append(keys, r.Key)
+		if usable(r.Key) {
+			keys = append(keys, r.Key)
+		}
 	}
 	return keys
 }
@@ -50,18 +52,15 @@
 	}
 }
 
-// change applies the change of a row.
-func (k *keySet) change(r store.Row) {
-	switch {
-	case !r.Removed:
-		k.add(r.Key)
-	case k.has(r.Key):
-		delete(k.keys, r.Key)
-		k.sum -= xxhash.Sum64String(r.Key)
+// remove removes a key if the set holds it.
+func (k *keySet) remove(key string) {
+	if k.has(key) {
+		delete(k.keys, key)
+		k.sum -= xxhash.Sum64String(key)
 	}
 }
 
-// difference returns the changes that lead from a table with these keys, as of revision, to rows, which
+// difference returns the changes that lead from a table with these usable keys, as of revision, to rows, which
 // are a later state of the whole table. It returns them in the order of their versions. Removals come
 // first, with the lowest version possible, because the version of a removal is not known: a copy that
 // applies only the first changes must not take a later revision for reached than that of a removal
@@ -71,7 +70,7 @@
 	present := make(map[string]struct{}, len(rows))
 	for _, r := range rows {
 		present[r.Key] = struct{}{}
-		if r.Version > revision || !k.has(r.Key) {
+		if r.Version > revision {
 			changes = append(changes, r)
 		}
 	}
--- a/internal/watch/removed_test.go
+++ b/internal/watch/removed_test.go
@@ -119,3 +119,21 @@
 	eventually(t, func() bool { g.mu.Lock(); defer g.mu.Unlock(); return len(g.published) == 1 })
 	is.Equal(g.published[0].From, uint64(5))
 }
+
+// A row that cannot be used, which is not in copies, makes no VM that has copied the table read it again.
+func TestUnusableRowCostsNoCall(t *testing.T) {
+	is := is.New(t)
+	usable := func(table *watch.Table) { table.SetUsable(func(key string) bool { return key != "odd" }) }
+	lists := []step{listOf(9, map[string]uint64{"k": 5, "odd": 7}), {err: store.ErrHistoryGone}, listOf(12, map[string]uint64{"k": 5, "odd": 7})}
+	sentinels := &largeGroup{}
+	sentinels.sentinel.Store(true)
+	from, a := startTable(t, &feed{steps: lists}, sentinels, usable)
+	eventually(t, func() bool { return a.last() == 12 && from.Position().Revision == 9 }) // the second list holds nothing new
+
+	f := &feed{}
+	c, copies := &copier{copies: []snapshot.Snapshot{{Revision: 8, Newest: 7}}, keys: []string{"k"}}, &recorder{}
+	to, _ := startTable(t, f, &largeGroup{}, withCopier(c, copies), usable)
+	eventually(t, func() bool { return copies.last() == 8 && to.Position().Revision == 8 })
+	is.True(!to.ObservePeer(from.Position(), time.Now(), 0))
+	is.Equal(f.called(), 0)
+}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -82,8 +82,8 @@
 	listed     bool
 	// more is true if the last response did not hold all changes. Only followLoop uses it.
 	more bool
-	// newest is the highest version of an applied row, and keys holds the keys of the rows. Only
-	// followLoop uses them.
+	// newest is the highest version of an applied row, and keys holds the keys of the usable rows.
+	// Only followLoop uses them.
 	newest uint64
 	keys   keySet
 	// shared is a copy of the fields above for use by other goroutines.
@@ -92,6 +92,9 @@
 	// listOnPoll says that polls read the whole table, see SetListOnPoll.
 	listOnPoll bool
 
+	// usable returns whether the row with a key can be used, see SetUsable.
+	usable func(key string) bool
+
 	// copier copies the table from other VMs, and applyCopy applies such a copy; see SetCopier.
 	copier    Copier
 	applyCopy ApplyCopy
@@ -165,6 +168,7 @@
 	log *telemetry.Logger) *Table {
 	t := &Table{
 		feed: feed, name: name, link: link, group: group, apply: apply, log: log, keys: newKeySet(nil),
+		usable:    func(string) bool { return true },
 		forwarded: make(chan store.Delta, maxForwarded), wake: make(chan struct{}, 1),
 	}
 	t.setRevision(0)
@@ -176,6 +180,11 @@
 // take longer to transfer than a change may take. It must be called before Start.
 func (t *Table) SetListOnPoll() { t.listOnPoll = true }
 
+// SetUsable sets the function that returns whether the row with a key, which has been applied, can be used.
+// Without it all rows count as usable. Copies of other VMs hold no others, so that they do not count in
+// comparisons. It must be called before Start.
+func (t *Table) SetUsable(usable func(key string) bool) { t.usable = usable }
+
 // Name returns the table's name.
 func (t *Table) Name() string { return t.name }
 
@@ -277,11 +286,15 @@
 // applyChanges applies changes up to rows.Revision. Only followLoop may call it.
 func (t *Table) applyChanges(rows store.Rows) {
 	t.lastChange = rows.Revision
+	t.apply(rows, false)
 	for _, r := range rows.Rows {
 		t.newest = max(t.newest, r.Version)
-		t.keys.change(r)
+		if !r.Removed && t.usable(r.Key) {
+			t.keys.add(r.Key)
+		} else {
+			t.keys.remove(r.Key)
+		}
 	}
-	t.apply(rows, false)
 	t.setRevision(rows.Revision)
 }
 
@@ -433,8 +446,8 @@
 	for _, r := range rows.Rows {
 		t.newest = max(t.newest, r.Version)
 	}
-	t.keys = newKeySet(keysOf(rows.Rows))
 	t.apply(rows, true)
+	t.keys = newKeySet(keysOf(rows.Rows, t.usable))
 	t.setRevision(rows.Revision)
 	t.recordResponse(rows, began)
 	if !first && len(changes) > 0 {
