Forwarded differences end at their revision; other rows of the configuration do not count

Found by reading the change before: a list of several pages may hold rows that are newer than its revision. Split over datagrams, its difference would have stated a revision of which a copy lacks changes. And copies of the configuration hold one row only, so that others made them differ. Evidence: TestForwardedDifferenceEndsAtItsRevision, red before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -270,7 +270,10 @@
 	}
 	register(ModuleConfigTable, a.ConfigTable, func(f *watch.Fleet) (watch.Apply, watch.ApplyCopy, snapshot.Provider) {
 		return f.ApplyConfig, f.ApplyConfigCopy, f.ConfigCopies()
-	}, func(t *watch.Table, _ *watch.Fleet) { t.SetListOnPoll() })
+	}, func(t *watch.Table, f *watch.Fleet) {
+		t.SetListOnPoll()
+		t.SetUsable(f.IsConfig)
+	})
 	register(ModuleTargetsTable, a.TargetsTable, func(f *watch.Fleet) (watch.Apply, watch.ApplyCopy, snapshot.Provider) {
 		return f.ApplyTargets, f.ApplyTargetCopy, f.TargetCopies()
 	}, func(t *watch.Table, f *watch.Fleet) { t.SetUsable(f.HasTarget) })
--- a/internal/watch/fleet.go
+++ b/internal/watch/fleet.go
@@ -67,6 +67,10 @@
 // argument of Table.SetUsable.
 func (f *Fleet) HasTarget(id string) bool { return f.keeper.Target(id) != nil }
 
+// IsConfig returns whether a key of the configuration table is that of the configuration. It is meant as the
+// argument of Table.SetUsable too.
+func (f *Fleet) IsConfig(key string) bool { return key == f.decode.ConfigKey }
+
 // ApplyConfig applies rows of the configuration table. It logs and skips a row that cannot be
 // decoded, so that the previous configuration stays in use.
 func (f *Fleet) ApplyConfig(rows store.Rows, _ bool) {
--- a/internal/watch/keyset.go
+++ b/internal/watch/keyset.go
@@ -61,16 +61,17 @@
 }
 
 // difference returns the changes that lead from a table with these usable keys, as of revision, to rows, which
-// are a later state of the whole table. It returns them in the order of their versions. Removals come
-// first, with the lowest version possible, because the version of a removal is not known: a copy that
-// applies only the first changes must not take a later revision for reached than that of a removal
-// which it lacks.
-func (k *keySet) difference(rows []store.Row, revision uint64) []store.Row {
+// are a later state of the whole table. It returns them in the order of their versions. A copy that applies
+// only the first changes must not take a later revision for reached than that of a change which it lacks.
+// So removals, whose versions are not known, come first, with the lowest version possible, and rows that were
+// written while the table was read have its revision.
+func (k *keySet) difference(rows store.Rows, revision uint64) []store.Row {
 	var changes, removals []store.Row
-	present := make(map[string]struct{}, len(rows))
-	for _, r := range rows {
+	present := make(map[string]struct{}, len(rows.Rows))
+	for _, r := range rows.Rows {
 		present[r.Key] = struct{}{}
 		if r.Version > revision {
+			r.Version = min(r.Version, rows.Revision)
 			changes = append(changes, r)
 		}
 	}
--- a/internal/watch/removed_test.go
+++ b/internal/watch/removed_test.go
@@ -137,3 +137,17 @@
 	is.True(!to.ObservePeer(from.Position(), time.Now(), 0))
 	is.Equal(f.called(), 0)
 }
+
+// A row that was written while a table was read whole is not forwarded with a version beyond the read: a copy that
+// applies only a part of the changes would take that version for reached.
+func TestForwardedDifferenceEndsAtItsRevision(t *testing.T) {
+	is := is.New(t)
+	g := &largeGroup{}
+	g.sentinel.Store(true)
+	_, a := startTable(t, &feed{steps: []step{listOf(5, map[string]uint64{"a": 2}), {err: store.ErrHistoryGone},
+		listOf(9, map[string]uint64{"a": 2, "b": 11})}}, g)
+	eventually(t, func() bool { return a.last() == 9 })
+	eventually(t, func() bool { g.mu.Lock(); defer g.mu.Unlock(); return len(g.published) == 1 })
+	is.Equal(g.published[0].Rows.Revision, uint64(9))
+	is.Equal(g.published[0].Rows.Rows[0].Version, uint64(9))
+}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -438,7 +438,7 @@
 		return errStale
 	}
 	first, from := t.revision == 0, t.lastChange
-	changes := t.keys.difference(rows.Rows, t.revision)
+	changes := t.keys.difference(rows, t.revision)
 	t.listed, t.more = true, false
 	if first || len(changes) > 0 {
 		t.lastChange = rows.Revision
