A list that holds nothing new raises the position; differences are for earlier copies only

Callers would have seen: requests to a target whose entry was written and removed while a sentinel could not follow the store, by VMs that held it. Cause: a list without net changes kept its earlier position, so such a VM counted as current; and it applied the difference between two lists, in which that entry is not, as if it led from its own revision. Why it works: each list raises the position, and copies with the same rows advance without a call. A difference states up to which revision a copy may apply it, is not split, and is a message of its own, which VMs of an earlier version ignore and then poll.

--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -245,7 +245,9 @@
 		case d.Hello != nil:
 			p.handleHello(*d.Hello)
 		case d.Delta != nil:
-			p.handleDelta(d.Delta)
+			p.handleDelta(d.Delta, 0)
+		case d.Difference != nil:
+			p.handleDelta(&d.Difference.Delta, d.Difference.Until)
 		case d.UsageQuestion != nil:
 			p.handleUsageQuestion(d.UsageQuestion)
 		case d.UsageReply != nil:
--- a/internal/peers/news.go
+++ b/internal/peers/news.go
@@ -33,9 +33,14 @@
 		}
 		to := p.localAddrs()
 		for _, part := range splitDelta(d, maxDeltaBytes) {
-			forwarded := datagram{Delta: encodeDelta(i, part)}
+			delta := encodeDelta(i, part)
+			forwarded := datagram{Delta: delta}
+			if d.Until > 0 {
+				forwarded = datagram{Difference: &tableDifference{Delta: *delta, Until: d.Until}}
+			}
 			if len(encode(forwarded)) > maxDatagram {
-				forwarded.Delta.Rows, forwarded.Delta.Packed, forwarded.Delta.TooLarge = nil, nil, f.Position().Revision
+				delta.Rows, delta.Packed, delta.TooLarge = nil, nil, f.Position().Revision
+				forwarded = datagram{Delta: delta}
 			}
 			p.sendTo(forwarded, to)
 		}
@@ -48,11 +53,14 @@
 
 // splitDelta splits changes into successive parts of at most maxBytes each, so that they fit into
 // datagrams. The changes of one revision stay together. Each part can be applied once the one before
-// has been.
+// has been. A difference stays whole: its rows are not those of the revisions in between.
 //
 // Load pattern: hundreds of targets change within the time between two calls of a sentinel. Changes
 // that did not fit were read from the store by each VM, some of them seconds later.
 func splitDelta(d store.Delta, maxBytes int) []store.Delta {
+	if d.Until > 0 {
+		return []store.Delta{d}
+	}
 	var parts []store.Delta
 	part, size := d, 0
 	part.Rows.Rows = nil
@@ -83,8 +91,8 @@
 	return out
 }
 
-// handleDelta passes forwarded changes to the followed table that they belong to.
-func (p *Peers) handleDelta(n *tableDelta) {
+// handleDelta passes forwarded changes to the followed table that they belong to. until is store.Delta.Until.
+func (p *Peers) handleDelta(n *tableDelta, until uint64) {
 	switch {
 	case n.TableIndex < 0 || n.TableIndex >= len(p.followed):
 	case n.TooLarge > 0:
@@ -96,7 +104,9 @@
 			p.log.Warn(telemetry.EventBadDatagram, telemetry.F("cause", err))
 			return
 		}
-		p.followed[n.TableIndex].Offer(n.decode())
+		d := n.decode()
+		d.Until = until
+		p.followed[n.TableIndex].Offer(d)
 	}
 }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -127,6 +127,7 @@
 	newest     atomic.Uint64 // the revision of the position
 	newerCalls atomic.Int64
 	offers     atomic.Int64
+	until      atomic.Uint64 // the field Until of the last offer
 	mu         sync.Mutex
 	// readAt is what ReadAt returns. observed holds the latest asOf of the calls of ObservePeer, by
 	// version.
@@ -182,6 +183,7 @@
 // Offer implements peers.FollowedTable.
 func (f *followed) Offer(d store.Delta) {
 	f.offers.Add(1)
+	f.until.Store(d.Until)
 	for _, r := range d.Rows.Rows {
 		f.newest.Store(max(f.newest.Load(), r.Version))
 	}
--- a/internal/peers/relay_test.go
+++ b/internal/peers/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -185,3 +186,37 @@
 	// The other VMs have not read the store, so they confirm nothing to a1.
 	is.True(a1.followed.confirmedAt(7).Before(at.Add(-time.Hour)))
 }
+
+// The difference between two reads of a table arrives whole, with the revision up to which a copy may apply it. If it does
+// not fit into a datagram, the other VMs are told to read the table.
+func TestDifferenceIsForwardedWhole(t *testing.T) {
+	is := is.New(t)
+	table := store.NewMemory()
+	addMemberRecords(t, table, 30)
+	var a, b *vm // a is a sentinel, b is not
+	for i, link := range []float64{10, 9, 8, 7, 6} {
+		b = startIn(t, "a", string(rune('a'+i)), link, table, nil)
+		defer b.stop(t)
+		if i == 0 {
+			a = b
+		}
+	}
+	eventually(t, "all are counted", func() bool {
+		return a.peers.Size() == 35 && b.peers.Size() == 35 && a.peers.Sentinel() && !b.peers.Sentinel()
+	})
+	d := store.Delta{From: 3, Until: 4, Rows: store.Rows{Revision: 5, Rows: []store.Row{{Key: "k", Version: 5}}}}
+	a.peers.Publish("t", d)
+	eventually(t, "the difference arrives", func() bool { return b.followed.offers.Load() == 1 && b.followed.until.Load() == 4 })
+	d.Rows.Rows = []store.Row{{Key: "k", Value: randomBytes(100 << 10), Version: 5}}
+	a.followed.newest.Store(5)
+	a.peers.Publish("t", d)
+	eventually(t, "the other VM is told to read the table", func() bool { return b.followed.newerCalls.Load() > 0 })
+	is.Equal(b.followed.offers.Load(), int64(1))
+}
+
+// randomBytes returns bytes that cannot be compressed.
+func randomBytes(n int) []byte {
+	out, random := make([]byte, n), rand.NewChaCha8([32]byte{})
+	_, _ = random.Read(out) // never fails
+	return out
+}
--- a/internal/peers/report.go
+++ b/internal/peers/report.go
@@ -21,6 +21,8 @@
 	Report *report `cbor:"1,keyasint,omitempty"`
 	// Delta carries changes of a followed table that the sender has read from the store.
 	Delta *tableDelta `cbor:"2,keyasint,omitempty"`
+	// Difference carries the difference between two reads of a followed table.
+	Difference *tableDifference `cbor:"12,keyasint,omitempty"`
 	// Hello announces the sender to a VM whose member record it has just read.
 	Hello *Member `cbor:"3,keyasint,omitempty"`
 	// UsageQuestion asks a VM for its run counts of client accounts, and UsageReply returns them.
@@ -248,6 +250,13 @@
 	TooLarge uint64
 }
 
+// tableDifference is the wire form of a store.Delta with Until.
+type tableDifference struct {
+	_     struct{} `cbor:",toarray"`
+	Delta tableDelta
+	Until uint64
+}
+
 // deltaRow is the wire form of store.Row.
 type deltaRow struct {
 	_       struct{} `cbor:",toarray"`
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -59,6 +59,10 @@
 	// From is the revision after which the changes were made: a copy of the table at that
 	// revision, or a later one, lacks no earlier change.
 	From uint64
+	// Until, if it is not 0, is the last revision at which a copy may apply the changes. They are then the
+	// difference between two reads of the whole table, and lack rows that were written and removed in
+	// between, which a copy of a later revision may hold.
+	Until uint64
 	// Rows holds the changes, and the revision that a copy has reached after applying them.
 	Rows Rows
 	// AfterOutage is true if the store has ever been unreachable for the forwarding VM.
--- a/internal/watch/keyset.go
+++ b/internal/watch/keyset.go
@@ -1,9 +1,6 @@
 package watch
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/cespare/xxhash/v2"
 
 	"garnethoist.org/garnethoist/internal/store"
@@ -61,25 +58,20 @@
 }
 
 // difference returns the changes that lead from a table with these usable keys, as of revision, to rows, which
-// are a later state of the whole table. It returns them in the order of their versions. A copy that applies
-// only the first changes must not take a later revision for reached than that of a change which it lacks.
-// So removals, whose versions are not known, come first, with the lowest version possible, and rows that were
-// written while the table was read have its revision.
+// are a later state of the whole table. Removals have the revision of rows, as their versions are not known.
 func (k *keySet) difference(rows store.Rows, revision uint64) []store.Row {
-	var changes, removals []store.Row
+	var changes []store.Row
 	present := make(map[string]struct{}, len(rows.Rows))
 	for _, r := range rows.Rows {
 		present[r.Key] = struct{}{}
 		if r.Version > revision {
-			r.Version = min(r.Version, rows.Revision)
 			changes = append(changes, r)
 		}
 	}
 	for key := range k.keys {
 		if _, ok := present[key]; !ok {
-			removals = append(removals, store.Row{Key: key, Version: revision + 1, Removed: true})
+			changes = append(changes, store.Row{Key: key, Version: rows.Revision, Removed: true})
 		}
 	}
-	slices.SortFunc(changes, func(a, b store.Row) int { return cmp.Compare(a.Version, b.Version) })
-	return append(removals, changes...)
+	return changes
 }
--- a/internal/watch/offer.go
+++ b/internal/watch/offer.go
@@ -67,13 +67,13 @@
 }
 
 // applyForwarded applies forwarded changes unless this copy has them already. If changes between
-// the revision of the copy and the first forwarded change may be missing, applyForwarded requests a
-// poll instead.
+// the revision of the copy and the first forwarded change may be missing, or the changes are the
+// difference to an earlier state than that of the copy, applyForwarded requests a poll instead.
 func (t *Table) applyForwarded(d store.Delta) {
 	switch {
 	case d.Rows.Revision <= t.revision:
 		return
-	case d.From > t.revision:
+	case d.From > t.revision, d.Until > 0 && d.Until < t.revision:
 		t.NotifyNewer(d.Rows.Revision)
 		return
 	}
@@ -85,10 +85,8 @@
 	t.applyChanges(d.Rows)
 }
 
-// publish forwards changes to other VMs if this VM is a sentinel. from is the revision of the last
-// change before these.
-func (t *Table) publish(from uint64, rows store.Rows) {
-	d := store.Delta{From: from, Rows: rows}
+// publish forwards changes to other VMs if this VM is a sentinel.
+func (t *Table) publish(d store.Delta) {
 	d.SinceRecovery, d.AfterOutage = t.link.SinceRecovery()
 	t.group.Publish(t.name, d)
 }
--- a/internal/watch/unchanged.go
+++ b/internal/watch/unchanged.go
@@ -35,6 +35,5 @@
 	}
 	t.log.Info(telemetry.EventChangesForwarded, telemetry.F("table", t.name), telemetry.F("from", r.from),
 		telemetry.F("revision", r.to), telemetry.F("unchanged", true))
-	t.apply(store.Rows{Revision: r.to}, false)
-	t.setRevision(r.to)
+	t.applyChanges(store.Rows{Revision: r.to})
 }
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -402,7 +402,7 @@
 		t.recordResponse(rows, began)
 	}
 	if len(rows.Rows) > 0 {
-		t.publish(from, rows)
+		t.publish(store.Delta{From: from, Rows: rows})
 	}
 	return nil
 }
@@ -437,12 +437,11 @@
 	if rows.Revision < t.revision {
 		return errStale
 	}
-	first, from := t.revision == 0, t.lastChange
-	changes := t.keys.difference(rows, t.revision)
-	t.listed, t.more = true, false
-	if first || len(changes) > 0 {
-		t.lastChange = rows.Revision
+	d := store.Delta{From: t.lastChange, Until: t.revision, Rows: store.Rows{Revision: rows.Revision}}
+	if t.revision > 0 {
+		d.Rows.Rows = t.keys.difference(rows, t.revision)
 	}
+	t.listed, t.lastChange, t.more = true, rows.Revision, false
 	for _, r := range rows.Rows {
 		t.newest = max(t.newest, r.Version)
 	}
@@ -450,8 +449,8 @@
 	t.keys = newKeySet(keysOf(rows.Rows, t.usable))
 	t.setRevision(rows.Revision)
 	t.recordResponse(rows, began)
-	if !first && len(changes) > 0 {
-		t.publish(from, store.Rows{Rows: changes, Revision: rows.Revision, StoreTime: rows.StoreTime})
+	if len(d.Rows.Rows) > 0 {
+		t.publish(d)
 	}
 	return nil
 }
