Tests of early responses behind a VM share their sends

playEarly repeated sendEarly line by line; what is checked is unchanged. The tests of early ends and of the tunnel's confirmation pass with the race detector.

--- a/internal/tunnel/early_test.go
+++ b/internal/tunnel/early_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -12,7 +11,6 @@
 
 	"github.com/matryer/is"
 
-	"garnethoist.org/garnethoist/internal/httpsend"
 	"garnethoist.org/garnethoist/platform/platformtest"
 )
 
@@ -23,26 +21,9 @@
 // has read the body. It returns how many of the responses were complete.
 func playEarly(t *testing.T, text string, size int, pause time.Duration, ending platformtest.EarlyEnding) int {
 	t.Helper()
-	is := is.New(t)
 	target := platformtest.NewRawTarget(platformtest.AnswerEarly(func(*http.Request) string { return "HTTP/1.1 200 OK\r\n\r\n" + text }, pause, ending))
 	defer target.Close()
-	client := newIndirectClient(t, startVMInBetween(t, target.Address()))
-	complete := 0
-	for range earlyPlays {
-		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-		resp, err := client.Send(ctx, httpsend.Destination{ID: "i-plain", Address: target.Address()},
-			&httpsend.Request{Method: http.MethodPost, URI: "/x", Host: "h", Body: make([]byte, size)}, func(int, http.Header) bool { return true })
-		if err == nil {
-			var body []byte
-			if body, err = io.ReadAll(resp); err == nil {
-				complete++
-				is.Equal(string(body), text)
-			}
-			resp.Close()
-		}
-		cancel()
-	}
-	return complete
+	return sendEarly(t, newIndirectClient(t, startVMInBetween(t, target.Address())), target.Address(), size, earlyPlays, text)
 }
 
 // The reset of a target that answers a long upload early is no end of the body, though the VM in between sees it while
