A VM that starts waits until it knows which requests crash targets

Callers saw: a request that has crashed three targets crashes a fourth at a VM that has just started (BUDGET).

Cause: the stored records are read in the background, and neither readiness nor admission asked whether they had been.

Why it works: requests are refused as not ready, and the VM is not ready, until the records were read or another VM that has them said that it has sent its own; for 3 s at most from when it could serve, so that a store that is away does not keep a VM from serving. The answer is sent only to a VM that asks for it, that is while its own read has not succeeded.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -137,6 +137,9 @@
 	if x.g.freshness.Behind() {
 		return x.refusal(errkind.NotReady, nil, "other VMs know a newer configuration")
 	}
+	if x.g.awaitsQuarantines() {
+		return x.refusal(errkind.NotReady, nil, "requests that crash targets are not known yet")
+	}
 	if err := x.matchRoute(); err != nil {
 		return err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -127,9 +127,11 @@
 	freshness ConfigFreshness
 	// quarantine records the requests that may crash targets.
 	quarantine Quarantine
-	usage      Usage
-	allowances Allowances
-	origins    Origins
+	// usableSince is when the view was first seen to be usable before the quarantines were known.
+	usableSince atomic.Pointer[time.Time]
+	usage       Usage
+	allowances  Allowances
+	origins     Origins
 	// exitChecks merges concurrent checks of whether the process of a target has exited.
 	exitChecks singleflight.Group
 	client     *httpsend.Client
@@ -294,6 +296,8 @@
 		return "configuration or targets not known yet"
 	case g.freshness.Behind():
 		return "other VMs know a newer configuration"
+	case g.awaitsQuarantines():
+		return "requests that crash targets are not known yet"
 	case g.keeper.View().Config.RequiresKeys() && !g.freshness.KeysCurrent():
 		return "recently revoked keys are not known"
 	}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -27,6 +27,8 @@
 // a suspect after two such crashes and quarantined after three, that is, kept from all targets
 // until one VM may try it again. The methods are safe for concurrent use.
 type Quarantine interface {
+	// Known returns whether the quarantines that began before this VM started are known.
+	Known() bool
 	// Verdict returns what is known of a request.
 	Verdict(r *quarantine.Request, now time.Time) quarantine.Verdict
 	// BeginTrial begins a trial of a suspect: one attempt that shows whether the request still
@@ -60,6 +62,21 @@
 	trialRetryAfter = time.Second
 )
 
+// maxUnknownQuarantine is the longest time for which a VM that knows its configuration and targets waits for the
+// quarantines that began before it started. Requests that crash targets are few, and all requests wait for them.
+const maxUnknownQuarantine = 3 * time.Second
+
+// awaitsQuarantines returns whether requests must wait for the quarantines that began before this VM started. The view
+// must be usable.
+func (g *Gateway) awaitsQuarantines() bool {
+	if g.quarantine.Known() {
+		return false
+	}
+	now := clock.Now()
+	g.usableSince.CompareAndSwap(nil, &now)
+	return now.Sub(*g.usableSince.Load()) < maxUnknownQuarantine
+}
+
 // checkQuarantine refuses a request that is quarantined. For a suspect, this VM makes one attempt
 // at a time. After three crashes, one VM of the group tries the request before the other VMs may.
 // checkQuarantine is called before each attempt, because other VMs may have reported crashes
--- a/internal/peers/suspects.go
+++ b/internal/peers/suspects.go
@@ -43,6 +43,10 @@
 	Top(n int, now time.Time) quarantine.Snapshots
 	// MergeFrom merges the entries that another VM has sent.
 	MergeFrom(from string, s quarantine.Snapshots)
+	// Known returns whether the entries of before this VM's start are known. SetKnown records that another VM,
+	// for which Known is true, has sent them.
+	Known() bool
+	SetKnown()
 }
 
 // SetSuspects sets the suspects that are exchanged with other VMs. It must be called before Start.
@@ -81,7 +85,8 @@
 		return
 	}
 	p.nextAsk = now.Add(askInterval)
-	p.sendTo(datagram{Suspects: &suspectsMessage{From: p.self.VM, Asks: true}}, p.randomAddrs(resendVMs))
+	p.sendTo(datagram{Suspects: &suspectsMessage{From: p.self.VM, Asks: true, Unknown: !p.suspects.Known()}},
+		p.randomAddrs(resendVMs))
 }
 
 // Owns returns whether this VM is the owner of a key, by rendezvous hashing over the known VMs, so
@@ -164,6 +169,10 @@
 	Parts []partEntry `cbor:"3,keyasint,omitempty"`
 	// Asks says that the sender has just started and knows no suspects.
 	Asks bool `cbor:"4,keyasint,omitempty"`
+	// Unknown says, with Asks, that the sender waits for the entries of before its start.
+	Unknown bool `cbor:"5,keyasint,omitempty"`
+	// Complete says that the sender has now sent all its entries in answer to Unknown.
+	Complete bool `cbor:"6,keyasint,omitempty"`
 }
 
 // suspectEntry is the wire form of quarantine.Snapshot.
@@ -279,11 +288,22 @@
 	switch {
 	case p.suspects == nil:
 	case m.Asks:
-		if top := p.suspects.Top(resendCount, clock.Now()); !top.Empty() {
-			p.sendSnapshots(top, p.addrOf(m.From))
-		}
+		p.answerSuspects(m)
+	case m.Complete:
+		p.suspects.SetKnown()
 	default:
 		p.suspectsKnown.Store(true)
 		p.suspects.MergeFrom(m.From, m.decode())
 	}
 }
+
+// answerSuspects sends this VM's suspects to a VM that has just started.
+func (p *Peers) answerSuspects(question *suspectsMessage) {
+	to := p.addrOf(question.From)
+	if top := p.suspects.Top(resendCount, clock.Now()); !top.Empty() {
+		p.sendSnapshots(top, to)
+	}
+	if question.Unknown && p.suspects.Known() {
+		p.sendTo(datagram{Suspects: &suspectsMessage{From: p.self.VM, Complete: true}}, to)
+	}
+}
--- a/internal/peers/suspects_test.go
+++ b/internal/peers/suspects_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,8 +24,16 @@
 	*vm
 	known *quarantine.Table
 	parts *quarantine.PartTable
+	// complete is what Known returns.
+	complete atomic.Bool
 }
 
+// Known implements peers.Suspects.
+func (v *suspectVM) Known() bool { return v.complete.Load() }
+
+// SetKnown implements peers.Suspects.
+func (v *suspectVM) SetKnown() { v.complete.Store(true) }
+
 // MergeFrom implements peers.Suspects.
 func (v *suspectVM) MergeFrom(_ string, s quarantine.Snapshots) {
 	v.known.Merge(s.Requests, time.Now())
@@ -127,6 +136,19 @@
 	is.True(time.Since(began) < spreadBound)
 }
 
+// Guards against a VM that takes the silence of VMs which don't know the suspects themselves for knowledge.
+func TestOnlyVMsThatKnowTheSuspectsCompleteThem(t *testing.T) {
+	is := is.New(t)
+	table := store.NewMemory()
+	asked := startWithSuspects(t, "a", "asked", address(t), table)
+	late := startWithSuspects(t, "a", "late", address(t), table)
+	eventually(t, "all are counted", func() bool { return late.peers.Size() == 2 && asked.peers.Size() == 2 })
+	time.Sleep(500 * time.Millisecond)
+	is.True(!late.complete.Load())
+	asked.complete.Store(true)
+	eventually(t, "the VM that knows them completes them", late.complete.Load)
+}
+
 // A part of prompts that crashes targets, whose crashes were seen by different VMs, becomes known to all VMs
 // within spreadBound, also to one that starts later. Once a request with it has run well, all know that.
 func TestHeldPartsReachAllVMs(t *testing.T) {
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,6 +37,10 @@
 var storeRetry = kernel.RetryPolicy{InitialWait: 300 * time.Millisecond, MaxWait: 3 * time.Second,
 	Timeout: 3 * time.Second}
 
+// loadRetry is the policy for retries of the first read of the store, for which the VM's first requests wait.
+var loadRetry = kernel.RetryPolicy{InitialWait: 300 * time.Millisecond, MaxWait: time.Second,
+	Timeout: 3 * time.Second}
+
 // Keeper is a Table and a PartTable that also persists quarantines in the store, so that they outlive
 // all processes.
 type Keeper struct {
@@ -48,6 +53,8 @@
 	clock func() time.Time
 	// unsaved queues the entries whose records must be written or deleted.
 	unsaved chan unsaved
+	// known is set once the quarantines that began before Start are known, see Known.
+	known atomic.Bool
 }
 
 // unsaved is an entry of a table whose record must be written or deleted.
@@ -68,7 +75,7 @@
 // background. It never fails.
 func (k *Keeper) Start(context.Context) error {
 	k.Run(
-		func(ctx context.Context) { kernel.RetryUntilDone(ctx, storeRetry, k.load) },
+		func(ctx context.Context) { kernel.RetryUntilDone(ctx, loadRetry, k.load) },
 		k.saveLoop,
 		func(ctx context.Context) {
 			kernel.Every(ctx, expireInterval, func(context.Context) {
@@ -150,6 +157,13 @@
 	}
 }
 
+// Known returns whether the quarantines that began before Start are known: they have been read from the store, or
+// another VM has sent them.
+func (k *Keeper) Known() bool { return k.known.Load() }
+
+// SetKnown records that another VM has sent all quarantines that it knows.
+func (k *Keeper) SetKnown() { k.known.Store(true) }
+
 // TakeChanged returns the entries that all VMs must know and that have changed since its last call.
 func (k *Keeper) TakeChanged(now time.Time) Snapshots {
 	return Snapshots{Requests: k.Table.TakeChanged(now), Parts: k.parts.TakeChanged(now)}
@@ -267,6 +281,7 @@
 		*into = append(*into, s)
 	}
 	k.MergeFrom("store", loaded)
+	k.known.Store(true)
 	if len(conds) == 1 {
 		return nil
 	}
