--- a/internal/order/journal.go
+++ b/internal/order/journal.go
@@ -8,12 +8,14 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 
 	"github.com/pkg/errors"
 
 	"garnethoist.org/garnethoist/internal/lease"
 	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/target"
+	"garnethoist.org/garnethoist/internal/telemetry"
 )
 
 // Entry is the journal's row of one engine: the last order issued to it.
@@ -33,11 +35,12 @@
 	table      store.Table
 	dataCentre string
 	service    string
+	log        *telemetry.Logger
 }
 
-// NewJournal returns the journal of a service in a data centre.
-func NewJournal(table store.Table, dataCentre, service string) *Journal {
-	return &Journal{table: table, dataCentre: dataCentre, service: service}
+// NewJournal returns the journal of a service in a data centre. Malformed rows are logged to log.
+func NewJournal(table store.Table, dataCentre, service string, log *telemetry.Logger) *Journal {
+	return &Journal{table: table, dataCentre: dataCentre, service: service, log: log}
 }
 
 // keyPrefix starts the keys of journal rows. The keys do not contain the service,
@@ -49,7 +52,9 @@
 	return keyPrefix + j.dataCentre + "/" + engine
 }
 
-// Load returns the rows of all engines of the data centre, by engine.
+// Load returns the rows of all engines of the data centre, by engine. A malformed row is logged, and is returned as
+// that of an engine without an order, which the next order replaces. An order that it held may have been sent: the
+// next one has a higher fencing number, and an engine that ignores these gets it only once the other can't arrive.
 func (j *Journal) Load(ctx context.Context) (map[string]Entry, error) {
 	recs, err := j.table.List(ctx, keyPrefix+j.dataCentre+"/")
 	if err != nil {
@@ -57,16 +62,30 @@
 	}
 	out := make(map[string]Entry, len(recs))
 	for _, rec := range recs {
-		var e Entry
-		if err := json.Unmarshal(rec.Value, &e); err != nil {
-			return nil, errors.Wrapf(err, "decode journal row %s", rec.Key)
+		engine := strings.TrimPrefix(rec.Key, keyPrefix+j.dataCentre+"/")
+		e, err := decodeEntry(rec.Value, engine)
+		if err != nil {
+			j.log.BadRow(rec.Key, rec.Version, err)
+			e = Entry{Engine: engine, Done: true}
 		}
 		e.Version = rec.Version
-		out[e.Engine] = e
+		out[engine] = e
 	}
 	return out, nil
 }
 
+// decodeEntry decodes the row of an engine.
+func decodeEntry(value []byte, engine string) (Entry, error) {
+	var e Entry
+	if err := json.Unmarshal(value, &e); err != nil {
+		return e, errors.Wrap(err, "decode journal row")
+	}
+	if e.Engine != engine {
+		return e, errors.Errorf("journal row of engine %q names engine %q", engine, e.Engine)
+	}
+	return e, nil
+}
+
 // Write replaces version e.Version of the engine's row by e, if the tenure t
 // still lasts, and returns e with its new version. The error is
 // store.ErrConflict if the tenure is over or someone else wrote the row. If the
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/table"
 	"garnethoist.org/garnethoist/internal/target"
+	"garnethoist.org/garnethoist/internal/telemetry"
 )
 
 const (
@@ -102,7 +104,7 @@
 // newSteward returns a steward that has not tried to take the lease.
 func (env *testEnv) newSteward(name string) *steward {
 	l := lease.New(lease.Config{DataCentre: "kakkanad", Service: "hints", Holder: name, Incarnation: 1, TTL: ttl}, env.platform, env.clock)
-	j := NewJournal(env.platform, "kakkanad", "hints")
+	j := NewJournal(env.platform, "kakkanad", "hints", telemetry.Discard())
 	return &steward{lease: l, sender: NewSender(j, l, env.engine, env.clock, readTimeout)}
 }
 
@@ -285,7 +287,7 @@
 	a.stepLease(t)
 	other := lease.New(lease.Config{DataCentre: "kakkanad", Service: "judge", Holder: "b", Incarnation: 1, TTL: ttl}, env.platform, env.clock)
 	is.NoErr(other.Step(context.Background(), true))
-	sender := NewSender(NewJournal(env.platform, "kakkanad", "judge"), other, env.engine, env.clock, readTimeout)
+	sender := NewSender(NewJournal(env.platform, "kakkanad", "judge", telemetry.Discard()), other, env.engine, env.clock, readTimeout)
 	ctx := context.Background()
 	is.NoErr(sender.Issue(ctx, "e1", "addr", table.FencingChecked, wantVersion("judge")))
 	_, err := sender.Complete(ctx, "e1", "addr")
@@ -362,7 +364,7 @@
 	_, ok = b.lease.Held()
 	is.True(ok)
 	late := Entry{Engine: "e1", Order: target.Order{ID: "late", Fence: old.Fence, Want: wantVersion("v0")}}
-	_, err := NewJournal(env.platform, "kakkanad", "hints").Write(context.Background(), old, late)
+	_, err := NewJournal(env.platform, "kakkanad", "hints", telemetry.Discard()).Write(context.Background(), old, late)
 	is.True(errors.Is(err, store.ErrConflict))
 	is.NoErr(b.give(table.FencingChecked, "v1")) // the row is unchanged
 }
@@ -390,3 +392,25 @@
 		is.Equal(env.engine.applied[len(env.engine.applied)-1].Want.Version, "v2")
 	}
 }
+
+// Guards against one malformed row of the journal ending the orders to all engines of the data centre.
+func TestMalformedRowHidesNoOther(t *testing.T) {
+	for _, row := range []string{
+		"[", `{"engine":"e1","order":{"fence":1e30}}`, `{"engine":"e9"}`, strings.Repeat("[", 20000),
+	} {
+		is := is.New(t)
+		env := newTestEnv(true)
+		a, b := env.newHolderAndCandidate(t)
+		is.NoErr(a.give(table.FencingChecked, "v1"))
+		for _, engine := range []string{"e1", "e2"} {
+			_, err := env.platform.Commit(context.Background(), store.Txn{Puts: []store.Put{{Key: keyPrefix + "kakkanad/" + engine, Value: []byte(row)}}})
+			is.NoErr(err)
+		}
+		env.now += 2 * ttl
+		b.stepLease(t)
+		is.NoErr(b.give(table.FencingChecked, "v2"))
+		is.True(b.complete(t))
+		is.Equal(env.engine.lastOrder, env.engine.applied[1].ID)
+		is.NoErr(b.give(table.FencingChecked, "v3"))
+	}
+}
--- a/internal/steward/authority.go
+++ b/internal/steward/authority.go
@@ -87,7 +87,7 @@
 		DataCentre: self.DataCentre, Service: service, Holder: self.VM,
 		Incarnation: self.Incarnation, TTL: m.cfg.LeaseTTL.D(),
 	}, m.table, m.clock)
-	journal := order.NewJournal(m.table, self.DataCentre, service)
+	journal := order.NewJournal(m.table, self.DataCentre, service, m.log)
 	return &controller{
 		leaseManager: m, service: service, lease: l,
 		sender:      order.NewSender(journal, l, m.engines, m.clock, m.cfg.EngineReadTimeout.D()),
--- a/internal/steward/controller_test.go
+++ b/internal/steward/controller_test.go
@@ -339,7 +339,7 @@
 	f.runSteps(1)
 	f.setTable(2, "v2")
 	f.engines.status["a"].Changing = true // its order takes long
-	journal := order.NewJournal(f.c.table, "kakkanad", "hints")
+	journal := order.NewJournal(f.c.table, "kakkanad", "hints", telemetry.Discard())
 	tenure, held := f.c.lease.Held()
 	is.True(held)
 	_, err := journal.Write(context.Background(), tenure, order.Entry{Engine: "a", Order: target.Order{ID: "a-1", Fence: 1}})
