--- a/internal/entry/broken_test.go
+++ b/internal/entry/broken_test.go
@@ -32,7 +32,7 @@
 // A broken response is no answer of a plain service: the call may have run, and is not sent again.
 func TestBrokenResponseIsNoAnswer(t *testing.T) {
 	s := &server{plain: newPlainForwarder(body.NewStaged(relay.DefaultBodiesBytes))}
-	for name, text := range platformtest.BrokenResponses("") {
+	for name, text := range platformtest.NoResponses("") {
 		for _, client := range []*http.Client{s.plain.keepAlive, s.plain.noReuse} {
 			t.Run(name, func(t *testing.T) {
 				is := is.New(t)
--- a/internal/httpsend/transport_test.go
+++ b/internal/httpsend/transport_test.go
@@ -51,7 +51,7 @@
 // What is no response to a Client is none to net/http either, on new and on kept connections, and the request is not
 // sent again.
 func TestBrokenResponseIsNoneToTransport(t *testing.T) {
-	for name, text := range platformtest.BrokenResponses("") {
+	for name, text := range platformtest.NoResponses("") {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			var broken atomic.Bool
--- a/internal/relay/broken_test.go
+++ b/internal/relay/broken_test.go
@@ -44,7 +44,7 @@
 
 // A broken response of an engine is none, neither whole nor as a stream.
 func TestBrokenResponseIsNotRelayed(t *testing.T) {
-	for name, text := range platformtest.BrokenResponses("Content-Type: text/event-stream\r\n") {
+	for name, text := range platformtest.NoResponses("Content-Type: text/event-stream\r\n") {
 		for _, body := range []string{buffered(1), chatBody("")} {
 			t.Run(name, func(t *testing.T) {
 				is := is.New(t)
--- a/internal/target/broken_test.go
+++ b/internal/target/broken_test.go
@@ -14,7 +14,7 @@
 
 // A broken response is neither a status nor the acceptance or refusal of an order.
 func TestBrokenStatusIsNone(t *testing.T) {
-	for name, text := range platformtest.BrokenResponses("") {
+	for name, text := range platformtest.NoResponses("") {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			raw := platformtest.NewRawTarget(platformtest.AnswerText(func(*http.Request) string { return text }))
