--- a/internal/gateway/ready_test.go
+++ b/internal/gateway/ready_test.go
@@ -12,6 +12,8 @@
 	"garnethoist.org/garnethoist/internal/fleet"
 	"garnethoist.org/garnethoist/internal/httpsend"
 	"garnethoist.org/garnethoist/internal/place"
+	"garnethoist.org/garnethoist/internal/quarantine"
+	"garnethoist.org/garnethoist/internal/store"
 	"garnethoist.org/garnethoist/internal/telemetry"
 )
 
@@ -44,8 +46,10 @@
 	is.True(keeper.View().Usable())
 	log := telemetry.NewLogger(&bytes.Buffer{}, "test", "vm-1")
 	client := httpsend.New(httpsend.Config{DialTimeout: time.Second, MaxIdleTime: time.Second})
+	suspects := quarantine.NewKeeper(store.NewMemory(), log, time.Now)
 	g := New(Options{
-		Listen: taken.Addr().String(), Descriptors: unlimitedDescriptors, Keeper: keeper, Group: soloVM{}, Freshness: upToDate{},
+		Quarantine: suspects,
+		Listen:     taken.Addr().String(), Descriptors: unlimitedDescriptors, Keeper: keeper, Group: soloVM{}, Freshness: upToDate{},
 		Placer: place.New(place.DefaultConfig("a"), soloVM{}, nil), Client: client, Log: log,
 	}, Limits{Grace: 500 * time.Millisecond})
 	is.True(g.Ready() != "") // not started
@@ -53,6 +57,8 @@
 	is.True(g.Ready() != "") // the address is in use
 	is.NoErr(taken.Close())
 	is.NoErr(g.Start(context.Background()))
+	is.True(g.Ready() != "") // it is not known which requests crash targets
+	suspects.SetKnown()
 	is.Equal(g.Ready(), "")
 	is.NoErr(g.Stop(context.Background()))
 	is.True(g.Ready() != "")
